Lay out the reactor, the design page and the shared interfaces

Cause: the repository was empty, and the modules are built in parallel against one set of interfaces. Change: a Maven reactor of six modules with formatter, Error Prone and Checkstyle; the design page; the clock, error kinds, fleet record, slice table, configuration model, peer messages and platform interfaces.

--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/budget/package-info.java
@@ -0,0 +1,2 @@
+/** Fleet-wide rate and burst of organisations. */
+package org.snipewind.coordination.budget;
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/clock/package-info.java
@@ -0,0 +1,2 @@
+/** The millisecond clock that all decisions read. */
+package org.snipewind.coordination.clock;
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/error/package-info.java
@@ -0,0 +1,2 @@
+/** The closed list of error kinds and the refusals built from it. */
+package org.snipewind.coordination.error;
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/fleet/Member.java
@@ -0,0 +1,37 @@
+package org.snipewind.coordination.fleet;
+
+import java.util.List;
+
+/**
+ * One daemon of the fleet in one incarnation.
+ *
+ * @param id instance name and incarnation, unique for ever
+ * @param region the region of the daemon's data centre
+ * @param dataCentre the data centre in which the daemon runs
+ * @param peerAddress host and port for frames between daemons
+ * @param operatorAddress host and port of the operators' HTTP endpoints
+ * @param leaseGroup ids of the members that acknowledge this member's lease
+ */
+public record Member(
+        String id,
+        String region,
+        String dataCentre,
+        String peerAddress,
+        String operatorAddress,
+        List<String> leaseGroup) {
+
+    /** Copies the lease group. */
+    public Member {
+        leaseGroup = List.copyOf(leaseGroup);
+    }
+
+    /**
+     * Replaces the lease group.
+     *
+     * @param group ids of the new lease group
+     * @return a member that differs only in its lease group
+     */
+    public Member withLeaseGroup(List<String> group) {
+        return new Member(id, region, dataCentre, peerAddress, operatorAddress, group);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Member leases acknowledged by a group of peers. */
+package org.snipewind.coordination.lease;
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/ownership/KeyHasher.java
@@ -0,0 +1,33 @@
+package org.snipewind.coordination.ownership;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/** Maps keys to slices with a stable 64-bit hash. */
+public final class KeyHasher {
+
+    // The hash function is part of the stored assignment: another function would move every key.
+    private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+    private KeyHasher() {}
+
+    /**
+     * Hashes text.
+     *
+     * @param text any text
+     * @return a 64-bit hash that is the same in every process
+     */
+    public static long hash(String text) {
+        return HASHER.hashCharsToLong(text);
+    }
+
+    /**
+     * Finds the slice of a key.
+     *
+     * @param key key of a request
+     * @return slice number from 0 to {@link SliceTable#SLICE_COUNT} - 1
+     */
+    public static int sliceOf(String key) {
+        return (int) Long.remainderUnsigned(hash(key), SliceTable.SLICE_COUNT);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/ownership/SliceOwnership.java
@@ -0,0 +1,25 @@
+package org.snipewind.coordination.ownership;
+
+import java.util.Optional;
+
+/**
+ * Ownership of one slice of keys.
+ *
+ * @param owner name of the target that owns the slice, or empty while no target can take it
+ * @param releasing name of the previous owner that has not yet let go of the slice
+ */
+public record SliceOwnership(Optional<String> owner, Optional<String> releasing) {
+
+    /** A slice that was never assigned. */
+    public static final SliceOwnership NONE = new SliceOwnership(Optional.empty(), Optional.empty());
+
+    /**
+     * Tells whether the owner may serve the slice.
+     *
+     * @param target name of a target
+     * @return true if the target owns the slice and no previous owner still holds it
+     */
+    public boolean isServableBy(String target) {
+        return releasing.isEmpty() && owner.isPresent() && owner.get().equals(target);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/package-info.java
@@ -0,0 +1,2 @@
+/** The embeddable coordination library. */
+package org.snipewind.coordination;
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retry decisions, budgets and backoff. */
+package org.snipewind.coordination.retry;
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/selection/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of a target in an undivided pool, and hedging. */
+package org.snipewind.coordination.selection;
--- /dev/null
+++ b/protocol/src/main/java/org/snipewind/protocol/BudgetGrant.java
@@ -0,0 +1,10 @@
+package org.snipewind.protocol;
+
+/**
+ * Tokens issued by the budget keeper.
+ *
+ * @param holder whether the answering daemon is the keeper of the budget
+ * @param tokens number of tokens issued
+ * @param retryAfterMillis milliseconds until the next token, 0 if all wanted tokens were issued
+ */
+public record BudgetGrant(boolean holder, int tokens, long retryAfterMillis) implements PeerMessage {}
--- /dev/null
+++ b/protocol/src/main/java/org/snipewind/protocol/CancelRequest.java
@@ -0,0 +1,8 @@
+package org.snipewind.protocol;
+
+/**
+ * Cancels a forwarded request.
+ *
+ * @param requestId id of the request
+ */
+public record CancelRequest(String requestId) implements PeerMessage {}
--- /dev/null
+++ b/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
@@ -0,0 +1,20 @@
+package org.snipewind.protocol;
+
+/** A message between daemons. */
+public sealed interface PeerMessage
+        permits Acknowledgement,
+                BudgetGrant,
+                BudgetRequest,
+                CancelRequest,
+                ExpiryAnswer,
+                ExpiryQuery,
+                ForwardAnswer,
+                ForwardRequest,
+                Heartbeat,
+                HeartbeatAcknowledgement,
+                LoadAnswer,
+                LoadProbe,
+                RecordAnswer,
+                RecordFetch,
+                RecordPush,
+                TargetReport {}
--- /dev/null
+++ b/protocol/src/main/java/org/snipewind/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Authenticated MessagePack frames between daemons over TCP. */
+package org.snipewind.protocol;
