--- /dev/null
+++ b/coordination/src/test/java/org/snipewind/coordination/budget/BudgetKeeperTest.java
@@ -0,0 +1,47 @@
+package org.snipewind.coordination.budget;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.ManualMillisClock;
+
+class BudgetKeeperTest {
+
+    private final ManualMillisClock clock = new ManualMillisClock(1_000);
+
+    /** Guards against a successor that issues while tokens of its predecessor are alive, or starts with a burst. */
+    @Test
+    void successorWaitsAndStartsEmpty() {
+        BudgetKeeper keeper = new BudgetKeeper(clock, 100, 50, 1_020, false);
+        assertThat(keeper.issue(5)).isEqualTo(new BudgetDecision(0, 20));
+        clock.advance(20);
+        assertThat(keeper.issue(5)).isEqualTo(new BudgetDecision(0, 10));
+        clock.advance(10);
+        assertThat(keeper.issue(5)).isEqualTo(new BudgetDecision(1, 10));
+    }
+
+    /** Guards against a change of rate that applies to the past or brings a new burst. */
+    @Test
+    void changeOfRateTakesEffectInOneStep() {
+        BudgetKeeper keeper = new BudgetKeeper(clock, 100, 10, 0, true);
+        assertThat(keeper.issue(20).tokens()).isEqualTo(10);
+        clock.advance(70);
+        keeper.configure(1_000, 40);
+        assertThat(keeper.issue(100).tokens()).isEqualTo(35);
+        assertThat(keeper.prefetchAllowed()).isTrue();
+        keeper.configure(1_000, 10);
+        assertThat(keeper.prefetchAllowed()).isFalse();
+    }
+
+    /** Guards against entries that poll too often or wait too long. */
+    @Test
+    void retryTimeIsWhenTheNextTokenIsIssued() {
+        BudgetKeeper keeper = new BudgetKeeper(clock, 40, 3, 0, true);
+        BudgetDecision first = keeper.issue(4);
+        assertThat(first).isEqualTo(new BudgetDecision(3, 45));
+        clock.advance(44);
+        assertThat(keeper.issue(1).tokens()).isEqualTo(0);
+        clock.advance(1);
+        assertThat(keeper.issue(1).tokens()).isEqualTo(1);
+    }
+}
