--- /dev/null
+++ b/command/src/main/java/org/snipewind/command/Edits.java
@@ -0,0 +1,111 @@
+package org.snipewind.command;
+
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.snipewind.platform.configuration.DataCentreSettings;
+import org.snipewind.platform.configuration.FleetConfiguration;
+import org.snipewind.platform.configuration.OrganisationSettings;
+import org.snipewind.platform.configuration.PoolSettings;
+import org.snipewind.platform.configuration.TargetSettings;
+
+/** The changes of one field that have a subcommand of their own. */
+final class Edits {
+
+    private Edits() {}
+
+    static ConfigurationEdit service(String dataCentre, boolean inService) {
+        return new ConfigurationEdit(
+                (inService ? "in " : "out ") + dataCentre,
+                "dataCentres." + dataCentre + ".inService",
+                configuration -> {
+                    DataCentreSettings settings = configuration.dataCentres().get(dataCentre);
+                    if (settings == null) {
+                        return unknown("data centre", dataCentre, configuration.dataCentres());
+                    }
+                    return Either.right(new FleetConfiguration(
+                            with(
+                                    configuration.dataCentres(),
+                                    dataCentre,
+                                    new DataCentreSettings(settings.region(), inService)),
+                            configuration.pools(),
+                            configuration.routes(),
+                            configuration.organisations()));
+                });
+    }
+
+    static ConfigurationEdit drain(String target, String pool, boolean drained) {
+        return new ConfigurationEdit(
+                (drained ? "drain " : "undrain ") + target,
+                "pools." + pool + ".targets." + target + ".drained",
+                configuration -> {
+                    PoolSettings settings = configuration.pools().get(pool);
+                    if (settings == null || !settings.targets().containsKey(target)) {
+                        return Either.left("pool " + pool + " has no target " + target);
+                    }
+                    TargetSettings old = settings.targets().get(target);
+                    PoolSettings changed = new PoolSettings(
+                            settings.divided(),
+                            settings.checksTokens(),
+                            settings.slots(),
+                            settings.longestDeadlineMillis(),
+                            settings.coldStart(),
+                            with(
+                                    settings.targets(),
+                                    target,
+                                    new TargetSettings(old.address(), old.dataCentre(), drained)));
+                    return Either.right(new FleetConfiguration(
+                            configuration.dataCentres(),
+                            with(configuration.pools(), pool, changed),
+                            configuration.routes(),
+                            configuration.organisations()));
+                });
+    }
+
+    /** Sets the digest of a key, or withdraws the key if there is no digest. */
+    static ConfigurationEdit key(String organisation, String name, Optional<String> digest) {
+        return new ConfigurationEdit(
+                (digest.isPresent() ? "key add " : "key withdraw ") + organisation + " " + name,
+                "organisations." + organisation + ".keys." + name,
+                configuration -> {
+                    OrganisationSettings settings =
+                            configuration.organisations().get(organisation);
+                    if (settings == null) {
+                        return unknown("organisation", organisation, configuration.organisations());
+                    }
+                    if (!name.matches("[a-z0-9-]+")) {
+                        return Either.left("'" + name + "' is not a name, expected the characters a-z, 0-9 and -");
+                    }
+                    if (digest.isPresent() == settings.keys().containsKey(name)) {
+                        return Either.left("organisation " + organisation
+                                + (digest.isPresent() ? " already has a key " : " has no key ") + name);
+                    }
+                    if (digest.isPresent()
+                            && configuration.organisations().values().stream()
+                                    .anyMatch(other -> other.keys().containsValue(digest.get()))) {
+                        return Either.left("the same key is already in use; every key must be unique");
+                    }
+                    Map<String, String> keys = new TreeMap<>(settings.keys());
+                    digest.ifPresentOrElse(value -> keys.put(name, value), () -> keys.remove(name));
+                    return Either.right(new FleetConfiguration(
+                            configuration.dataCentres(),
+                            configuration.pools(),
+                            configuration.routes(),
+                            with(
+                                    configuration.organisations(),
+                                    organisation,
+                                    new OrganisationSettings(settings.budget(), settings.weight(), keys))));
+                });
+    }
+
+    private static <T> Map<String, T> with(Map<String, T> map, String name, T value) {
+        Map<String, T> changed = new TreeMap<>(map);
+        changed.put(name, value);
+        return changed;
+    }
+
+    private static Either<String, FleetConfiguration> unknown(String noun, String name, Map<String, ?> known) {
+        return Either.left("unknown " + noun + " '" + name + "', expected one of " + String.join(", ", known.keySet()));
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/snipewind/command/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command. */
+package org.snipewind.command;
