--- a/command/src/main/java/org/snipewind/command/CommandLine.java
+++ b/command/src/main/java/org/snipewind/command/CommandLine.java
@@ -46,7 +46,7 @@
                 .type(Integer.class)
                 .setDefault(HISTORY_LIMIT)
                 .metavar("N")
-                .help("how many revisions to list (default %(default)s)");
+                .help("how many revisions to list (default " + HISTORY_LIMIT + ")");
         Subparser rollback = change(subparsers.addParser("rollback").help("put an earlier revision in force again"));
         rollback.addArgument("revision").type(Long.class).metavar("REVISION").help("number of the revision");
         return parser;
@@ -92,12 +92,12 @@
         parser.addArgument("--author")
                 .setDefault(System.getProperty("user.name", "unknown"))
                 .metavar("NAME")
-                .help("who makes the change (default %(default)s)");
+                .help("who makes the change (default: the user of this process)");
         parser.addArgument("--wait")
                 .type(Integer.class)
                 .setDefault(WAIT_SECONDS)
                 .metavar("SECONDS")
-                .help("longest wait until the change is in force (default %(default)s)");
+                .help("longest wait until the change is in force (default " + WAIT_SECONDS + ")");
         return parser;
     }
 }
--- a/command/src/main/java/org/snipewind/command/HttpPlatform.java
+++ b/command/src/main/java/org/snipewind/command/HttpPlatform.java
@@ -4,6 +4,7 @@
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
 import io.micronaut.serde.ObjectMapper;
+import io.vavr.Lazy;
 import io.vavr.control.Either;
 import java.net.URI;
 import java.net.URL;
@@ -19,14 +20,14 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final String NOT_CONNECTED = "this build has no client of the store";
 
-    private final ObjectMapper mapper = ObjectMapper.getDefault();
-    private final HttpClient client;
+    /** Created with the first call, because check and help need no client. */
+    private final Lazy<HttpClient> client = Lazy.of(HttpPlatform::createClient);
 
-    HttpPlatform() {
+    private static HttpClient createClient() {
         DefaultHttpClientConfiguration settings = new DefaultHttpClientConfiguration();
         settings.setReadTimeout(TIMEOUT);
         settings.setConnectTimeout(TIMEOUT);
-        client = HttpClient.create((URL) null, settings);
+        return HttpClient.create((URL) null, settings);
     }
 
     @Override
@@ -48,8 +49,8 @@
     public Either<String, DaemonStatus> status(String operatorAddress) {
         try {
             URI address = URI.create("http://" + operatorAddress + "/-/status");
-            byte[] body = client.toBlocking().retrieve(HttpRequest.GET(address), byte[].class);
-            return Either.right(mapper.readValue(body, DaemonStatus.class));
+            byte[] body = client.get().toBlocking().retrieve(HttpRequest.GET(address), byte[].class);
+            return Either.right(ObjectMapper.getDefault().readValue(body, DaemonStatus.class));
         } catch (java.io.IOException | RuntimeException failure) {
             return Either.left(String.valueOf(failure.getMessage()));
         }
@@ -57,6 +58,8 @@
 
     @Override
     public void close() {
-        client.close();
+        if (client.isEvaluated()) {
+            client.get().close();
+        }
     }
 }
--- /dev/null
+++ b/command/src/test/java/org/snipewind/command/CommandTest.java
@@ -0,0 +1,146 @@
+package org.snipewind.command;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.snipewind.platform.configuration.ConfigurationFolder;
+import org.snipewind.platform.configuration.ConfigurationStore;
+import org.snipewind.platform.configuration.FleetConfiguration;
+
+class CommandTest {
+
+    private final MemoryPlatform platform = new MemoryPlatform();
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+    @TempDir
+    private Path folder;
+
+    @BeforeEach
+    void fillFolder() throws IOException {
+        ConfigurationFolder.write(
+                ConfigurationFolder.read(Path.of("../samples/voces-del-plata")).get(), folder);
+    }
+
+    private int run(String... arguments) {
+        output.reset();
+        errors.reset();
+        return new Command(
+                        platform,
+                        new ByteArrayInputStream(new byte[0]),
+                        new PrintStream(output, true, StandardCharsets.UTF_8),
+                        new PrintStream(errors, true, StandardCharsets.UTF_8),
+                        false)
+                .run(arguments);
+    }
+
+    private int runOnStore(String... arguments) {
+        String[] all = java.util.Arrays.copyOf(arguments, arguments.length + 2);
+        all[arguments.length] = "--store";
+        all[arguments.length + 1] = "127.0.0.1:1";
+        return run(all);
+    }
+
+    private FleetConfiguration current() {
+        return new ConfigurationStore(platform, () -> 0).current().get().configuration();
+    }
+
+    /** Guards against an edit that overwrites the folder's base without notice, and against a wrong exit code. */
+    @Test
+    void applyAfterAnotherEditIsAConflictUntilPull() {
+        assertThat(runOnStore("apply", folder.toString())).isEqualTo(ExitCode.DONE);
+        assertThat(output.toString(StandardCharsets.UTF_8)).contains("revision 1 is in force on all 1 daemons");
+        assertThat(runOnStore("out", "rosario", "--author", "bela")).isEqualTo(ExitCode.DONE);
+        assertThat(runOnStore("apply", folder.toString())).isEqualTo(ExitCode.CONFLICT);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("revision 2 by bela");
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("dataCentres.rosario.inService: true -> false");
+        assertThat(runOnStore("pull", folder.toString())).isEqualTo(ExitCode.DONE);
+        assertThat(runOnStore("diff", folder.toString())).isEqualTo(ExitCode.DONE);
+    }
+
+    /** Guards against a folder of unknown origin replacing the fleet's configuration. */
+    @Test
+    void applyWithoutABaseIsRefusedOnAFilledStore() {
+        runOnStore("apply", folder.toString());
+        assertThat(runOnStore("apply", "../samples/jalsetu")).isEqualTo(ExitCode.USAGE);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("pull");
+    }
+
+    /** Guards against success being reported while a daemon still has the old revision. */
+    @Test
+    void daemonThatLacksTheRevisionIsNamed() {
+        platform.revisionInForce = 0;
+        assertThat(runOnStore("apply", folder.toString(), "--wait", "0")).isEqualTo(ExitCode.PROBLEMS);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("d-1: has revision 0");
+    }
+
+    /** Guards against an emergency command that fails because of an unrelated edit. */
+    @Test
+    void editOfAnotherFieldIsKept() {
+        runOnStore("apply", folder.toString());
+        ConfigurationEditor other = new ConfigurationEditor(new ConfigurationStore(platform, () -> 0));
+        platform.beforeSwap = () -> other.edit(Edits.service("cordoba", false), "bela");
+        assertThat(runOnStore("drain", "contratos-1")).isEqualTo(ExitCode.DONE);
+        assertThat(current().dataCentres().get("cordoba").inService()).isFalse();
+        assertThat(current()
+                        .pools()
+                        .get("contratos")
+                        .targets()
+                        .get("contratos-1")
+                        .drained())
+                .isTrue();
+    }
+
+    /** Guards against two operators who add different keys under one name, where the second would replace the first. */
+    @Test
+    void editOfTheSameFieldIsAConflict() {
+        runOnStore("apply", folder.toString());
+        ConfigurationEditor other = new ConfigurationEditor(new ConfigurationStore(platform, () -> 0));
+        String digest = new AccessKey("other").digest();
+        platform.beforeSwap =
+                () -> other.edit(Edits.key("radio-litoral", "spare", java.util.Optional.of(digest)), "bela");
+        assertThat(runOnStore("key", "add", "radio-litoral", "spare")).isEqualTo(ExitCode.CONFLICT);
+        assertThat(output.toString(StandardCharsets.UTF_8)).isEmpty();
+        assertThat(current().organisations().get("radio-litoral").keys()).containsEntry("spare", digest);
+    }
+
+    /** Guards against a key in clear text in the store. */
+    @Test
+    void addedKeyIsPrintedAndOnlyItsDigestIsStored() {
+        runOnStore("apply", folder.toString());
+        assertThat(runOnStore("key", "add", "radio-litoral", "spare")).isEqualTo(ExitCode.DONE);
+        String key = output.toString(StandardCharsets.UTF_8).lines().findFirst().get();
+        assertThat(current().organisations().get("radio-litoral").keys())
+                .containsEntry("spare", new AccessKey(key).digest());
+        assertThat(runOnStore("key", "withdraw", "radio-litoral", "spare")).isEqualTo(ExitCode.DONE);
+    }
+
+    /** Guards against a status that hides a target without a supervisor or does not fit a terminal. */
+    @Test
+    void statusNamesTroublesWithin80Columns() {
+        runOnStore("apply", folder.toString(), "--note", "n".repeat(100));
+        assertThat(runOnStore("status")).isEqualTo(ExitCode.PROBLEMS);
+        String text = output.toString(StandardCharsets.UTF_8);
+        assertThat(text).contains("target contratos-1 (contratos): no daemon reports it");
+        assertThat(text.lines().mapToInt(String::length).max().getAsInt()).isAtMost(80);
+        assertThat(runOnStore("status", "--json")).isEqualTo(ExitCode.PROBLEMS);
+        assertThat(output.toString(StandardCharsets.UTF_8)).contains("\"daemons\":[{\"id\":\"d-1\"");
+    }
+
+    /** Guards against wrong exit codes for usage and for folders with problems. */
+    @Test
+    void usageAndProblemsHaveTheirOwnExitCodes() {
+        assertThat(run("check", "../samples/jalsetu")).isEqualTo(ExitCode.DONE);
+        assertThat(run("check", folder.resolve("missing").toString())).isEqualTo(ExitCode.PROBLEMS);
+        assertThat(run("turn")).isEqualTo(ExitCode.USAGE);
+        assertThat(run()).isEqualTo(ExitCode.USAGE);
+    }
+}
--- /dev/null
+++ b/command/src/test/java/org/snipewind/command/MemoryPlatform.java
@@ -0,0 +1,77 @@
+package org.snipewind.command;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.snipewind.coordination.fleet.FleetRecord;
+import org.snipewind.coordination.fleet.Member;
+import org.snipewind.coordination.ownership.SliceTable;
+import org.snipewind.platform.status.DaemonStatus;
+import org.snipewind.platform.store.KeyValueStore;
+import org.snipewind.platform.store.SwapResult;
+import org.snipewind.platform.store.VersionedValue;
+
+/** A platform in memory with one daemon, which puts every revision up to a limit in force. */
+final class MemoryPlatform implements Platform, KeyValueStore {
+
+    private final Map<String, VersionedValue> values = new HashMap<>();
+    /** Runs once, before the next swap. */
+    Runnable beforeSwap = () -> {};
+
+    long revisionInForce = Long.MAX_VALUE;
+
+    MemoryPlatform() {
+        values.put("fleet", new VersionedValue(1, new byte[0]));
+    }
+
+    @Override
+    public KeyValueStore connect(String address) {
+        return this;
+    }
+
+    @Override
+    public Either<String, FleetRecord> decodeFleet(byte[] content) {
+        Member member = new Member("d-1", "central", "rosario", "127.0.0.1:1", "127.0.0.1:2", List.of());
+        return Either.right(new FleetRecord(1, "w", Map.of("d-1", member), Map.of()));
+    }
+
+    @Override
+    public Either<String, SliceTable> decodeSliceTable(byte[] content) {
+        return Either.right(SliceTable.empty("reelteca"));
+    }
+
+    @Override
+    public Either<String, DaemonStatus> status(String operatorAddress) {
+        return Either.right(
+                new DaemonStatus("d-1", "rosario", true, revisionInForce, 0, 1, true, 0, 0, List.of(), List.of()));
+    }
+
+    @Override
+    public CompletableFuture<Optional<VersionedValue>> get(String key) {
+        return CompletableFuture.completedFuture(Optional.ofNullable(values.get(key)));
+    }
+
+    @Override
+    public CompletableFuture<SwapResult> compareAndSwap(String key, long expectedVersion, byte[] content) {
+        Runnable action = beforeSwap;
+        beforeSwap = () -> {};
+        action.run();
+        long version = values.containsKey(key) ? values.get(key).version() : 0;
+        boolean applied = version == expectedVersion;
+        if (applied) {
+            values.put(key, new VersionedValue(version + 1, content));
+        }
+        return CompletableFuture.completedFuture(new SwapResult(applied, applied ? version + 1 : version));
+    }
+
+    @Override
+    public CompletableFuture<Optional<VersionedValue>> watch(String key, long knownVersion, long waitMillis) {
+        return get(key);
+    }
+
+    @Override
+    public void close() {}
+}
