--- a/command/src/main/java/org/snipewind/command/HttpPlatform.java
+++ b/command/src/main/java/org/snipewind/command/HttpPlatform.java
@@ -6,19 +6,24 @@
 import io.micronaut.serde.ObjectMapper;
 import io.vavr.Lazy;
 import io.vavr.control.Either;
+import io.vavr.control.Try;
 import java.net.URI;
 import java.net.URL;
 import java.time.Duration;
+import java.util.List;
+import java.util.function.Function;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.ownership.SliceTable;
 import org.snipewind.platform.status.DaemonStatus;
+import org.snipewind.platform.store.HttpKeyValueStore;
 import org.snipewind.platform.store.KeyValueStore;
+import org.snipewind.platform.store.RecordCodec;
 
-/** Reaches the daemons over HTTP; the store client and the record codec are not connected yet. */
+/** Reaches the store and the daemons over HTTP. */
 final class HttpPlatform implements Platform, AutoCloseable {
 
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
-    private static final String NOT_CONNECTED = "this build has no client of the store";
+    private static final String CALLER = "snipewind";
 
     /** Created with the first call, because check and help need no client. */
     private final Lazy<HttpClient> client = Lazy.of(HttpPlatform::createClient);
@@ -32,17 +37,17 @@
 
     @Override
     public KeyValueStore connect(String address) {
-        throw new UnsupportedOperationException(NOT_CONNECTED);
+        return new HttpKeyValueStore(List.of(address), CALLER, TIMEOUT.toMillis(), (kind, outcome) -> {});
     }
 
     @Override
     public Either<String, FleetRecord> decodeFleet(byte[] content) {
-        return Either.left(NOT_CONNECTED);
+        return decode(content, RecordCodec::fleetRecord);
     }
 
     @Override
     public Either<String, SliceTable> decodeSliceTable(byte[] content) {
-        return Either.left(NOT_CONNECTED);
+        return decode(content, RecordCodec::sliceTable);
     }
 
     @Override
@@ -56,6 +61,10 @@
         }
     }
 
+    private static <T> Either<String, T> decode(byte[] content, Function<byte[], T> decoder) {
+        return Try.of(() -> decoder.apply(content)).toEither().mapLeft(failure -> String.valueOf(failure.getMessage()));
+    }
+
     @Override
     public void close() {
         if (client.isEvaluated()) {
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/Daemon.java
@@ -0,0 +1,125 @@
+package org.snipewind.daemon;
+
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Random;
+import java.util.function.UnaryOperator;
+import javax.net.ssl.SSLException;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.snipewind.coordination.clock.SystemMillisClock;
+import org.snipewind.daemon.fleet.FleetTimes;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.settings.DaemonSettings;
+import org.snipewind.daemon.settings.SettingsException;
+import org.snipewind.daemon.settings.SettingsFile;
+import org.snipewind.daemon.settings.TlsSettings;
+import org.snipewind.platform.instances.HttpInstanceList;
+import org.snipewind.platform.instances.InstanceList;
+import org.snipewind.platform.store.DelayedTasks;
+import org.snipewind.platform.store.HttpKeyValueStore;
+import org.snipewind.platform.store.KeyValueStore;
+import org.snipewind.platform.store.StoreBudget;
+import org.snipewind.platform.store.StoreCallObserver;
+import org.snipewind.platform.store.ThrottledKeyValueStore;
+import org.snipewind.platform.target.HttpTargetEndpoint;
+import org.snipewind.protocol.PeerSettings;
+
+/** The program snipewindd. */
+public final class Daemon {
+
+    /** Exit code for settings or arguments with which the daemon can't start. */
+    public static final int EXIT_SETTINGS = 2;
+
+    private static final long STORE_TIMEOUT_MILLIS = 1_000;
+    private static final int TARGET_CONNECTIONS = 16;
+    private static final long TARGET_CONNECT_MILLIS = 500;
+
+    private Daemon() {}
+
+    /**
+     * Runs the daemon until it is told to end.
+     *
+     * @param arguments command line
+     */
+    public static void main(String[] arguments) {
+        ArgumentParser parser = ArgumentParsers.newFor("snipewindd")
+                .build()
+                .description("Router daemon for servers that own keys exclusively.")
+                .epilog("Exit codes: 0 ended by a signal with no work cut, 2 wrong settings or arguments.");
+        parser.addArgument("--settings").metavar("FILE").required(true).help("YAML settings file of this daemon");
+        parser.addArgument("--check")
+                .action(net.sourceforge.argparse4j.impl.Arguments.storeTrue())
+                .help("check the settings file and end");
+        try {
+            Namespace namespace = parser.parseArgs(arguments);
+            DaemonSettings settings = SettingsFile.read(Path.of(namespace.getString("settings")));
+            if (!namespace.getBoolean("check")) {
+                run(settings);
+            }
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(e instanceof net.sourceforge.argparse4j.helper.HelpScreenException ? 0 : EXIT_SETTINGS);
+        } catch (SettingsException e) {
+            System.err.println(e.getMessage());
+            System.exit(EXIT_SETTINGS);
+        }
+    }
+
+    private static void run(DaemonSettings settings) {
+        System.setProperty("snipewind.log.appender", settings.textLog() ? "TEXT" : "JSON");
+        DaemonMetrics metrics = new DaemonMetrics();
+        DaemonRuntime runtime = new DaemonRuntime(
+                settings,
+                metrics,
+                store(settings, metrics),
+                target -> new HttpTargetEndpoint(
+                        target.address(), TARGET_CONNECTIONS, TARGET_CONNECT_MILLIS, FleetTimes.GRANT_MILLIS),
+                settings.instanceListAddress().<InstanceList>map(address -> new HttpInstanceList(address, STORE_TIMEOUT_MILLIS)),
+                peerOptions(settings));
+        Runtime.getRuntime().addShutdownHook(new Thread(runtime::shutdown, "shutdown"));
+        runtime.start();
+    }
+
+    private static KeyValueStore store(DaemonSettings settings, DaemonMetrics metrics) {
+        KeyValueStore store = new HttpKeyValueStore(
+                settings.storeAddresses(), settings.name(), STORE_TIMEOUT_MILLIS, storeCounter(metrics));
+        return new ThrottledKeyValueStore(
+                store, new StoreBudget(new SystemMillisClock(), new Random()::nextDouble), DelayedTasks.system());
+    }
+
+    private static StoreCallObserver storeCounter(DaemonMetrics metrics) {
+        return (kind, outcome) ->
+                metrics.count("store." + wireName(kind) + "." + wireName(outcome));
+    }
+
+    private static String wireName(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static UnaryOperator<PeerSettings> peerOptions(DaemonSettings settings) {
+        if (settings.tls().isEmpty()) {
+            return UnaryOperator.identity();
+        }
+        TlsSettings tls = settings.tls().get();
+        try {
+            SslContext server = SslContextBuilder.forServer(
+                            tls.certificate().toFile(), tls.key().toFile())
+                    .trustManager(tls.trust().toFile())
+                    .clientAuth(ClientAuth.REQUIRE)
+                    .build();
+            SslContext client = SslContextBuilder.forClient()
+                    .keyManager(tls.certificate().toFile(), tls.key().toFile())
+                    .trustManager(tls.trust().toFile())
+                    .build();
+            return options -> options.withTls(server, client);
+        } catch (SSLException | IllegalArgumentException e) {
+            throw new SettingsException("settings", "tls", "files can't be used: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
@@ -0,0 +1,206 @@
+package org.snipewind.daemon;
+
+import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.server.EmbeddedServer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.clock.SystemMillisClock;
+import org.snipewind.daemon.http.CallerGate;
+import org.snipewind.daemon.http.OperatorSources;
+import org.snipewind.daemon.log.EventLog;
+import org.snipewind.daemon.log.LogEvent;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.settings.DaemonSettings;
+import org.snipewind.platform.configuration.TargetSettings;
+import org.snipewind.platform.instances.InstanceList;
+import org.snipewind.platform.store.KeyValueStore;
+import org.snipewind.platform.target.TargetEndpoint;
+import org.snipewind.protocol.PeerSettings;
+
+/**
+ * A running daemon: its HTTP listeners, and the core of its present incarnation. A core that was removed from the fleet
+ * is replaced by one with a new member id.
+ */
+public final class DaemonRuntime implements AutoCloseable {
+
+    // A removed core may still answer requests that are in flight; new ones go to the new core.
+    private static final long REPLACEMENT_DRAIN_MILLIS = 1_000;
+    // The balancer and callers on open connections need this long without requests before the listeners close.
+    private static final long QUIET_MILLIS = 200;
+    private static final int INCARNATION_CHARACTERS = 8;
+
+    private final DaemonSettings settings;
+    private final MillisClock clock = new SystemMillisClock();
+    private final DaemonMetrics metrics;
+    private final EventLog log;
+    private final KeyValueStore store;
+    private final Function<TargetSettings, TargetEndpoint> endpoints;
+    private final Optional<InstanceList> instanceList;
+    private final UnaryOperator<PeerSettings> peerOptions;
+    private final AtomicReference<DaemonCore> core = new AtomicReference<>();
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final CallerGate gate;
+    private ApplicationContext context;
+
+    /**
+     * Creates a runtime; nothing runs before {@link #start}.
+     *
+     * @param settings settings of the daemon
+     * @param metrics metrics of the daemon
+     * @param store the platform's key-value service, closed with the runtime
+     * @param endpoints opens the connection to a target
+     * @param instanceList the platform's list of instances, empty if there is none
+     * @param peerOptions adds options to the connections to peers, such as TLS
+     */
+    public DaemonRuntime(
+            DaemonSettings settings,
+            DaemonMetrics metrics,
+            KeyValueStore store,
+            Function<TargetSettings, TargetEndpoint> endpoints,
+            Optional<InstanceList> instanceList,
+            UnaryOperator<PeerSettings> peerOptions) {
+        this.settings = settings;
+        this.metrics = metrics;
+        this.store = store;
+        this.endpoints = endpoints;
+        this.instanceList = instanceList;
+        this.peerOptions = peerOptions;
+        this.log = new EventLog(settings.name());
+        this.gate = new CallerGate(settings.limits(), core::get, metrics);
+    }
+
+    /** Starts the core, then the listeners. */
+    public void start() {
+        startCore();
+        context = ApplicationContext.builder()
+                .properties(serverProperties())
+                .banner(false)
+                .singletons(
+                        gate,
+                        new OperatorSources(
+                                core::get, gate, metrics, settings.operators().port()))
+                .start();
+        context.getBean(EmbeddedServer.class).start();
+        log.write(
+                LogEvent.DAEMON_STARTED,
+                "callers " + settings.callers().address() + ", operators "
+                        + settings.operators().address() + ", peers "
+                        + settings.peers().address());
+    }
+
+    /**
+     * Gives the core of the present incarnation.
+     *
+     * @return the core
+     */
+    public DaemonCore core() {
+        return core.get();
+    }
+
+    /**
+     * Gives the metrics of the daemon.
+     *
+     * @return the metrics
+     */
+    public DaemonMetrics metrics() {
+        return metrics;
+    }
+
+    /**
+     * Ends without cutting a request, as far as the grace period allows: readiness goes false, roles are handed over,
+     * and work in flight ends before the listeners close.
+     */
+    public void shutdown() {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
+        log.write(LogEvent.SHUTDOWN_STARTED, "grace " + settings.shutdownGraceMillis() + " ms");
+        long end = clock.nowMillis() + settings.shutdownGraceMillis();
+        gate.beginClosing();
+        core.get().leave(settings.shutdownGraceMillis());
+        AtomicReference<Long> quietSince = new AtomicReference<>(clock.nowMillis());
+        boolean quiet = Pauses.until(clock, end, () -> {
+            if (gate.inFlight() > 0) {
+                quietSince.set(clock.nowMillis());
+            }
+            return clock.nowMillis() - quietSince.get() >= QUIET_MILLIS;
+        });
+        log.write(
+                quiet ? LogEvent.SHUTDOWN_COMPLETED : LogEvent.SHUTDOWN_CUT_WORK,
+                gate.inFlight() + " requests in flight");
+        closeAll();
+    }
+
+    /** Ends at once. */
+    @Override
+    public void close() {
+        if (stopping.compareAndSet(false, true)) {
+            closeAll();
+        }
+    }
+
+    private void closeAll() {
+        if (context != null) {
+            context.close();
+        }
+        core.get().close();
+        store.close();
+    }
+
+    private void startCore() {
+        String incarnation = UUID.randomUUID().toString().substring(0, INCARNATION_CHARACTERS);
+        String memberId = settings.name() + "-" + incarnation;
+        DaemonCore created = new DaemonCore(
+                memberId,
+                settings,
+                clock,
+                store,
+                endpoints,
+                instanceList,
+                peerOptions.apply(DaemonCore.peerSettings(memberId, settings, metrics)),
+                this::replaceCore,
+                metrics,
+                log);
+        core.set(created);
+        created.start();
+    }
+
+    private void replaceCore() {
+        Thread replacement = new Thread(
+                () -> {
+                    if (stopping.get()) {
+                        return;
+                    }
+                    DaemonCore removed = core.get();
+                    Pauses.until(clock, clock.nowMillis() + REPLACEMENT_DRAIN_MILLIS, () -> gate.inFlight() == 0);
+                    removed.close();
+                    metrics.count("daemon.incarnations");
+                    startCore();
+                },
+                "core-replacement");
+        replacement.setDaemon(true);
+        replacement.start();
+    }
+
+    private Map<String, Object> serverProperties() {
+        Map<String, Object> properties = new HashMap<>();
+        String listeners = "micronaut.server.netty.listeners.";
+        properties.put(listeners + "callers.host", settings.callers().host());
+        properties.put(listeners + "callers.port", settings.callers().port());
+        properties.put(listeners + "operators.host", settings.operators().host());
+        properties.put(listeners + "operators.port", settings.operators().port());
+        properties.put("micronaut.server.max-request-size", settings.limits().bodyBytes());
+        properties.put("micronaut.server.netty.max-header-size", 32 * 1024);
+        properties.put("micronaut.server.date-header", false);
+        properties.put("micronaut.server.idle-timeout", "120s");
+        properties.put("micronaut.application.name", settings.name());
+        return properties;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/EntryPath.java
@@ -0,0 +1,74 @@
+package org.snipewind.daemon.entry;
+
+import java.util.concurrent.ScheduledExecutorService;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.record.SharedRecords;
+import org.snipewind.daemon.settings.DaemonSettings;
+import org.snipewind.daemon.supervisor.SupervisorTable;
+import org.snipewind.protocol.PeerConnections;
+
+/** The parts that a caller's request passes on its entry daemon. */
+public final class EntryPath {
+
+    private final RequestRouter router;
+    private final AttemptRunner attempts;
+    private final BudgetClient budgets;
+
+    /**
+     * Creates the entry path.
+     *
+     * @param memberId id of this daemon
+     * @param settings settings of this daemon
+     * @param clock the clock
+     * @param records records of this daemon
+     * @param organisations organisations by key
+     * @param keepers budgets that this daemon keeps
+     * @param supervisors targets that this daemon supervises
+     * @param peers connections to peers
+     * @param readiness whether requests may be served at all
+     * @param workers runs delayed attempts
+     * @param metrics metrics of this daemon
+     */
+    public EntryPath(
+            String memberId,
+            DaemonSettings settings,
+            MillisClock clock,
+            SharedRecords records,
+            OrganisationDirectory organisations,
+            BudgetKeepers keepers,
+            SupervisorTable supervisors,
+            PeerConnections peers,
+            Readiness readiness,
+            ScheduledExecutorService workers,
+            DaemonMetrics metrics) {
+        LoadBoard board = new LoadBoard(memberId, settings, clock, records, supervisors, peers, metrics);
+        SupervisorClient client = new SupervisorClient(memberId, supervisors, peers, metrics);
+        this.attempts = new AttemptRunner(clock, records, board, client, settings.policy(), workers, metrics);
+        this.budgets = new BudgetClient(
+                memberId, settings.policy(), clock, records, keepers, peers, workers, metrics);
+        this.router = new RequestRouter(
+                memberId, clock, records, organisations, budgets, attempts, readiness, metrics);
+        metrics.gauge("entry.parked", attempts::parkedCount);
+    }
+
+    /**
+     * Gives the router of callers' requests.
+     *
+     * @return the router
+     */
+    public RequestRouter router() {
+        return router;
+    }
+
+    /** Lets requests that wait for an owner look again after a record changed. */
+    public void recordsChanged() {
+        attempts.resumeParked();
+    }
+
+    /** Refuses what waited too long and resumes what is due. */
+    public void run() {
+        budgets.expire();
+        attempts.resumeDue();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
@@ -0,0 +1,147 @@
+package org.snipewind.daemon.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.fleet.Member;
+import org.snipewind.coordination.fleet.RoleNames;
+import org.snipewind.coordination.selection.Candidate;
+import org.snipewind.coordination.selection.TargetSelector;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.record.SharedRecords;
+import org.snipewind.daemon.settings.DaemonSettings;
+import org.snipewind.daemon.supervisor.SupervisorTable;
+import org.snipewind.platform.configuration.FleetConfiguration;
+import org.snipewind.platform.configuration.PoolSettings;
+import org.snipewind.platform.configuration.TargetSettings;
+import org.snipewind.protocol.LoadAnswer;
+import org.snipewind.protocol.LoadProbe;
+import org.snipewind.protocol.PeerConnections;
+
+/** The supervisors' views of the targets of undivided pools, refreshed by probes that accompany the traffic. */
+final class LoadBoard {
+
+    private static final int PROBES_PER_REQUEST = 2;
+    private static final long PROBE_TIMEOUT_MILLIS = 200;
+    // A view older than this says little about a target that serves a request in some milliseconds.
+    private static final long PROBE_INTERVAL_MILLIS = 5;
+    private static final long NEVER_MILLIS = 60_000;
+    // Crossing to another data centre costs about a millisecond each way in the deployments that the router serves.
+    private static final long OTHER_DATA_CENTRE_MICROS = 1_500;
+
+    private final String memberId;
+    private final DaemonSettings settings;
+    private final MillisClock clock;
+    private final SharedRecords records;
+    private final SupervisorTable supervisors;
+    private final PeerConnections peers;
+    private final DaemonMetrics metrics;
+    private final Map<String, View> views = new ConcurrentHashMap<>();
+    private final Set<String> probing = ConcurrentHashMap.newKeySet();
+
+    /** The newest answer about a target and the requests that this daemon has sent it since. */
+    private record View(LoadAnswer answer, long atMillis, AtomicInteger sentSince) {}
+
+    LoadBoard(
+            String memberId,
+            DaemonSettings settings,
+            MillisClock clock,
+            SharedRecords records,
+            SupervisorTable supervisors,
+            PeerConnections peers,
+            DaemonMetrics metrics) {
+        this.memberId = memberId;
+        this.settings = settings;
+        this.clock = clock;
+        this.records = records;
+        this.supervisors = supervisors;
+        this.peers = peers;
+        this.metrics = metrics;
+    }
+
+    /** Chooses a target of an undivided pool. */
+    Optional<Destination> choose(FleetConfiguration configuration, String poolName, Set<String> excluded) {
+        PoolSettings pool = configuration.pools().get(poolName);
+        List<Candidate> candidates = new ArrayList<>();
+        pool.targets().forEach((target, targetSettings) -> {
+            if (configuration.isInService(targetSettings)
+                    && records.fleet().holder(RoleNames.target(target)).isPresent()) {
+                candidates.add(candidate(target, targetSettings, pool));
+            }
+        });
+        probe(candidates);
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        Optional<String> chosen = settings.policy().loadAwareChoice()
+                ? TargetSelector.choose(candidates, excluded, random)
+                : TargetSelector.chooseRandom(candidates, excluded, random);
+        return chosen.flatMap(this::destination);
+    }
+
+    private Optional<Destination> destination(String target) {
+        View view = views.get(target);
+        if (view != null) {
+            view.sentSince().incrementAndGet();
+        }
+        return records.fleet()
+                .holder(RoleNames.target(target))
+                .map(member -> new Destination(target, member, java.util.OptionalInt.empty(), 0));
+    }
+
+    private Candidate candidate(String target, TargetSettings targetSettings, PoolSettings pool) {
+        Optional<LoadAnswer> local = supervisors.load(target);
+        if (local.isPresent()) {
+            views.compute(target, (name, known) -> new View(local.get(), clock.nowMillis(), new AtomicInteger()));
+        }
+        View view = views.get(target);
+        long distance = targetSettings.dataCentre().equals(settings.dataCentre()) ? 0 : OTHER_DATA_CENTRE_MICROS;
+        if (view == null) {
+            return new Candidate(
+                    target, targetSettings.dataCentre(), true, 0, 0, pool.slots(), 0, NEVER_MILLIS, distance);
+        }
+        LoadAnswer answer = view.answer();
+        return new Candidate(
+                target,
+                targetSettings.dataCentre(),
+                answer.available(),
+                answer.inFlight() + view.sentSince().get(),
+                answer.queued(),
+                answer.limit(),
+                answer.latencyMicros(),
+                clock.nowMillis() - view.atMillis(),
+                distance);
+    }
+
+    private void probe(List<Candidate> candidates) {
+        if (!settings.policy().loadAwareChoice() || candidates.isEmpty()) {
+            return;
+        }
+        for (int count = 0; count < PROBES_PER_REQUEST; count++) {
+            Candidate candidate = candidates.get(ThreadLocalRandom.current().nextInt(candidates.size()));
+            if (candidate.ageMillis() >= PROBE_INTERVAL_MILLIS) {
+                probe(candidate.target());
+            }
+        }
+    }
+
+    private void probe(String target) {
+        Optional<Member> holder = records.fleet().holder(RoleNames.target(target));
+        if (holder.isEmpty() || holder.get().id().equals(memberId) || !probing.add(target)) {
+            return;
+        }
+        metrics.count("entry.load-probes");
+        peers.call(holder.get().peerAddress(), new LoadProbe(target), PROBE_TIMEOUT_MILLIS)
+                .whenComplete((answer, failure) -> {
+                    probing.remove(target);
+                    LoadAnswer load = answer instanceof LoadAnswer found
+                            ? found
+                            : new LoadAnswer(target, false, 0, 0, 1, 0);
+                    views.put(target, new View(load, clock.nowMillis(), new AtomicInteger()));
+                });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RouteTable.java
@@ -0,0 +1,60 @@
+package org.snipewind.daemon.entry;
+
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.snipewind.platform.configuration.FleetConfiguration;
+import org.snipewind.platform.configuration.KeySource;
+import org.snipewind.platform.configuration.RouteSettings;
+
+/** Finds routes and the keys of requests. */
+final class RouteTable {
+
+    private RouteTable() {}
+
+    /** Finds the route with the longest path prefix, matched by whole segments. */
+    static Optional<Map.Entry<String, RouteSettings>> find(FleetConfiguration configuration, String path) {
+        Map.Entry<String, RouteSettings> best = null;
+        for (Map.Entry<String, RouteSettings> route : configuration.routes().entrySet()) {
+            String prefix = route.getValue().path();
+            if (matches(prefix, path)
+                    && (best == null || prefix.length() > best.getValue().path().length())) {
+                best = route;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    static Optional<String> key(KeySource source, CallerRequest request) {
+        Optional<String> key =
+                switch (source.kind()) {
+                    case HEADER -> CallerHeaders.first(request.headers(), source.name());
+                    case PATH -> segment(request.path(), Integer.parseInt(source.name()));
+                    case QUERY -> queryParameter(request.uri(), source.name());
+                };
+        return key.filter(value -> !value.isEmpty());
+    }
+
+    private static boolean matches(String prefix, String path) {
+        return prefix.equals("/") || path.equals(prefix) || path.startsWith(prefix + "/");
+    }
+
+    private static Optional<String> segment(String path, int number) {
+        List<String> segments = Arrays.stream(path.split("/")).filter(part -> !part.isEmpty()).toList();
+        return number <= segments.size() ? Optional.of(segments.get(number - 1)) : Optional.empty();
+    }
+
+    private static Optional<String> queryParameter(String uri, String name) {
+        int start = uri.indexOf('?');
+        if (start < 0) {
+            return Optional.empty();
+        }
+        return Arrays.stream(uri.substring(start + 1).split("&"))
+                .filter(parameter -> parameter.startsWith(name + "="))
+                .map(parameter -> URLDecoder.decode(parameter.substring(name.length() + 1), StandardCharsets.UTF_8))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RoutedOutcome.java
@@ -0,0 +1,19 @@
+package org.snipewind.daemon.entry;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.platform.target.TargetAnswer;
+
+/**
+ * The outcome of a request to come.
+ *
+ * @param result completes with the whole answer or a refusal and never fails
+ * @param cancellation cancels the request wherever it is
+ */
+public record RoutedOutcome(CompletableFuture<Either<Refusal, TargetAnswer>> result, Runnable cancellation) {
+
+    static RoutedOutcome refused(Refusal refusal) {
+        return new RoutedOutcome(CompletableFuture.completedFuture(Either.left(refusal)), () -> {});
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/SupervisorClient.java
@@ -0,0 +1,82 @@
+package org.snipewind.daemon.entry;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeoutException;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.supervisor.SupervisorTable;
+import org.snipewind.platform.target.TargetAnswer;
+import org.snipewind.protocol.CancelRequest;
+import org.snipewind.protocol.ForwardAnswer;
+import org.snipewind.protocol.ForwardRequest;
+import org.snipewind.protocol.PeerConnections;
+import org.snipewind.protocol.PeerException;
+import org.snipewind.protocol.PeerMessage;
+
+/** Sends requests to the supervisors of their targets, in this process or over a frame. */
+final class SupervisorClient {
+
+    // The supervisor ends a request at its deadline; its answer needs a little longer to arrive.
+    private static final long ANSWER_ALLOWANCE_MILLIS = 50;
+
+    private final String memberId;
+    private final SupervisorTable supervisors;
+    private final PeerConnections peers;
+    private final DaemonMetrics metrics;
+
+    SupervisorClient(String memberId, SupervisorTable supervisors, PeerConnections peers, DaemonMetrics metrics) {
+        this.memberId = memberId;
+        this.supervisors = supervisors;
+        this.peers = peers;
+        this.metrics = metrics;
+    }
+
+    /** Sends a request once; the future never fails. */
+    CompletableFuture<Either<Refusal, TargetAnswer>> send(ForwardRequest request, Destination destination) {
+        if (destination.supervisor().id().equals(memberId)) {
+            metrics.count("entry.local-requests");
+            return supervisors.submit(request);
+        }
+        metrics.count("entry.forwarded-requests");
+        String address = destination.supervisor().peerAddress();
+        return peers.call(address, request, request.remainingMillis() + ANSWER_ALLOWANCE_MILLIS)
+                .handle((answer, failure) -> outcome(request, address, answer, failure));
+    }
+
+    void cancel(String requestId, Destination destination) {
+        if (destination.supervisor().id().equals(memberId)) {
+            supervisors.cancel(requestId);
+        } else {
+            peers.send(destination.supervisor().peerAddress(), new CancelRequest(requestId));
+        }
+    }
+
+    private Either<Refusal, TargetAnswer> outcome(
+            ForwardRequest request, String address, PeerMessage answer, Throwable failure) {
+        if (failure != null) {
+            return Either.left(refusal(request, address, failure));
+        }
+        if (answer instanceof ForwardAnswer forwarded && forwarded.requestId().equals(request.requestId())) {
+            return forwarded.refusal().isPresent()
+                    ? Either.left(forwarded.refusal().get())
+                    : Either.right(new TargetAnswer(forwarded.status(), forwarded.headers(), forwarded.body()));
+        }
+        metrics.count("entry.crossed-answers");
+        return Either.left(Refusal.of(ErrorKind.SUPERVISOR_LOST, "the supervisor sent an answer to another request"));
+    }
+
+    private Refusal refusal(ForwardRequest request, String address, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof PeerException peer && !peer.wasSent()) {
+            return Refusal.of(ErrorKind.OWNER_UNREACHABLE, "the supervisor can't be reached");
+        }
+        if (cause instanceof TimeoutException || cause.getCause() instanceof TimeoutException) {
+            peers.send(address, new CancelRequest(request.requestId()));
+            return Refusal.of(ErrorKind.DEADLINE_AFTER_SEND, "no answer before the deadline");
+        }
+        return Refusal.of(ErrorKind.SUPERVISOR_LOST, "the connection to the supervisor was lost");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/FailureMonitor.java
@@ -0,0 +1,141 @@
+package org.snipewind.daemon.fleet;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.fleet.FleetTransitions;
+import org.snipewind.coordination.fleet.Member;
+import org.snipewind.coordination.lease.LeaseWitness;
+import org.snipewind.coordination.lease.RemovalEvidence;
+import org.snipewind.daemon.log.EventLog;
+import org.snipewind.daemon.log.LogEvent;
+import org.snipewind.daemon.record.RecordType;
+import org.snipewind.daemon.record.RecordUpdater;
+import org.snipewind.daemon.record.SharedRecords;
+import org.snipewind.protocol.ExpiryAnswer;
+import org.snipewind.protocol.ExpiryQuery;
+import org.snipewind.protocol.PeerConnections;
+
+/** Removes members whose lease has certainly ended, together with their roles. */
+public final class FailureMonitor {
+
+    private static final long QUERY_INTERVAL_MILLIS = 150;
+    private static final long QUERY_TIMEOUT_MILLIS = 300;
+
+    private final String memberId;
+    private final MillisClock clock;
+    private final LeaseWitness witness;
+    private final SharedRecords records;
+    private final RecordUpdater updater;
+    private final RoleRequirements requirements;
+    private final PeerConnections peers;
+    private final EventLog log;
+    private final Map<String, Long> lastQueries = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a monitor.
+     *
+     * @param memberId id of this daemon
+     * @param clock the clock
+     * @param witness witness of the leases of others
+     * @param records records of this daemon
+     * @param updater writes the fleet record
+     * @param requirements roles that the configuration asks for
+     * @param peers connections to peers
+     * @param log the event log
+     */
+    public FailureMonitor(
+            String memberId,
+            MillisClock clock,
+            LeaseWitness witness,
+            SharedRecords records,
+            RecordUpdater updater,
+            RoleRequirements requirements,
+            PeerConnections peers,
+            EventLog log) {
+        this.memberId = memberId;
+        this.clock = clock;
+        this.witness = witness;
+        this.records = records;
+        this.updater = updater;
+        this.requirements = requirements;
+        this.peers = peers;
+        this.log = log;
+    }
+
+    /** Looks for members that have been silent for longer than a lease. */
+    public void check() {
+        Map<String, Member> members = records.fleet().members();
+        witness.retain(members.keySet());
+        for (Member member : members.values()) {
+            if (member.leaseGroup().contains(memberId)) {
+                witness.learn(member.id());
+                OptionalLong silence = witness.silenceOf(member.id());
+                if (silence.isPresent() && silence.getAsLong() > FleetTimes.WITNESS_SILENCE_MILLIS) {
+                    query(member);
+                }
+            }
+        }
+        lastQueries.keySet().retainAll(members.keySet());
+    }
+
+    /**
+     * Answers another member's question about a lease.
+     *
+     * @param query the question
+     * @return whether the lease has ended as far as this witness is concerned
+     */
+    public ExpiryAnswer answer(ExpiryQuery query) {
+        return new ExpiryAnswer(memberId, query.holder(), witness.confirmExpired(query.holder()));
+    }
+
+    private void query(Member member) {
+        long now = clock.nowMillis();
+        Long last = lastQueries.get(member.id());
+        if (last != null && now - last < QUERY_INTERVAL_MILLIS) {
+            return;
+        }
+        lastQueries.put(member.id(), now);
+        RemovalEvidence evidence = new RemovalEvidence(member.id(), member.leaseGroup());
+        if (witness.confirmExpired(member.id())) {
+            evidence.confirm(memberId);
+        }
+        removeIfSufficient(member, evidence);
+        for (String id : member.leaseGroup()) {
+            if (!id.equals(memberId)) {
+                records.fleet().member(id).ifPresent(other -> ask(other, member, evidence));
+            }
+        }
+    }
+
+    private void ask(Member other, Member member, RemovalEvidence evidence) {
+        peers.call(other.peerAddress(), new ExpiryQuery(member.id()), QUERY_TIMEOUT_MILLIS)
+                .thenAccept(answer -> {
+                    if (answer instanceof ExpiryAnswer expiry
+                            && expiry.expired()
+                            && expiry.witness().equals(other.id())) {
+                        evidence.confirm(other.id());
+                        removeIfSufficient(member, evidence);
+                    }
+                });
+    }
+
+    private void removeIfSufficient(Member member, RemovalEvidence evidence) {
+        if (!evidence.isSufficient() || records.fleet().member(member.id()).isEmpty()) {
+            return;
+        }
+        updater.update(
+                        RecordType.FLEET,
+                        (current, writer) ->
+                                FleetTransitions.remove(current, member.id(), evidence, requirements.all(), writer))
+                .thenAccept(written -> {
+                    if (written) {
+                        String roles = records.fleet().members().keySet().stream()
+                                .collect(Collectors.joining(", ", "left in the fleet: ", ""));
+                        log.write(LogEvent.MEMBER_REMOVED, member.id() + "; " + roles);
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/PoolCoordinator.java
@@ -0,0 +1,203 @@
+package org.snipewind.daemon.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.fleet.FleetRecord;
+import org.snipewind.coordination.fleet.RoleAssignment;
+import org.snipewind.coordination.fleet.RoleNames;
+import org.snipewind.coordination.ownership.AssignmentPlanner;
+import org.snipewind.coordination.ownership.PlannerLimits;
+import org.snipewind.coordination.ownership.SliceOwnership;
+import org.snipewind.coordination.ownership.SliceTable;
+import org.snipewind.coordination.ownership.TargetStanding;
+import org.snipewind.coordination.ownership.TargetView;
+import org.snipewind.daemon.log.EventLog;
+import org.snipewind.daemon.log.LogEvent;
+import org.snipewind.daemon.record.RecordType;
+import org.snipewind.daemon.record.RecordUpdater;
+import org.snipewind.daemon.record.SharedRecords;
+import org.snipewind.platform.configuration.FleetConfiguration;
+import org.snipewind.platform.configuration.PoolSettings;
+import org.snipewind.platform.configuration.TargetSettings;
+import org.snipewind.protocol.TargetCondition;
+import org.snipewind.protocol.TargetReport;
+
+/** Writes the slice tables of the pools whose coordinator role this daemon holds. */
+public final class PoolCoordinator {
+
+    private static final double IMBALANCE_THRESHOLD = 1.2;
+    // At most 1% of the slices an hour move for balance, since a move costs unavailable time.
+    private static final int MOVES_PER_HOUR = SliceTable.SLICE_COUNT / 100;
+    private static final double MILLIS_PER_HOUR = 3_600_000.0;
+    // The first table waits for all targets, so that the ones that report late need no moves.
+    private static final long FIRST_TABLE_WAIT_MILLIS = 2_000;
+
+    private final MillisClock clock;
+    private final SharedRecords records;
+    private final RecordUpdater updater;
+    private final RoleRights rights;
+    private final EventLog log;
+    private final TargetReports reports = new TargetReports();
+    private final Set<String> writing = ConcurrentHashMap.newKeySet();
+    private final Map<String, Long> absentSince = new ConcurrentHashMap<>();
+    private final Map<String, Long> pendingSince = new ConcurrentHashMap<>();
+    private final Map<String, Double> movesLeft = new ConcurrentHashMap<>();
+    private long lastRunMillis;
+
+    /**
+     * Creates a coordinator.
+     *
+     * @param clock the clock
+     * @param records records of this daemon
+     * @param updater writes slice tables
+     * @param rights rights of this daemon
+     * @param log the event log
+     */
+    public PoolCoordinator(
+            MillisClock clock, SharedRecords records, RecordUpdater updater, RoleRights rights, EventLog log) {
+        this.clock = clock;
+        this.records = records;
+        this.updater = updater;
+        this.rights = rights;
+        this.log = log;
+        this.lastRunMillis = clock.nowMillis();
+    }
+
+    /**
+     * Takes a supervisor's report.
+     *
+     * @param sender id of the supervisor
+     * @param report the report
+     * @return whether the sender supervises the target under that token
+     */
+    public boolean report(String sender, TargetReport report) {
+        RoleAssignment assignment = records.fleet().roles().get(RoleNames.target(report.target()));
+        boolean current = assignment != null
+                && assignment.holder().equals(sender)
+                && assignment.token() == report.token();
+        if (current) {
+            reports.add(report);
+        }
+        return current;
+    }
+
+    /** Plans and writes the tables that need a change. */
+    public void run() {
+        long now = clock.nowMillis();
+        double earned = MOVES_PER_HOUR * (now - lastRunMillis) / MILLIS_PER_HOUR;
+        lastRunMillis = now;
+        records.configuration().ifPresent(revision -> revision.configuration().pools().forEach((name, pool) -> {
+            if (pool.divided() && rights.activeToken(RoleNames.pool(name)).isPresent()) {
+                movesLeft.merge(name, earned, (left, added) -> Math.min(MOVES_PER_HOUR, left + added));
+                plan(revision.configuration(), name, pool);
+            } else {
+                pendingSince.remove(name);
+            }
+        }));
+    }
+
+    private void plan(FleetConfiguration configuration, String name, PoolSettings pool) {
+        SliceTable table = records.table(name);
+        Map<String, TargetView> views = views(configuration, pool, table);
+        if (table.version() == 0 && isFirstTableEarly(name, configuration, pool, views)) {
+            return;
+        }
+        Map<Integer, Long> load = reports.loadOf(pool.targets().keySet());
+        PlannerLimits limits = new PlannerLimits(
+                IMBALANCE_THRESHOLD, movesLeft.getOrDefault(name, 0.0).intValue());
+        if (AssignmentPlanner.plan(table, views, load, limits, "").isEmpty() || !writing.add(name)) {
+            return;
+        }
+        updater.update(
+                        RecordType.table(name),
+                        (current, writer) -> AssignmentPlanner.plan(current, views, load, limits, writer))
+                .whenComplete((written, failure) -> {
+                    writing.remove(name);
+                    if (failure == null && written) {
+                        noteWritten(name, table, views);
+                    }
+                });
+    }
+
+    private void noteWritten(String name, SliceTable before, Map<String, TargetView> views) {
+        SliceTable after = records.table(name);
+        int moved = 0;
+        int balanceMoves = 0;
+        for (int slice = 0; slice < SliceTable.SLICE_COUNT; slice++) {
+            Optional<String> owner = before.slices().get(slice).owner();
+            if (!after.slices().get(slice).owner().equals(owner)) {
+                moved++;
+                boolean ownerLive = owner.map(views::get)
+                        .filter(view -> view.standing() == TargetStanding.LIVE)
+                        .isPresent();
+                balanceMoves += ownerLive ? 1 : 0;
+            }
+        }
+        int spent = balanceMoves;
+        movesLeft.computeIfPresent(name, (pool, left) -> Math.max(0, left - spent));
+        log.write(LogEvent.TABLE_WRITTEN, "pool " + name + " version " + after.version() + " moved " + moved);
+    }
+
+    private boolean isFirstTableEarly(
+            String name, FleetConfiguration configuration, PoolSettings pool, Map<String, TargetView> views) {
+        long since = pendingSince.computeIfAbsent(name, key -> clock.nowMillis());
+        boolean allLive = pool.targets().entrySet().stream()
+                .filter(entry -> configuration.isInService(entry.getValue()))
+                .allMatch(entry -> views.get(entry.getKey()).standing() == TargetStanding.LIVE);
+        return !allLive && clock.nowMillis() - since < FIRST_TABLE_WAIT_MILLIS;
+    }
+
+    private Map<String, TargetView> views(FleetConfiguration configuration, PoolSettings pool, SliceTable table) {
+        FleetRecord fleet = records.fleet();
+        Map<String, TargetView> views = new HashMap<>();
+        pool.targets().forEach((target, settings) ->
+                views.put(target, view(fleet, configuration, target, settings)));
+        for (SliceOwnership slice : table.slices()) {
+            slice.owner().ifPresent(target -> addUnlisted(fleet, pool, views, target));
+            slice.releasing().ifPresent(target -> addUnlisted(fleet, pool, views, target));
+        }
+        return views;
+    }
+
+    private TargetView view(
+            FleetRecord fleet, FleetConfiguration configuration, String target, TargetSettings settings) {
+        RoleAssignment assignment = fleet.roles().get(RoleNames.target(target));
+        Optional<TargetReport> report = reports.find(target)
+                .filter(known -> assignment != null && assignment.token() == known.token());
+        TargetStanding standing = report.map(known -> standing(known.condition()))
+                .orElse(TargetStanding.SUSPECTED);
+        if (standing == TargetStanding.LIVE && !configuration.isInService(settings)) {
+            standing = TargetStanding.LEAVING;
+        }
+        return new TargetView(target, standing, report.map(TargetReport::releasedVersion).orElse(0L));
+    }
+
+    /** A target that left the configuration is lost once its last grant and requests have ended without a supervisor. */
+    private void addUnlisted(FleetRecord fleet, PoolSettings pool, Map<String, TargetView> views, String target) {
+        if (views.containsKey(target)) {
+            return;
+        }
+        if (fleet.roles().containsKey(RoleNames.target(target))) {
+            absentSince.remove(target);
+            views.put(target, new TargetView(target, TargetStanding.SUSPECTED, 0));
+            return;
+        }
+        long since = absentSince.computeIfAbsent(target, key -> clock.nowMillis());
+        long wait = FleetTimes.GRANT_MILLIS + FleetTimes.CLOCK_ERROR_MILLIS + pool.longestDeadlineMillis();
+        boolean ended = clock.nowMillis() - since > wait;
+        views.put(target, new TargetView(target, ended ? TargetStanding.LOST : TargetStanding.SUSPECTED, 0));
+    }
+
+    private static TargetStanding standing(TargetCondition condition) {
+        return switch (condition) {
+            case LIVE -> TargetStanding.LIVE;
+            case LOST -> TargetStanding.LOST;
+            case SUSPECTED -> TargetStanding.SUSPECTED;
+            case DRAINING -> TargetStanding.LEAVING;
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/RoleManager.java
@@ -0,0 +1,160 @@
+package org.snipewind.daemon.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.fleet.FleetRecord;
+import org.snipewind.coordination.fleet.FleetTransitions;
+import org.snipewind.coordination.fleet.RolePlacement;
+import org.snipewind.coordination.fleet.RoleRequirement;
+import org.snipewind.daemon.record.RecordType;
+import org.snipewind.daemon.record.RecordUpdater;
+import org.snipewind.daemon.record.SharedRecords;
+
+/** Places roles that nobody holds and gives away roles that this daemon should not hold. */
+public final class RoleManager {
+
+    // Members write one after another in the order of their ids, so that a missing role brings one write, not one
+    // from each member.
+    private static final long PLACEMENT_STEP_MILLIS = 150;
+    // Roles move for balance only once the fleet has been stable for this long, since each move interrupts service.
+    private static final long STABLE_MILLIS = 1_000;
+    private static final long LONGEST_DRAIN_MILLIS = 2_000;
+
+    private final String memberId;
+    private final MillisClock clock;
+    private final SharedRecords records;
+    private final RecordUpdater updater;
+    private final RoleRequirements requirements;
+    private final RoleRights rights;
+    private final RoleActivity activity;
+    private final Map<String, Long> leaving = new HashMap<>();
+    private long missingSinceMillis = Long.MAX_VALUE;
+    private long knownEpoch;
+    private long epochSinceMillis;
+    private boolean writing;
+
+    /**
+     * Creates a manager.
+     *
+     * @param memberId id of this daemon
+     * @param clock the clock
+     * @param records records of this daemon
+     * @param updater writes the fleet record
+     * @param requirements roles that the configuration asks for
+     * @param rights rights of this daemon
+     * @param activity tells whether work goes on under a role
+     */
+    public RoleManager(
+            String memberId,
+            MillisClock clock,
+            SharedRecords records,
+            RecordUpdater updater,
+            RoleRequirements requirements,
+            RoleRights rights,
+            RoleActivity activity) {
+        this.memberId = memberId;
+        this.clock = clock;
+        this.records = records;
+        this.updater = updater;
+        this.requirements = requirements;
+        this.rights = rights;
+        this.activity = activity;
+    }
+
+    /** Runs one round. */
+    public synchronized void run() {
+        Map<String, RoleRequirement> required = requirements.all();
+        FleetRecord fleet = records.fleet();
+        if (required.isEmpty() || fleet.member(memberId).isEmpty()) {
+            return;
+        }
+        noteEpoch(fleet);
+        placeMissing(required, fleet);
+        chooseLeaving(required, fleet);
+        giveAway(required, fleet);
+    }
+
+    private void noteEpoch(FleetRecord fleet) {
+        if (fleet.epoch() != knownEpoch) {
+            knownEpoch = fleet.epoch();
+            epochSinceMillis = clock.nowMillis();
+        }
+    }
+
+    private void placeMissing(Map<String, RoleRequirement> required, FleetRecord fleet) {
+        long now = clock.nowMillis();
+        if (fleet.roles().keySet().containsAll(required.keySet())) {
+            missingSinceMillis = Long.MAX_VALUE;
+            return;
+        }
+        missingSinceMillis = Math.min(missingSinceMillis, now);
+        int rank = new TreeSet<>(fleet.members().keySet()).headSet(memberId).size();
+        if (!writing && now - missingSinceMillis >= rank * PLACEMENT_STEP_MILLIS) {
+            write(updater.update(
+                    RecordType.FLEET, (current, writer) -> FleetTransitions.placeRoles(current, required, writer)));
+        }
+    }
+
+    private void chooseLeaving(Map<String, RoleRequirement> required, FleetRecord fleet) {
+        Set<String> chosen = new HashSet<>(fleet.rolesOf(memberId));
+        chosen.removeAll(required.keySet());
+        if (clock.nowMillis() - epochSinceMillis >= STABLE_MILLIS) {
+            chosen.addAll(RolePlacement.surplus(fleet, memberId, required));
+        }
+        for (String role : chosen) {
+            if (leaving.putIfAbsent(role, clock.nowMillis()) == null) {
+                rights.relinquish(role);
+            }
+        }
+    }
+
+    private void giveAway(Map<String, RoleRequirement> required, FleetRecord fleet) {
+        Set<String> handedOver = new HashSet<>();
+        Set<String> dropped = new HashSet<>();
+        for (String role : Set.copyOf(leaving.keySet())) {
+            if (fleet.tokenOf(role, memberId).isEmpty()) {
+                leaving.remove(role);
+                rights.reclaim(role);
+            } else if (activity.isIdle(role) || clock.nowMillis() - leaving.get(role) > LONGEST_DRAIN_MILLIS) {
+                (required.containsKey(role) ? handedOver : dropped).add(role);
+            }
+        }
+        if (writing || (handedOver.isEmpty() && dropped.isEmpty())) {
+            return;
+        }
+        CompletableFuture<Boolean> result = handedOver.isEmpty()
+                ? updater.update(
+                        RecordType.FLEET,
+                        (current, writer) -> FleetTransitions.dropRoles(current, memberId, dropped, writer))
+                : updater.update(
+                        RecordType.FLEET,
+                        (current, writer) ->
+                                FleetTransitions.handOver(current, memberId, handedOver, required, writer));
+        write(result.whenComplete((written, failure) -> {
+            if (failure == null && !written) {
+                takeBack(handedOver);
+            }
+        }));
+    }
+
+    private synchronized void takeBack(Set<String> roles) {
+        for (String role : roles) {
+            leaving.remove(role);
+            rights.reclaim(role);
+        }
+    }
+
+    private void write(CompletableFuture<Boolean> result) {
+        writing = true;
+        result.whenComplete((written, failure) -> finishWrite());
+    }
+
+    private synchronized void finishWrite() {
+        writing = false;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/RoleRights.java
@@ -0,0 +1,89 @@
+package org.snipewind.daemon.fleet;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.snipewind.coordination.lease.MemberLease;
+import org.snipewind.daemon.record.SharedRecords;
+
+/** Tells whether this daemon may act in a role at this moment. */
+public final class RoleRights {
+
+    private final String memberId;
+    private final SharedRecords records;
+    private final MemberLease lease;
+    private final Set<String> relinquished = ConcurrentHashMap.newKeySet();
+    private volatile boolean suspended;
+
+    /**
+     * Creates the rights of a member.
+     *
+     * @param memberId id of this daemon
+     * @param records records of this daemon
+     * @param lease lease of this daemon
+     */
+    public RoleRights(String memberId, SharedRecords records, MemberLease lease) {
+        this.memberId = memberId;
+        this.records = records;
+        this.lease = lease;
+    }
+
+    /**
+     * Finds the fencing token under which this daemon may act now.
+     *
+     * @param role name of the role
+     * @return the token, or empty if the role is another's, is being given away, or the lease is not valid
+     */
+    public Optional<Long> activeToken(String role) {
+        return lease.isValid() ? assignedToken(role) : Optional.empty();
+    }
+
+    /**
+     * Finds the fencing token of a role without regard to the lease.
+     *
+     * @param role name of the role
+     * @return the token, or empty if the role is another's or is being given away
+     */
+    public Optional<Long> assignedToken(String role) {
+        if (suspended || relinquished.contains(role)) {
+            return Optional.empty();
+        }
+        return records.fleet().tokenOf(role, memberId);
+    }
+
+    /**
+     * Tells whether the lease is valid and this daemon is a member.
+     *
+     * @return true if this daemon may act as a member
+     */
+    public boolean isActiveMember() {
+        return !suspended && lease.isValid() && records.fleet().member(memberId).isPresent();
+    }
+
+    /**
+     * Stops acting in a role until {@link #reclaim} is called.
+     *
+     * @param role name of the role
+     */
+    public void relinquish(String role) {
+        relinquished.add(role);
+    }
+
+    /**
+     * Allows a role again after it was not given away.
+     *
+     * @param role name of the role
+     */
+    public void reclaim(String role) {
+        relinquished.remove(role);
+    }
+
+    /**
+     * Sets whether the rules of membership forbid this daemon to act at all.
+     *
+     * @param value true to act in no role
+     */
+    public void suspend(boolean value) {
+        suspended = value;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/StoreWatcher.java
@@ -0,0 +1,155 @@
+package org.snipewind.daemon.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.fleet.RoleNames;
+import org.snipewind.daemon.log.EventLog;
+import org.snipewind.daemon.log.LogEvent;
+import org.snipewind.daemon.record.RecordDistributor;
+import org.snipewind.daemon.record.RecordNames;
+import org.snipewind.daemon.record.RecordUpdater;
+import org.snipewind.daemon.record.SharedRecords;
+import org.snipewind.daemon.record.StoreContact;
+import org.snipewind.platform.store.KeyValueStore;
+import org.snipewind.platform.store.VersionedValue;
+
+/**
+ * Follows the records in the store: the holder of the watch role of a data centre waits for changes and tells its data
+ * centre, all others read now and then as a backstop.
+ */
+public final class StoreWatcher {
+
+    // Shorter than the freshness bound, so that one lost answer of a watch does not make a configuration stale.
+    private static final long WAIT_MILLIS = 4_000;
+    private static final long LONGEST_BACKOFF_MILLIS = 2_000;
+
+    private final String dataCentre;
+    private final MillisClock clock;
+    private final KeyValueStore store;
+    private final SharedRecords records;
+    private final RecordUpdater updater;
+    private final RecordDistributor distributor;
+    private final RoleRights rights;
+    private final StoreContact contact;
+    private final EventLog log;
+    private final Set<String> watching = ConcurrentHashMap.newKeySet();
+    private final Map<String, Long> storeVersions = new ConcurrentHashMap<>();
+    private volatile long notBeforeMillis;
+    private volatile long nextReadMillis;
+    private volatile boolean reachable = true;
+
+    /**
+     * Creates a watcher.
+     *
+     * @param dataCentre data centre of this daemon
+     * @param clock the clock
+     * @param store the store
+     * @param records records of this daemon
+     * @param updater reads records
+     * @param distributor sends records to peers
+     * @param rights rights of this daemon
+     * @param contact records each answer of the store
+     * @param log the event log
+     */
+    public StoreWatcher(
+            String dataCentre,
+            MillisClock clock,
+            KeyValueStore store,
+            SharedRecords records,
+            RecordUpdater updater,
+            RecordDistributor distributor,
+            RoleRights rights,
+            StoreContact contact,
+            EventLog log) {
+        this.dataCentre = dataCentre;
+        this.clock = clock;
+        this.store = store;
+        this.records = records;
+        this.updater = updater;
+        this.distributor = distributor;
+        this.rights = rights;
+        this.contact = contact;
+        this.log = log;
+    }
+
+    /** Starts the watches and reads that are due. */
+    public void run() {
+        long now = clock.nowMillis();
+        if (now < notBeforeMillis) {
+            return;
+        }
+        if (rights.activeToken(RoleNames.watch(dataCentre)).isPresent()) {
+            names().stream().filter(watching::add).forEach(this::watch);
+        } else if (now >= nextReadMillis) {
+            nextReadMillis = now + jitter(FleetTimes.BACKSTOP_READ_MILLIS);
+            read(RecordNames.CONFIGURATION);
+            read(RecordNames.FLEET);
+        }
+    }
+
+    private List<String> names() {
+        List<String> names = new ArrayList<>(List.of(RecordNames.CONFIGURATION, RecordNames.FLEET));
+        records.configuration().ifPresent(current -> current.configuration().pools().forEach((pool, settings) -> {
+            if (settings.divided()) {
+                names.add(RecordNames.table(pool));
+            }
+        }));
+        return names;
+    }
+
+    private void watch(String name) {
+        long known = storeVersions.getOrDefault(name, 0L);
+        store.watch(name, known, WAIT_MILLIS).whenComplete((value, failure) -> {
+            watching.remove(name);
+            if (failure != null) {
+                storeFailed(failure);
+                return;
+            }
+            storeAnswered();
+            value.ifPresent(found -> take(name, found));
+        });
+    }
+
+    private void take(String name, VersionedValue value) {
+        storeVersions.put(name, value.version());
+        if (records.offer(name, value.content())) {
+            distributor.push(name, member -> member.dataCentre().equals(dataCentre));
+        }
+    }
+
+    private void read(String name) {
+        updater.refresh(name).whenComplete((ignored, failure) -> {
+            if (failure == null) {
+                storeAnswered();
+            } else {
+                storeFailed(failure);
+            }
+        });
+    }
+
+    private void storeAnswered() {
+        contact.contacted();
+        if (!reachable) {
+            reachable = true;
+            log.write(LogEvent.STORE_REACHABLE, "the store answers again");
+        }
+    }
+
+    private void storeFailed(Throwable failure) {
+        notBeforeMillis = clock.nowMillis() + jitter(LONGEST_BACKOFF_MILLIS);
+        nextReadMillis = notBeforeMillis;
+        if (reachable) {
+            reachable = false;
+            log.write(LogEvent.STORE_UNREACHABLE, "the store does not answer: " + failure.getMessage());
+        }
+    }
+
+    private static long jitter(long meanMillis) {
+        return ThreadLocalRandom.current().nextLong(meanMillis / 2, meanMillis * 3 / 2);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/http/CallerController.java
@@ -0,0 +1,193 @@
+package org.snipewind.daemon.http;
+
+import io.micronaut.core.annotation.Nullable;
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Consumes;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Delete;
+import io.micronaut.http.annotation.Get;
+import io.micronaut.http.annotation.Head;
+import io.micronaut.http.annotation.Options;
+import io.micronaut.http.annotation.Patch;
+import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Produces;
+import io.micronaut.http.annotation.Put;
+import io.micronaut.serde.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.reactivestreams.Publisher;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.daemon.entry.CallerRequest;
+import org.snipewind.daemon.entry.RoutedOutcome;
+import org.snipewind.platform.target.HopByHopHeaders;
+import org.snipewind.platform.target.TargetAnswer;
+import reactor.core.publisher.Mono;
+
+/** Takes callers' requests on every path. */
+@Controller
+@Consumes(MediaType.ALL)
+@Produces(MediaType.ALL)
+public final class CallerController {
+
+    private static final String ANY_PATH = "/{+path}";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final CallerGate gate;
+    private final ObjectMapper mapper;
+
+    /**
+     * Creates the controller.
+     *
+     * @param gate lets requests in
+     * @param mapper writes refusals as JSON
+     */
+    public CallerController(CallerGate gate, ObjectMapper mapper) {
+        this.gate = gate;
+        this.mapper = mapper;
+    }
+
+    /**
+     * Routes a GET request.
+     *
+     * @param request the request
+     * @return the answer
+     */
+    @Get(uris = {"/", ANY_PATH})
+    public Publisher<HttpResponse<byte[]>> get(HttpRequest<?> request) {
+        return route(request, null);
+    }
+
+    /**
+     * Routes a HEAD request.
+     *
+     * @param request the request
+     * @return the answer
+     */
+    @Head(uris = {"/", ANY_PATH})
+    public Publisher<HttpResponse<byte[]>> head(HttpRequest<?> request) {
+        return route(request, null);
+    }
+
+    /**
+     * Routes an OPTIONS request.
+     *
+     * @param request the request
+     * @return the answer
+     */
+    @Options(uris = {"/", ANY_PATH})
+    public Publisher<HttpResponse<byte[]>> options(HttpRequest<?> request) {
+        return route(request, null);
+    }
+
+    /**
+     * Routes a POST request.
+     *
+     * @param request the request
+     * @param body the whole body
+     * @return the answer
+     */
+    @Post(uris = {"/", ANY_PATH})
+    public Publisher<HttpResponse<byte[]>> post(HttpRequest<?> request, @Nullable @Body byte[] body) {
+        return route(request, body);
+    }
+
+    /**
+     * Routes a PUT request.
+     *
+     * @param request the request
+     * @param body the whole body
+     * @return the answer
+     */
+    @Put(uris = {"/", ANY_PATH})
+    public Publisher<HttpResponse<byte[]>> put(HttpRequest<?> request, @Nullable @Body byte[] body) {
+        return route(request, body);
+    }
+
+    /**
+     * Routes a PATCH request.
+     *
+     * @param request the request
+     * @param body the whole body
+     * @return the answer
+     */
+    @Patch(uris = {"/", ANY_PATH})
+    public Publisher<HttpResponse<byte[]>> patch(HttpRequest<?> request, @Nullable @Body byte[] body) {
+        return route(request, body);
+    }
+
+    /**
+     * Routes a DELETE request.
+     *
+     * @param request the request
+     * @param body the whole body
+     * @return the answer
+     */
+    @Delete(uris = {"/", ANY_PATH})
+    public Publisher<HttpResponse<byte[]>> delete(HttpRequest<?> request, @Nullable @Body byte[] body) {
+        return route(request, body);
+    }
+
+    private Publisher<HttpResponse<byte[]>> route(HttpRequest<?> request, byte[] body) {
+        Map<String, List<String>> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        request.getHeaders().forEach((name, values) -> headers.put(name, List.copyOf(values)));
+        CallerRequest call = new CallerRequest(
+                request.getMethodName(),
+                request.getUri().toString(),
+                request.getPath(),
+                HopByHopHeaders.strip(headers),
+                body == null ? new byte[0] : body);
+        RoutedOutcome outcome = gate.take(call);
+        return Mono.fromFuture(outcome.result(), true)
+                .map(this::response)
+                .doOnCancel(outcome.cancellation()::run);
+    }
+
+    private HttpResponse<byte[]> response(Either<Refusal, TargetAnswer> outcome) {
+        MutableHttpResponse<byte[]> response =
+                outcome.isRight() ? answer(outcome.get()) : refusal(outcome.getLeft());
+        if (gate.isClosing()) {
+            response.header(HttpHeaders.CONNECTION, "close");
+        }
+        return response;
+    }
+
+    private static MutableHttpResponse<byte[]> answer(TargetAnswer answer) {
+        MutableHttpResponse<byte[]> response =
+                HttpResponse.<byte[]>status(answer.status(), "").body(answer.body());
+        response.getHeaders().remove(HttpHeaders.CONTENT_TYPE);
+        HopByHopHeaders.strip(answer.headers()).forEach((name, values) -> {
+            if (!name.equalsIgnoreCase(HttpHeaders.CONTENT_LENGTH)) {
+                values.forEach(value -> response.getHeaders().add(name, value));
+            }
+        });
+        return response;
+    }
+
+    private MutableHttpResponse<byte[]> refusal(Refusal refusal) {
+        String execution = refusal.kind().execution().wireName();
+        RefusalBody body = new RefusalBody(refusal.kind().wireName(), execution, refusal.detail());
+        try {
+            MutableHttpResponse<byte[]> response = HttpResponse.<byte[]>status(
+                            refusal.kind().status(), refusal.kind().wireName())
+                    .body(mapper.writeValueAsBytes(body))
+                    .contentType(MediaType.APPLICATION_JSON_TYPE)
+                    .header("Snipewind-Error", refusal.kind().wireName())
+                    .header("Snipewind-Execution", execution);
+            refusal.retryAfterMillis().ifPresent(millis -> response.header(
+                    HttpHeaders.RETRY_AFTER,
+                    String.valueOf((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND)));
+            return response;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/http/OperatorController.java
@@ -0,0 +1,89 @@
+package org.snipewind.daemon.http;
+
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Get;
+import io.micronaut.http.annotation.Produces;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.snipewind.daemon.DaemonCore;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.metrics.PrometheusText;
+import org.snipewind.platform.status.DaemonStatus;
+
+/** Serves operators and the balancer: readiness, liveness, status and metrics. */
+@Controller("/-")
+public final class OperatorController {
+
+    private final Supplier<DaemonCore> core;
+    private final CallerGate gate;
+    private final DaemonMetrics metrics;
+
+    /**
+     * Creates the controller.
+     *
+     * @param endpoints what the endpoints show
+     */
+    public OperatorController(OperatorSources endpoints) {
+        this.core = endpoints.core();
+        this.gate = endpoints.gate();
+        this.metrics = endpoints.metrics();
+    }
+
+    /**
+     * Tells the balancer whether to send callers here.
+     *
+     * @return status 200 if ready, else 503
+     */
+    @Get("/ready")
+    @Produces(MediaType.TEXT_PLAIN)
+    public HttpResponse<String> ready() {
+        return core.get().readiness().isReady()
+                ? HttpResponse.ok("ready\n")
+                : HttpResponse.<String>status(HttpStatus.SERVICE_UNAVAILABLE).body("not ready\n");
+    }
+
+    /**
+     * Tells whether the process answers at all.
+     *
+     * @return status 200
+     */
+    @Get("/live")
+    @Produces(MediaType.TEXT_PLAIN)
+    public HttpResponse<String> live() {
+        return HttpResponse.ok("live\n");
+    }
+
+    /**
+     * Describes the daemon.
+     *
+     * @return the status as JSON
+     */
+    @Get("/status")
+    public DaemonStatus status() {
+        return core.get().status(gate.inFlight());
+    }
+
+    /**
+     * Shows all metrics in the Prometheus text form.
+     *
+     * @return the text
+     */
+    @Get("/metrics")
+    @Produces(MediaType.TEXT_PLAIN)
+    public String metrics() {
+        return PrometheusText.write(metrics.registry());
+    }
+
+    /**
+     * Shows all metrics as JSON.
+     *
+     * @return value by metric name
+     */
+    @Get("/metrics.json")
+    public Map<String, Object> metricsJson() {
+        return PrometheusText.values(metrics.registry());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/http/OperatorSources.java
@@ -0,0 +1,16 @@
+package org.snipewind.daemon.http;
+
+import java.util.function.Supplier;
+import org.snipewind.daemon.DaemonCore;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+
+/**
+ * What the operators' endpoints show.
+ *
+ * @param core gives the running core
+ * @param gate callers' requests
+ * @param metrics metrics of the daemon
+ * @param operatorPort port of the operators' listener
+ */
+public record OperatorSources(
+        Supplier<DaemonCore> core, CallerGate gate, DaemonMetrics metrics, int operatorPort) {}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP endpoints for callers and operators. */
+package org.snipewind.daemon.http;
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/log/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events. */
+package org.snipewind.daemon.log;
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The router daemon: its start, its wiring and its shutdown. */
+package org.snipewind.daemon;
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordDistributor.java
@@ -0,0 +1,101 @@
+package org.snipewind.daemon.record;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+import org.snipewind.coordination.fleet.Member;
+import org.snipewind.protocol.PeerConnections;
+import org.snipewind.protocol.PeerMessage;
+import org.snipewind.protocol.RecordAnswer;
+import org.snipewind.protocol.RecordFetch;
+import org.snipewind.protocol.RecordPush;
+import org.snipewind.protocol.RecordVersions;
+
+/** Sends records to peers and fetches newer ones from them. */
+public final class RecordDistributor {
+
+    private static final long FETCH_TIMEOUT_MILLIS = 1_000;
+
+    private final String memberId;
+    private final SharedRecords records;
+    private final PeerConnections peers;
+    private final Set<String> fetching = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Creates a distributor.
+     *
+     * @param memberId id of this daemon
+     * @param records records of this daemon
+     * @param peers connections to peers
+     */
+    public RecordDistributor(String memberId, SharedRecords records, PeerConnections peers) {
+        this.memberId = memberId;
+        this.records = records;
+        this.peers = peers;
+    }
+
+    /**
+     * Sends the newest version of a record to the chosen members.
+     *
+     * @param name store key of the record
+     * @param receivers chooses the members
+     */
+    public void push(String name, Predicate<Member> receivers) {
+        Optional<byte[]> content = records.content(name);
+        if (content.isEmpty()) {
+            return;
+        }
+        RecordPush push = new RecordPush(name, records.version(name), content.get());
+        for (Member member : records.fleet().members().values()) {
+            if (!member.id().equals(memberId) && receivers.test(member)) {
+                peers.send(member.peerAddress(), push);
+            }
+        }
+    }
+
+    /**
+     * Fetches the records of which a peer has a newer version.
+     *
+     * @param address address of the peer
+     * @param versions versions that the peer has
+     */
+    public void catchUp(String address, RecordVersions versions) {
+        for (Map.Entry<String, Long> entry : versions.byName().entrySet()) {
+            if (entry.getValue() > records.version(entry.getKey())) {
+                fetch(address, entry.getKey());
+            }
+        }
+    }
+
+    /**
+     * Fetches one record from a peer.
+     *
+     * @param address address of the peer
+     * @param name store key of the record
+     */
+    public void fetch(String address, String name) {
+        if (!fetching.add(name)) {
+            return;
+        }
+        peers.call(address, new RecordFetch(name), FETCH_TIMEOUT_MILLIS).whenComplete((answer, failure) -> {
+            fetching.remove(name);
+            if (answer instanceof RecordAnswer found && found.version() > 0) {
+                records.offer(name, found.content());
+            }
+        });
+    }
+
+    /**
+     * Answers a peer's fetch.
+     *
+     * @param fetch the fetch
+     * @return the newest known version
+     */
+    public PeerMessage answer(RecordFetch fetch) {
+        return records.content(fetch.name())
+                .map(content -> new RecordAnswer(fetch.name(), records.version(fetch.name()), content))
+                .orElseGet(() -> new RecordAnswer(fetch.name(), 0, new byte[0]));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordType.java
@@ -0,0 +1,43 @@
+package org.snipewind.daemon.record;
+
+import java.util.function.Function;
+import org.snipewind.coordination.fleet.FleetRecord;
+import org.snipewind.coordination.ownership.SliceTable;
+import org.snipewind.platform.store.RecordCodec;
+
+/**
+ * A type of record that daemons write.
+ *
+ * @param <T> class of the record
+ * @param name store key
+ * @param empty the record before the first write
+ * @param encode encoder
+ * @param decode decoder
+ * @param writerOf finds the id of the write that made a record
+ */
+public record RecordType<T>(
+        String name, T empty, Function<T, byte[]> encode, Function<byte[], T> decode, Function<T, String> writerOf) {
+
+    /** The fleet record. */
+    public static final RecordType<FleetRecord> FLEET = new RecordType<>(
+            RecordNames.FLEET,
+            FleetRecord.EMPTY,
+            RecordCodec::encode,
+            RecordCodec::fleetRecord,
+            FleetRecord::writer);
+
+    /**
+     * Describes the slice table of a pool.
+     *
+     * @param pool name of the pool
+     * @return the type of its table
+     */
+    public static RecordType<SliceTable> table(String pool) {
+        return new RecordType<>(
+                RecordNames.table(pool),
+                SliceTable.empty(pool),
+                RecordCodec::encode,
+                RecordCodec::sliceTable,
+                SliceTable::writer);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon's settings file and its checks. */
+package org.snipewind.daemon.settings;
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/AdmittedRequest.java
@@ -0,0 +1,26 @@
+package org.snipewind.daemon.supervisor;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.platform.target.TargetAnswer;
+import org.snipewind.protocol.ForwardRequest;
+
+/**
+ * A request at its supervisor.
+ *
+ * @param request the request
+ * @param deadlineMillis deadline on this daemon's clock
+ * @param urgent whether the route is urgent
+ * @param result completes with the whole answer or a refusal
+ */
+record AdmittedRequest(
+        ForwardRequest request,
+        long deadlineMillis,
+        boolean urgent,
+        CompletableFuture<Either<Refusal, TargetAnswer>> result) {
+
+    void refuse(Refusal refusal) {
+        result.complete(Either.left(refusal));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/SupervisorTable.java
@@ -0,0 +1,232 @@
+package org.snipewind.daemon.supervisor;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.coordination.fleet.RoleNames;
+import org.snipewind.daemon.entry.OrganisationDirectory;
+import org.snipewind.daemon.fleet.RoleRights;
+import org.snipewind.daemon.log.EventLog;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.record.RecordNames;
+import org.snipewind.daemon.record.SharedRecords;
+import org.snipewind.daemon.settings.DaemonSettings;
+import org.snipewind.platform.configuration.ConfigurationRevision;
+import org.snipewind.platform.configuration.FleetConfiguration;
+import org.snipewind.platform.configuration.PoolSettings;
+import org.snipewind.platform.configuration.RouteSettings;
+import org.snipewind.platform.configuration.TargetSettings;
+import org.snipewind.platform.status.TargetStatus;
+import org.snipewind.platform.target.TargetAnswer;
+import org.snipewind.platform.target.TargetEndpoint;
+import org.snipewind.protocol.ForwardRequest;
+import org.snipewind.protocol.LoadAnswer;
+import org.snipewind.protocol.TargetReport;
+
+/** The supervisors of the targets whose supervisor role this daemon holds. */
+public final class SupervisorTable implements AutoCloseable {
+
+    private final DaemonSettings daemon;
+    private final MillisClock clock;
+    private final SharedRecords records;
+    private final RoleRights rights;
+    private final OrganisationDirectory organisations;
+    private final Predicate<String> leavingInstances;
+    private final Function<TargetSettings, TargetEndpoint> endpoints;
+    private final Consumer<TargetReport> reporter;
+    private final DaemonMetrics metrics;
+    private final EventLog log;
+    private final Map<String, TargetSupervisor> supervisors = new ConcurrentHashMap<>();
+
+    /**
+     * Creates an empty table.
+     *
+     * @param daemon settings of the daemon
+     * @param clock the clock
+     * @param records records of this daemon
+     * @param rights rights of this daemon
+     * @param organisations organisations by key
+     * @param leavingInstances tells which targets the platform is about to take away
+     * @param endpoints opens the connection to a target
+     * @param reporter sends reports to pool coordinators
+     * @param metrics metrics of this daemon
+     * @param log the event log
+     */
+    public SupervisorTable(
+            DaemonSettings daemon,
+            MillisClock clock,
+            SharedRecords records,
+            RoleRights rights,
+            OrganisationDirectory organisations,
+            Predicate<String> leavingInstances,
+            Function<TargetSettings, TargetEndpoint> endpoints,
+            Consumer<TargetReport> reporter,
+            DaemonMetrics metrics,
+            EventLog log) {
+        this.daemon = daemon;
+        this.clock = clock;
+        this.records = records;
+        this.rights = rights;
+        this.organisations = organisations;
+        this.leavingInstances = leavingInstances;
+        this.endpoints = endpoints;
+        this.reporter = reporter;
+        this.metrics = metrics;
+        this.log = log;
+    }
+
+    /**
+     * Follows a changed record.
+     *
+     * @param name store key of the record
+     */
+    public synchronized void follow(String name) {
+        Optional<ConfigurationRevision> revision = records.configuration();
+        if (revision.isEmpty()) {
+            return;
+        }
+        FleetConfiguration configuration = revision.get().configuration();
+        configuration.pools().forEach((poolName, pool) -> pool.targets()
+                .forEach((target, settings) -> followTarget(target, settings, poolName, pool)));
+        for (String target : List.copyOf(supervisors.keySet())) {
+            if (rights.assignedToken(RoleNames.target(target)).isEmpty()) {
+                end(target);
+            }
+        }
+        if (RecordNames.isTable(name) || name.equals(RecordNames.FLEET)) {
+            supervisors.values().forEach(TargetSupervisor::recheck);
+        } else {
+            supervisors.forEach((target, supervisor) -> configuration
+                    .poolOf(target)
+                    .map(configuration.pools()::get)
+                    .ifPresent(supervisor::configure));
+        }
+    }
+
+    /** Runs one round of each supervisor. */
+    public void run() {
+        supervisors.values().forEach(TargetSupervisor::run);
+    }
+
+    /**
+     * Takes a request for a target that this daemon supervises.
+     *
+     * @param request the request
+     * @return the whole answer or a refusal; the future never fails
+     */
+    public CompletableFuture<Either<Refusal, TargetAnswer>> submit(ForwardRequest request) {
+        CompletableFuture<Either<Refusal, TargetAnswer>> result = new CompletableFuture<>();
+        TargetSupervisor supervisor = supervisors.get(request.target());
+        if (supervisor == null) {
+            result.complete(Either.left(
+                    Refusal.of(ErrorKind.NOT_SUPERVISOR, "this daemon does not supervise " + request.target())));
+            return result;
+        }
+        boolean urgent = records.configuration()
+                .map(current -> current.configuration().routes().get(request.route()))
+                .map(RouteSettings::urgent)
+                .orElse(false);
+        long deadline = clock.nowMillis() + request.remainingMillis();
+        supervisor.submit(new AdmittedRequest(request, deadline, urgent, result));
+        return result;
+    }
+
+    /**
+     * Cancels a request at whichever target it is.
+     *
+     * @param requestId id of the request
+     */
+    public void cancel(String requestId) {
+        supervisors.values().forEach(supervisor -> supervisor.cancel(requestId));
+    }
+
+    /**
+     * Gives the load of a target.
+     *
+     * @param target name of the target
+     * @return its load, or empty if this daemon does not supervise it
+     */
+    public Optional<LoadAnswer> load(String target) {
+        return Optional.ofNullable(supervisors.get(target)).map(TargetSupervisor::load);
+    }
+
+    /**
+     * Tells whether a target has no request in flight.
+     *
+     * @param target name of the target
+     * @return true if nothing is in flight or this daemon does not supervise it
+     */
+    public boolean isIdle(String target) {
+        TargetSupervisor supervisor = supervisors.get(target);
+        return supervisor == null || supervisor.isIdle();
+    }
+
+    /**
+     * Refuses the requests that wait for a target whose role is given away.
+     *
+     * @param target name of the target
+     */
+    public void stopAdmitting(String target) {
+        Optional.ofNullable(supervisors.get(target)).ifPresent(TargetSupervisor::stopAdmitting);
+    }
+
+    /**
+     * Lists the targets.
+     *
+     * @return status of each target that this daemon supervises
+     */
+    public List<TargetStatus> statuses() {
+        return supervisors.values().stream().map(TargetSupervisor::status).toList();
+    }
+
+    @Override
+    public synchronized void close() {
+        List.copyOf(supervisors.keySet()).forEach(this::end);
+    }
+
+    private void followTarget(String target, TargetSettings settings, String poolName, PoolSettings pool) {
+        Optional<Long> token = rights.assignedToken(RoleNames.target(target));
+        TargetSupervisor known = supervisors.get(target);
+        if (known != null && token.isPresent() && known.assignedToken() != token.get()) {
+            // Another daemon held the role in between and may have given a grant that this supervisor does not know.
+            end(target);
+        }
+        token.ifPresent(assigned -> supervisors.computeIfAbsent(
+                target, name -> create(name, assigned, settings, poolName, pool)));
+    }
+
+    private TargetSupervisor create(
+            String target, long token, TargetSettings settings, String poolName, PoolSettings pool) {
+        return new TargetSupervisor(
+                target,
+                poolName,
+                token,
+                pool,
+                daemon,
+                clock,
+                records,
+                rights,
+                organisations,
+                () -> leavingInstances.test(target),
+                endpoints.apply(settings),
+                reporter,
+                metrics,
+                log);
+    }
+
+    private void end(String target) {
+        TargetSupervisor supervisor = supervisors.remove(target);
+        if (supervisor != null) {
+            supervisor.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
@@ -0,0 +1,348 @@
+package org.snipewind.daemon.supervisor;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.coordination.fleet.RoleNames;
+import org.snipewind.coordination.ownership.SliceTable;
+import org.snipewind.coordination.ownership.TargetGrant;
+import org.snipewind.daemon.entry.OrganisationDirectory;
+import org.snipewind.daemon.fleet.FleetTimes;
+import org.snipewind.daemon.fleet.RoleRights;
+import org.snipewind.daemon.log.EventLog;
+import org.snipewind.daemon.log.LogEvent;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.record.SharedRecords;
+import org.snipewind.daemon.settings.DaemonSettings;
+import org.snipewind.platform.configuration.PoolSettings;
+import org.snipewind.platform.status.TargetStatus;
+import org.snipewind.platform.target.GrantAcknowledgement;
+import org.snipewind.platform.target.GrantOrder;
+import org.snipewind.platform.target.TargetEndpoint;
+import org.snipewind.protocol.ForwardRequest;
+import org.snipewind.protocol.LoadAnswer;
+import org.snipewind.protocol.TargetCondition;
+import org.snipewind.protocol.TargetReport;
+
+/** Supervises one target: renews its grant, judges its condition and admits its requests. */
+final class TargetSupervisor implements AutoCloseable {
+
+    // Two missed renewals; one may be lost or late without anything being wrong.
+    private static final long SUSPECT_AFTER_MILLIS = 2 * FleetTimes.GRANT_RENEWAL_MILLIS;
+    private static final long RETRY_ORDER_MILLIS = 100;
+
+    private final String target;
+    private final String pool;
+    private final String role;
+    private final MillisClock clock;
+    private final SharedRecords records;
+    private final RoleRights rights;
+    private final OrganisationDirectory organisations;
+    private final BooleanSupplier leaving;
+    private final TargetEndpoint endpoint;
+    private final TargetGrant grant;
+    private final TargetGate gate;
+    private final Consumer<TargetReport> reporter;
+    private final DaemonMetrics metrics;
+    private final EventLog log;
+    private final long createdMillis;
+    private final long assignedToken;
+    private volatile PoolSettings settings;
+    private volatile TargetCondition condition = TargetCondition.SUSPECTED;
+    private volatile GrantedSlices granted = new GrantedSlices(0, 0, Set.of());
+    private volatile long releasedVersion;
+    private volatile long acknowledgedMillis;
+    private volatile long orderedMillis;
+    private volatile long orderedVersion = -1;
+    private volatile long reportedMillis;
+    private volatile boolean draining;
+
+    private record GrantedSlices(long token, long tableVersion, Set<Integer> slices) {}
+
+    TargetSupervisor(
+            String target,
+            String pool,
+            long assignedToken,
+            PoolSettings settings,
+            DaemonSettings daemon,
+            MillisClock clock,
+            SharedRecords records,
+            RoleRights rights,
+            OrganisationDirectory organisations,
+            BooleanSupplier leaving,
+            TargetEndpoint endpoint,
+            Consumer<TargetReport> reporter,
+            DaemonMetrics metrics,
+            EventLog log) {
+        this.target = target;
+        this.pool = pool;
+        this.role = RoleNames.target(target);
+        this.assignedToken = assignedToken;
+        this.settings = settings;
+        this.clock = clock;
+        this.records = records;
+        this.rights = rights;
+        this.organisations = organisations;
+        this.leaving = leaving;
+        this.endpoint = endpoint;
+        this.reporter = reporter;
+        this.metrics = metrics;
+        this.log = log;
+        this.createdMillis = clock.nowMillis();
+        this.acknowledgedMillis = createdMillis - SUSPECT_AFTER_MILLIS;
+        this.orderedMillis = createdMillis - FleetTimes.GRANT_MILLIS;
+        this.grant = new TargetGrant(clock, FleetTimes.GRANT_MILLIS, FleetTimes.CLOCK_ERROR_MILLIS);
+        this.gate = new TargetGate(
+                target,
+                settings,
+                daemon.limits(),
+                daemon.policy(),
+                clock,
+                endpoint,
+                this::permit,
+                this::isOpen,
+                organisations::weightOf,
+                metrics);
+    }
+
+    long assignedToken() {
+        return assignedToken;
+    }
+
+    void configure(PoolSettings changed) {
+        settings = changed;
+        gate.configure(changed);
+        gate.recheck();
+    }
+
+    void submit(AdmittedRequest admitted) {
+        ForwardRequest request = admitted.request();
+        if (rights.assignedToken(role).isEmpty()) {
+            admitted.refuse(Refusal.of(ErrorKind.NOT_SUPERVISOR, "another daemon supervises " + target));
+        } else if (condition == TargetCondition.LOST) {
+            admitted.refuse(Refusal.of(ErrorKind.OWNER_UNAVAILABLE, target + " is lost"));
+        } else if (request.slice().isPresent() && !ownsSlice(request.slice().getAsInt())) {
+            admitted.refuse(Refusal.of(ErrorKind.OWNER_UNAVAILABLE, "the slice is not owned by " + target));
+        } else {
+            gate.submit(admitted);
+        }
+    }
+
+    void cancel(String requestId) {
+        gate.cancel(requestId);
+    }
+
+    /** Runs one round: renews the grant when it is due, judges the target and reports to the coordinator. */
+    void run() {
+        Optional<Long> token = rights.activeToken(role);
+        if (token.isPresent()) {
+            long interval = condition == TargetCondition.LIVE ? FleetTimes.GRANT_RENEWAL_MILLIS : RETRY_ORDER_MILLIS;
+            boolean tableChanged = settings.divided() && records.table(pool).version() != orderedVersion;
+            boolean notReleased = settings.divided() && releasedVersion < orderedVersion;
+            long age = clock.nowMillis() - orderedMillis;
+            if (age >= interval || tableChanged || (notReleased && age >= RETRY_ORDER_MILLIS / 2)) {
+                order(token.get());
+            }
+            judge();
+            report(token.get());
+        }
+        gate.expire();
+        gate.pump();
+    }
+
+    /** Reacts to a changed slice table or configuration without waiting for the next round. */
+    void recheck() {
+        gate.recheck();
+        run();
+    }
+
+    LoadAnswer load() {
+        return gate.load(isOpen() && condition == TargetCondition.LIVE);
+    }
+
+    boolean isIdle() {
+        return gate.inFlightCount() == 0;
+    }
+
+    TargetStatus status() {
+        LoadAnswer load = load();
+        return new TargetStatus(
+                target,
+                pool,
+                (gate.isSlow() ? "slow" : condition.name().toLowerCase(java.util.Locale.ROOT)),
+                load.inFlight(),
+                load.queued(),
+                load.limit(),
+                load.latencyMicros(),
+                rights.assignedToken(role).orElse(0L));
+    }
+
+    @Override
+    public void close() {
+        stopAdmitting();
+        gate.closeWhenIdle();
+    }
+
+    void stopAdmitting() {
+        gate.drain(Refusal.of(ErrorKind.NOT_SUPERVISOR, "another daemon supervises " + target));
+    }
+
+    private boolean ownsSlice(int slice) {
+        return records.table(pool).slices().get(slice).owner().filter(target::equals).isPresent();
+    }
+
+    /** The grant of a target that checks tokens, or the waiting time after a predecessor, must allow a send. */
+    private boolean isOpen() {
+        Optional<Long> token = rights.activeToken(role);
+        if (token.isEmpty() || condition == TargetCondition.SUSPECTED || condition == TargetCondition.LOST) {
+            return false;
+        }
+        if (settings.checksTokens()) {
+            return grant.isLive() && granted.token() == token.get();
+        }
+        long wait = settings.longestDeadlineMillis() + FleetTimes.CLOCK_ERROR_MILLIS;
+        return clock.nowMillis() - createdMillis >= wait;
+    }
+
+    private Either<Refusal, Long> permit(ForwardRequest request) {
+        Optional<Long> token = rights.activeToken(role);
+        if (token.isEmpty() || !isOpen()) {
+            return Either.left(Refusal.of(ErrorKind.LEASE_EXPIRED, "no valid lease or grant for " + target));
+        }
+        if (!organisations.isValid(request.organisation(), request.keyDigest())) {
+            return Either.left(Refusal.of(ErrorKind.KEY_REJECTED, "the organisation's key was withdrawn"));
+        }
+        if (request.slice().isPresent() && !isServable(request.slice().getAsInt())) {
+            return Either.left(Refusal.of(ErrorKind.OWNER_UNAVAILABLE, "the slice is being moved"));
+        }
+        return Either.right(token.get());
+    }
+
+    private boolean isServable(int slice) {
+        return granted.slices().contains(slice)
+                && records.table(pool).slices().get(slice).isServableBy(target);
+    }
+
+    private void order(long token) {
+        SliceTable table = records.table(pool);
+        Set<Integer> slices = settings.divided() ? table.servableBy(target) : Set.of();
+        long version = settings.divided() ? table.version() : 0;
+        // From here on nothing outside the new order may be sent, also while the order is on its way.
+        granted = new GrantedSlices(granted.token(), granted.tableVersion(), intersection(granted.slices(), slices));
+        long sentAt = clock.nowMillis();
+        orderedMillis = sentAt;
+        orderedVersion = version;
+        GrantOrder order = new GrantOrder(target, token, version, slices, grant.beginOrder());
+        metrics.count("supervisor.grant-orders");
+        endpoint.grant(order).whenComplete((answer, failure) -> {
+            if (failure == null) {
+                acknowledged(order, sentAt, answer);
+            } else {
+                metrics.count("supervisor.grant-failures");
+                if (isConnectionRefused(failure)) {
+                    suspect();
+                }
+            }
+        });
+    }
+
+    private void acknowledged(GrantOrder order, long sentAt, GrantAcknowledgement answer) {
+        boolean restarted = grant.acknowledged(
+                order.validUntilTargetMillis(),
+                sentAt,
+                answer.targetMillis(),
+                answer.incarnation(),
+                answer.accepted());
+        gate.noteIncarnation(answer.incarnation());
+        if (restarted) {
+            metrics.count("supervisor.target-restarts");
+            log.write(LogEvent.TARGET_RESTARTED, target + " is now " + answer.incarnation());
+        }
+        if (!answer.accepted() && answer.highestToken() > order.token()) {
+            log.write(LogEvent.TARGET_FENCED, target + " obeys token " + answer.highestToken());
+            return;
+        }
+        acknowledgedMillis = clock.nowMillis();
+        draining = answer.draining();
+        if (order.validUntilTargetMillis() == 0 || restarted) {
+            order(order.token());
+            return;
+        }
+        if (answer.accepted() && order.tableVersion() >= granted.tableVersion()) {
+            boolean released = answer.releasedWork() == 0 && gate.inFlightOutside(order.slices()) == 0;
+            granted = new GrantedSlices(order.token(), order.tableVersion(), order.slices());
+            if (released) {
+                releasedVersion = Math.max(releasedVersion, order.tableVersion());
+            }
+            judge();
+            gate.pump();
+        }
+    }
+
+    private void judge() {
+        long now = clock.nowMillis();
+        boolean answers = now - acknowledgedMillis < SUSPECT_AFTER_MILLIS;
+        TargetCondition next;
+        if (answers && (grant.isLive() || !settings.checksTokens())) {
+            next = draining || leaving.getAsBoolean() ? TargetCondition.DRAINING : TargetCondition.LIVE;
+        } else if (hasEnded(now)) {
+            next = TargetCondition.LOST;
+        } else {
+            next = TargetCondition.SUSPECTED;
+        }
+        change(next);
+    }
+
+    private boolean hasEnded(long now) {
+        long requests = settings.checksTokens() ? 0 : settings.longestDeadlineMillis();
+        return grant.hasCertainlyEnded() && now >= grant.certainEndMillis() + requests;
+    }
+
+    private void suspect() {
+        acknowledgedMillis = Math.min(acknowledgedMillis, clock.nowMillis() - SUSPECT_AFTER_MILLIS);
+        judge();
+    }
+
+    private synchronized void change(TargetCondition next) {
+        if (next == condition) {
+            return;
+        }
+        condition = next;
+        reportedMillis = 0;
+        switch (next) {
+            case LIVE -> log.write(LogEvent.TARGET_LIVE, target);
+            case LOST -> {
+                log.write(LogEvent.TARGET_LOST, target);
+                gate.drain(Refusal.of(ErrorKind.OWNER_UNAVAILABLE, target + " is lost"));
+            }
+            case SUSPECTED -> log.write(LogEvent.TARGET_SUSPECTED, target);
+            case DRAINING -> metrics.count("supervisor.target-drains");
+        }
+    }
+
+    private void report(long token) {
+        long now = clock.nowMillis();
+        if (settings.divided() && now - reportedMillis >= FleetTimes.REPORT_MILLIS) {
+            reportedMillis = now;
+            reporter.accept(new TargetReport(pool, target, token, condition, releasedVersion, gate.takeLoad()));
+        }
+    }
+
+    private static boolean isConnectionRefused(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof java.net.ConnectException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static Set<Integer> intersection(Set<Integer> left, Set<Integer> right) {
+        return left.stream().filter(right::contains).collect(java.util.stream.Collectors.toUnmodifiableSet());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/package-info.java
@@ -0,0 +1,2 @@
+/** Supervision of targets: grants, admission and sending. */
+package org.snipewind.daemon.supervisor;
