--- /dev/null
+++ b/protocol/src/main/java/org/snipewind/protocol/FrameDecoder.java
@@ -0,0 +1,25 @@
+package org.snipewind.protocol;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.PrematureChannelClosureException;
+import java.util.List;
+
+/** Splits the stream at its 4-byte length prefixes and reports a stream that ends within a frame. */
+final class FrameDecoder extends LengthFieldBasedFrameDecoder {
+
+    static final int PREFIX_BYTES = 4;
+
+    FrameDecoder(int maxBytes) {
+        super(maxBytes + PREFIX_BYTES, 0, PREFIX_BYTES, 0, PREFIX_BYTES);
+    }
+
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        super.decodeLast(context, in, out);
+        if (out.isEmpty() && in.isReadable()) {
+            throw new PrematureChannelClosureException("connection ended within a frame");
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/snipewind/protocol/RecordingCounters.java
@@ -0,0 +1,27 @@
+package org.snipewind.protocol;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/** Counters whose values a test can read and wait for. */
+final class RecordingCounters implements PeerCounters {
+
+    private final Map<PeerEvent, Long> counts = new EnumMap<>(PeerEvent.class);
+
+    @Override
+    public synchronized void add(PeerEvent event, long amount) {
+        counts.merge(event, amount, Long::sum);
+        notifyAll();
+    }
+
+    synchronized long count(PeerEvent event) {
+        return counts.getOrDefault(event, 0L);
+    }
+
+    /** Waits for a count; the test's own timeout bounds the wait. */
+    synchronized void await(PeerEvent event, long count) throws InterruptedException {
+        while (count(event) < count) {
+            wait();
+        }
+    }
+}
