Add stand-ins of the store, the targets and the instance list

Tests, the quick start and the measurements need outside systems whose faults can be set and whose executions are recorded. Each stand-in is a handler on Micronaut's server, in the same process or started by ProcessLauncher; dropped and cut answers go through the channel itself.

--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/instances/InstanceListStandIn.java
@@ -0,0 +1,95 @@
+package org.snipewind.standins.instances;
+
+import io.micronaut.core.type.Argument;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.platform.instances.InstanceState;
+import org.snipewind.platform.transport.JsonCodec;
+import org.snipewind.standins.server.StandInAnswer;
+import org.snipewind.standins.server.StandInHandler;
+import org.snipewind.standins.server.StandInRequest;
+
+/**
+ * A list of instances that shows each change only after a lag.
+ *
+ * <p>{@code GET /instances} gives the list, {@code PUT /control} replaces the true states and {@code PUT
+ * /control/lag?millis=N} sets the lag.
+ */
+public final class InstanceListStandIn implements StandInHandler {
+
+    private final MillisClock clock;
+    private final Deque<Change> changes = new ArrayDeque<>();
+    private long lagMillis;
+
+    /**
+     * Creates an empty list.
+     *
+     * @param clock the clock
+     * @param lagMillis time after which a change is shown
+     */
+    public InstanceListStandIn(MillisClock clock, long lagMillis) {
+        this.clock = clock;
+        this.lagMillis = lagMillis;
+        changes.add(new Change(Long.MIN_VALUE, Map.of()));
+    }
+
+    /**
+     * Replaces the true states.
+     *
+     * @param states state by instance name
+     */
+    public synchronized void setStates(Map<String, InstanceState> states) {
+        changes.addLast(new Change(clock.nowMillis(), new TreeMap<>(states)));
+    }
+
+    /**
+     * Sets the lag.
+     *
+     * @param millis time after which a change is shown
+     */
+    public synchronized void setLag(long millis) {
+        lagMillis = millis;
+    }
+
+    /**
+     * Reads the list as the platform shows it.
+     *
+     * @return state by instance name
+     */
+    public synchronized Map<String, InstanceState> shown() {
+        long shownUntil = clock.nowMillis() - lagMillis;
+        Map<String, InstanceState> shown = Map.of();
+        for (Change change : changes) {
+            if (change.atMillis() <= shownUntil) {
+                shown = change.states();
+            }
+        }
+        return shown;
+    }
+
+    @Override
+    public CompletableFuture<StandInAnswer> handle(StandInRequest request) {
+        if (request.is("GET", "/instances")) {
+            Map<String, String> states = new TreeMap<>();
+            shown().forEach((name, state) -> states.put(name, state.name()));
+            return CompletableFuture.completedFuture(StandInAnswer.json(states));
+        }
+        if (request.is("PUT", "/control/lag")) {
+            setLag(request.number("millis").orElse(0L));
+        } else if (request.is("PUT", "/control")) {
+            Map<String, InstanceState> states = new TreeMap<>();
+            JsonCodec.decode(request.body(), Argument.mapOf(String.class, String.class))
+                    .forEach((name, state) -> states.put(name, InstanceState.valueOf(state)));
+            setStates(states);
+        } else {
+            return CompletableFuture.completedFuture(StandInAnswer.empty(404));
+        }
+        return CompletableFuture.completedFuture(StandInAnswer.empty(204));
+    }
+
+    private record Change(long atMillis, Map<String, InstanceState> states) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and its targets, for tests, the quick start and measurements. */
+package org.snipewind.standins;
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/process/ChildProcess.java
@@ -0,0 +1,102 @@
+package org.snipewind.standins.process;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** A process started by a {@link ProcessLauncher}; all signals go to its id. */
+public final class ChildProcess {
+
+    private final Process process;
+    private final String readyLine;
+
+    ChildProcess(Process process, String readyLine) {
+        this.process = process;
+        this.readyLine = readyLine;
+    }
+
+    /**
+     * Gives the line by which the process said that it is ready.
+     *
+     * @return the line
+     */
+    public String readyLine() {
+        return readyLine;
+    }
+
+    /**
+     * Gives the id of the process.
+     *
+     * @return the process id
+     */
+    public long id() {
+        return process.pid();
+    }
+
+    /**
+     * Tells whether the process has not ended.
+     *
+     * @return true if it runs or is paused
+     */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Asks the process to end (SIGTERM). */
+    public void stop() {
+        process.destroy();
+    }
+
+    /** Ends the process at once (SIGKILL). */
+    public void kill() {
+        process.destroyForcibly();
+    }
+
+    /** Freezes the process (SIGSTOP). */
+    public void pause() {
+        signal("STOP");
+    }
+
+    /** Lets a frozen process go on (SIGCONT). */
+    public void resume() {
+        signal("CONT");
+    }
+
+    /**
+     * Waits until the process has ended.
+     *
+     * @param limit longest wait
+     * @return its exit code
+     * @throws IllegalStateException if it runs after the wait
+     */
+    public int awaitEnd(Duration limit) {
+        try {
+            if (!process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS)) {
+                throw new IllegalStateException("process " + id() + " did not end within " + limit);
+            }
+            return process.exitValue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting for process " + id(), e);
+        }
+    }
+
+    private void signal(String name) {
+        if (!process.isAlive()) {
+            throw new IllegalStateException("process " + id() + " has ended");
+        }
+        try {
+            int exit = new ProcessBuilder("kill", "-" + name, Long.toString(id()))
+                    .start()
+                    .waitFor();
+            if (exit != 0) {
+                throw new IllegalStateException("signal " + name + " to process " + id() + " failed");
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("signal " + name + " could not be sent", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while sending signal " + name, e);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/process/ProcessLauncher.java
@@ -0,0 +1,102 @@
+package org.snipewind.standins.process;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Predicate;
+
+/** Starts Java processes with the class path of this one, and ends all of them when closed. */
+public final class ProcessLauncher implements AutoCloseable {
+
+    private static final Duration READY_LIMIT = Duration.ofSeconds(30);
+
+    private final List<String> javaOptions;
+    private final Path logDirectory;
+    private final List<Process> started = new ArrayList<>();
+
+    /**
+     * Creates a launcher of processes with a small heap.
+     *
+     * @param heapMegabytes largest heap of each process
+     * @param logDirectory directory that receives the standard error of each process
+     */
+    public ProcessLauncher(int heapMegabytes, Path logDirectory) {
+        javaOptions = List.of("-Xmx" + heapMegabytes + "m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+        this.logDirectory = logDirectory;
+    }
+
+    /**
+     * Starts a process and waits for its ready line on standard output.
+     *
+     * @param name name of the log file
+     * @param mainClass class with the main method
+     * @param arguments arguments of the main method
+     * @param isReadyLine recognises the ready line
+     * @return the process
+     * @throws IllegalStateException if it ends or 30 s pass before the ready line
+     */
+    public synchronized ChildProcess start(
+            String name, String mainClass, List<String> arguments, Predicate<String> isReadyLine) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(javaOptions);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
+        command.addAll(arguments);
+        Path log = logDirectory.resolve(name + ".log");
+        try {
+            Process process = new ProcessBuilder(command)
+                    .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                    .start();
+            started.add(process);
+            return new ChildProcess(process, awaitReady(process, isReadyLine, log));
+        } catch (IOException e) {
+            throw new UncheckedIOException("the process " + name + " could not be started", e);
+        }
+    }
+
+    @Override
+    public synchronized void close() {
+        started.forEach(Process::destroyForcibly);
+        started.clear();
+    }
+
+    private static String awaitReady(Process process, Predicate<String> isReadyLine, Path log) {
+        CompletableFuture<String> ready = new CompletableFuture<>();
+        Thread reader = new Thread(() -> readLines(process, isReadyLine, ready), "output of " + process.pid());
+        reader.setDaemon(true);
+        reader.start();
+        try {
+            return ready.get(READY_LIMIT.toSeconds(), TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            process.destroyForcibly();
+            throw new IllegalStateException("process " + process.pid() + " did not become ready, see " + log, e);
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting for process " + process.pid(), e);
+        }
+    }
+
+    // Reads to the end, because a full pipe would block the process.
+    private static void readLines(Process process, Predicate<String> isReadyLine, CompletableFuture<String> ready) {
+        try (BufferedReader output = process.inputReader(StandardCharsets.UTF_8)) {
+            for (String line = output.readLine(); line != null; line = output.readLine()) {
+                if (isReadyLine.test(line)) {
+                    ready.complete(line);
+                }
+            }
+            ready.completeExceptionally(new IOException("the process ended its output"));
+        } catch (IOException e) {
+            ready.completeExceptionally(e);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/process/package-info.java
@@ -0,0 +1,2 @@
+/** Starts and ends processes of stand-ins and daemons. */
+package org.snipewind.standins.process;
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/server/StandInAnswer.java
@@ -0,0 +1,50 @@
+package org.snipewind.standins.server;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.snipewind.platform.transport.JsonCodec;
+
+/**
+ * An answer of a stand-in.
+ *
+ * @param status HTTP status
+ * @param headers headers by name
+ * @param body the whole body
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record StandInAnswer(int status, Map<String, String> headers, byte[] body) {
+
+    private static final String CONTENT_TYPE = "Content-Type";
+
+    /**
+     * Creates an answer without a body.
+     *
+     * @param status HTTP status
+     * @return the answer
+     */
+    public static StandInAnswer empty(int status) {
+        return new StandInAnswer(status, Map.of(), new byte[0]);
+    }
+
+    /**
+     * Creates a successful JSON answer.
+     *
+     * @param value value that can be encoded
+     * @return the answer
+     */
+    public static StandInAnswer json(Object value) {
+        return new StandInAnswer(200, Map.of(CONTENT_TYPE, "application/json"), JsonCodec.encode(value));
+    }
+
+    /**
+     * Creates an answer of plain text.
+     *
+     * @param status HTTP status
+     * @param text the text
+     * @return the answer
+     */
+    public static StandInAnswer text(int status, String text) {
+        return new StandInAnswer(
+                status, Map.of(CONTENT_TYPE, "text/plain; charset=utf-8"), text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/server/StandInRequest.java
@@ -0,0 +1,62 @@
+package org.snipewind.standins.server;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * A request to a stand-in.
+ *
+ * @param method HTTP method
+ * @param path path without the query
+ * @param uri path and query
+ * @param parameters first value of each query parameter
+ * @param headers all values of each header
+ * @param body the whole body
+ * @param connection the connection
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record StandInRequest(
+        String method,
+        String path,
+        String uri,
+        Map<String, String> parameters,
+        Map<String, List<String>> headers,
+        byte[] body,
+        StandInConnection connection) {
+
+    /**
+     * Finds the first value of a header.
+     *
+     * @param name name of the header in any case
+     * @return the value, or empty if there is none
+     */
+    public Optional<String> header(String name) {
+        return headers.entrySet().stream()
+                .filter(entry -> entry.getKey().equalsIgnoreCase(name))
+                .flatMap(entry -> entry.getValue().stream())
+                .findFirst();
+    }
+
+    /**
+     * Reads a whole number from the query.
+     *
+     * @param name name of the parameter
+     * @return the number, or empty if the parameter is absent
+     * @throws NumberFormatException if the parameter is no number
+     */
+    public Optional<Long> number(String name) {
+        return Optional.ofNullable(parameters.get(name)).map(Long::valueOf);
+    }
+
+    /**
+     * Tells whether the request has a method and a path.
+     *
+     * @param expectedMethod HTTP method
+     * @param expectedPath path without the query
+     * @return true if both are equal
+     */
+    public boolean is(String expectedMethod, String expectedPath) {
+        return method.equals(expectedMethod) && path.equals(expectedPath);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/server/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP server that all stand-ins share. */
+package org.snipewind.standins.server;
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/store/StoreReport.java
@@ -0,0 +1,23 @@
+package org.snipewind.standins.store;
+
+import io.micronaut.serde.annotation.Serdeable;
+import java.util.Map;
+
+/**
+ * State of the store.
+ *
+ * @param faults faults in force
+ * @param calls calls since the start by kind: get, swap and watch
+ * @param callsByCaller calls since the start by the id of the caller
+ * @param callsPerSecond calls per second by kind over the last ten whole seconds
+ * @param waitingWatches watches that wait now
+ * @param versions version of each value by key
+ */
+@Serdeable
+public record StoreReport(
+        StoreFaults faults,
+        Map<String, Long> calls,
+        Map<String, Long> callsByCaller,
+        Map<String, Double> callsPerSecond,
+        int waitingWatches,
+        Map<String, Long> versions) {}
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/target/Work.java
@@ -0,0 +1,37 @@
+package org.snipewind.standins.target;
+
+import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
+import org.snipewind.platform.target.TargetHeaders;
+import org.snipewind.standins.server.StandInAnswer;
+import org.snipewind.standins.server.StandInRequest;
+
+/** A request that waits or runs. */
+final class Work {
+
+    static final int NOT_STARTED = -1;
+    private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
+
+    final StandInRequest request;
+    final String id;
+    final OptionalInt slice;
+    final long token;
+    final long deadline;
+    final long serviceMillis;
+    final CompletableFuture<StandInAnswer> answer = new CompletableFuture<>();
+    int recordPosition = NOT_STARTED;
+    long endsAt;
+    boolean isCancelled;
+
+    Work(StandInRequest request, long nowMillis, long defaultServiceMillis) {
+        this.request = request;
+        id = request.header(TargetHeaders.REQUEST).orElse("");
+        slice = request.header(TargetHeaders.SLICE)
+                .map(text -> OptionalInt.of(Integer.parseInt(text)))
+                .orElse(OptionalInt.empty());
+        token = request.header(TargetHeaders.TOKEN).map(Long::valueOf).orElse(-1L);
+        deadline = nowMillis
+                + request.header(TargetHeaders.DEADLINE).map(Long::valueOf).orElse(DEFAULT_DEADLINE_MILLIS);
+        serviceMillis = request.header("Service-Millis").map(Long::valueOf).orElse(defaultServiceMillis);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/target/package-info.java
@@ -0,0 +1,2 @@
+/** The stand-in of a target. */
+package org.snipewind.standins.target;
