Name the answering member in lease answers

Cause: a restarted daemon keeps its address, so an answer from that address may come from a successor that has not kept the promises of the witness.

--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -26,11 +26,15 @@
             new MessageLayout<>(
                     3,
                     HeartbeatAcknowledgement.class,
-                    4,
+                    5,
                     (out, message) -> versions(
-                                    out.number(message.sequence()).flag(message.accepted()), message.versions())
+                                    out.text(message.witness())
+                                            .number(message.sequence())
+                                            .flag(message.accepted()),
+                                    message.versions())
                             .number(message.storeContactAgeMillis()),
                     in -> new HeartbeatAcknowledgement(
+                            in.text("witness"),
                             in.number("sequence"),
                             in.flag("accepted"),
                             versions(in),
@@ -44,9 +48,10 @@
             new MessageLayout<>(
                     5,
                     ExpiryAnswer.class,
-                    2,
-                    (out, message) -> out.text(message.holder()).flag(message.expired()),
-                    in -> new ExpiryAnswer(in.text("holder"), in.flag("expired"))),
+                    3,
+                    (out, message) ->
+                            out.text(message.witness()).text(message.holder()).flag(message.expired()),
+                    in -> new ExpiryAnswer(in.text("witness"), in.text("holder"), in.flag("expired"))),
             new MessageLayout<>(
                     6,
                     RecordPush.class,
