Add membership, member leases and slice ownership decisions

FleetRecord gains marks (member id to epoch of the mark), so that a mark set anew starts the second phase anew.

lease: a witness keeps its confirmations for the life of the process, since old evidence may meet a lease group that has come back.

--- a/coordination/src/main/java/org/snipewind/coordination/fleet/FleetRecord.java
+++ b/coordination/src/main/java/org/snipewind/coordination/fleet/FleetRecord.java
@@ -13,16 +13,35 @@
  * @param writer unique id of the write, by which a lost answer is settled
  * @param members members by id
  * @param roles role assignments by role name
+ * @param marks epoch of the mark by id of a member that nobody hears, for its removal in two phases
  */
-public record FleetRecord(long epoch, String writer, Map<String, Member> members, Map<String, RoleAssignment> roles) {
+public record FleetRecord(
+        long epoch,
+        String writer,
+        Map<String, Member> members,
+        Map<String, RoleAssignment> roles,
+        Map<String, Long> marks) {
 
     /** The record before the first member joined. */
     public static final FleetRecord EMPTY = new FleetRecord(0, "", Map.of(), Map.of());
 
-    /** Copies both maps in the order of their keys. */
+    /** Copies the maps in the order of their keys. */
     public FleetRecord {
         members = Collections.unmodifiableMap(new TreeMap<>(members));
         roles = Collections.unmodifiableMap(new TreeMap<>(roles));
+        marks = Collections.unmodifiableMap(new TreeMap<>(marks));
+    }
+
+    /**
+     * Creates a record without marks.
+     *
+     * @param epoch version of the record
+     * @param writer unique id of the write
+     * @param members members by id
+     * @param roles role assignments by role name
+     */
+    public FleetRecord(long epoch, String writer, Map<String, Member> members, Map<String, RoleAssignment> roles) {
+        this(epoch, writer, members, roles, Map.of());
     }
 
     /**
--- /dev/null
+++ b/coordination/src/test/java/org/snipewind/coordination/lease/MemberLeaseTest.java
@@ -0,0 +1,74 @@
+package org.snipewind.coordination.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.ManualMillisClock;
+
+final class MemberLeaseTest {
+
+    private final ManualMillisClock clock = new ManualMillisClock(-5_000);
+    private final MemberLease lease = new MemberLease(clock, 900);
+
+    // Guards against a paused process that acts on waking, and against counting from the arrival of the answer.
+    @Test
+    void pausePastTheLeaseEndsItAndLateAnswersDoNotExtendIt() {
+        lease.setGroups(List.of("a", "b", "c"), Optional.empty());
+        long sequence = lease.nextSequence();
+        lease.acknowledge("a", sequence);
+        assertThat(lease.isValid()).isFalse();
+        lease.acknowledge("b", sequence);
+        assertThat(lease.validUntilMillis()).isEqualTo(-4_100);
+        clock.advance(899);
+        assertThat(lease.isValid()).isTrue();
+        clock.advance(1);
+        assertThat(lease.isValid()).isFalse();
+        lease.acknowledge("c", sequence);
+        assertThat(lease.isValid()).isFalse();
+        assertThat(lease.hearsMajority(1_000)).isTrue();
+    }
+
+    // Guards against a lease that only one of two possible stored groups supports.
+    @Test
+    void pendingChangeNeedsMajorityOfBothGroups() {
+        lease.setGroups(List.of("a"), Optional.of(List.of("b", "c", "d")));
+        long sequence = lease.nextSequence();
+        lease.acknowledge("b", sequence);
+        lease.acknowledge("c", sequence);
+        assertThat(lease.isValid()).isFalse();
+        lease.acknowledge("a", sequence);
+        assertThat(lease.isValid()).isTrue();
+        lease.setGroups(List.of("a", "e", "f"), Optional.empty());
+        assertThat(lease.isValid()).isFalse();
+    }
+
+    @Test
+    void emptyGroupIsValidForEverButNotBeforeItIsSet() {
+        assertThat(lease.isValid()).isFalse();
+        lease.setGroups(List.of(), Optional.empty());
+        assertThat(lease.validUntilMillis()).isEqualTo(Long.MAX_VALUE);
+        lease.setGroups(List.of(), Optional.of(List.of("a")));
+        assertThat(lease.isValid()).isFalse();
+    }
+
+    // Guards against a removed or expired holder that is acknowledged again, also after it was forgotten.
+    @Test
+    void witnessThatConfirmedNeverAcknowledgesAgain() {
+        LeaseWitness witness = new LeaseWitness(clock, 950);
+        assertThat(witness.acknowledge("h")).isFalse();
+        witness.learn("h");
+        clock.advance(949);
+        assertThat(witness.confirmExpired("h")).isFalse();
+        assertThat(witness.acknowledge("h")).isTrue();
+        clock.advance(950);
+        assertThat(witness.silenceOf("h")).hasValue(950);
+        assertThat(witness.confirmExpired("h")).isTrue();
+        witness.retain(Set.of());
+        witness.learn("h");
+        assertThat(witness.acknowledge("h")).isFalse();
+        assertThat(witness.confirmExpired("h")).isTrue();
+    }
+}
