--- a/daemon/src/main/java/org/snipewind/daemon/Daemon.java
+++ b/daemon/src/main/java/org/snipewind/daemon/Daemon.java
@@ -80,7 +80,8 @@
                 store(settings, metrics),
                 target -> new HttpTargetEndpoint(
                         target.address(), TARGET_CONNECTIONS, TARGET_CONNECT_MILLIS, FleetTimes.GRANT_MILLIS),
-                settings.instanceListAddress().<InstanceList>map(address -> new HttpInstanceList(address, STORE_TIMEOUT_MILLIS)),
+                settings.instanceListAddress()
+                        .<InstanceList>map(address -> new HttpInstanceList(address, STORE_TIMEOUT_MILLIS)),
                 peerOptions(settings));
         Runtime.getRuntime().addShutdownHook(new Thread(runtime::shutdown, "shutdown"));
         runtime.start();
@@ -94,8 +95,7 @@
     }
 
     private static StoreCallObserver storeCounter(DaemonMetrics metrics) {
-        return (kind, outcome) ->
-                metrics.count("store." + wireName(kind) + "." + wireName(outcome));
+        return (kind, outcome) -> metrics.count("store." + wireName(kind) + "." + wireName(outcome));
     }
 
     private static String wireName(Enum<?> value) {
--- a/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
@@ -129,14 +129,22 @@
         this.updater = new RecordUpdater(memberId, store, records, distributor, contact);
         this.requirements = new RoleRequirements(records);
         LeaseWitness witness = new LeaseWitness(clock, FleetTimes.WITNESS_SILENCE_MILLIS);
-        this.leases =
-                new LeaseKeeper(memberId, lease, witness, records, updater, distributor, peers, contact, log);
+        this.leases = new LeaseKeeper(memberId, lease, witness, records, updater, distributor, peers, contact, log);
         this.failures = new FailureMonitor(memberId, clock, witness, records, updater, requirements, peers, log);
         this.coordinator = new PoolCoordinator(clock, records, updater, rights, log);
         this.instances = new InstanceView(instanceList);
         OrganisationDirectory organisations = new OrganisationDirectory(records);
         this.supervisors = new SupervisorTable(
-                settings, clock, records, rights, organisations, instances::isLeaving, endpoints, this::sendReport, metrics, log);
+                settings,
+                clock,
+                records,
+                rights,
+                organisations,
+                instances::isLeaving,
+                endpoints,
+                this::sendReport,
+                metrics,
+                log);
         this.keepers = new BudgetKeepers(clock, records, rights);
         this.roles = new RoleManager(memberId, clock, records, updater, requirements, rights, this::isIdle);
         this.watcher = new StoreWatcher(
@@ -160,21 +168,13 @@
                 peerSettings,
                 new PeerDispatcher(records, distributor, leases, failures, coordinator, supervisors, keepers));
         this.membershipFactory = address -> new Membership(
-                member(address),
-                settings.seedAddresses(),
-                records,
-                updater,
-                distributor,
-                requirements,
-                onRemoved,
-                log);
+                member(address), settings.seedAddresses(), records, updater, distributor, requirements, onRemoved, log);
         records.addListener(this::recordChanged);
     }
 
     /** Opens the peer port and starts the control loops. */
     public void start() {
-        String address =
-                settings.peers().host() + ":" + server.start().getPort();
+        String address = settings.peers().host() + ":" + server.start().getPort();
         membership = membershipFactory.apply(address);
         loop(membership::run, 300);
         loop(leases::beat, FleetTimes.HEARTBEAT_MILLIS);
--- a/daemon/src/main/java/org/snipewind/daemon/PeerDispatcher.java
+++ b/daemon/src/main/java/org/snipewind/daemon/PeerDispatcher.java
@@ -108,7 +108,6 @@
         Refusal told = refusal.kind() == ErrorKind.INTERNAL
                 ? Refusal.of(ErrorKind.INTERNAL, "the supervisor failed")
                 : refusal;
-        return new ForwardAnswer(
-                request.requestId(), Optional.of(told), 0, java.util.Map.of(), new byte[0]);
+        return new ForwardAnswer(request.requestId(), Optional.of(told), 0, java.util.Map.of(), new byte[0]);
     }
 }
--- a/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
@@ -142,8 +142,7 @@
     }
 
     private Optional<Destination> destination(RoutedRequest request) {
-        FleetConfiguration configuration =
-                records.configuration().orElseThrow().configuration();
+        FleetConfiguration configuration = records.configuration().orElseThrow().configuration();
         String pool = request.route().pool();
         if (!configuration.pools().containsKey(pool)) {
             return Optional.empty();
@@ -246,12 +245,15 @@
 
     private void hedge(RoutedRequest request) {
         long remaining = request.deadlineMillis() - clock.nowMillis();
-        if (request.result().isDone() || request.isCancelled() || request.inFlight().size() != 1 || remaining <= 0) {
+        if (request.result().isDone()
+                || request.isCancelled()
+                || request.inFlight().size() != 1
+                || remaining <= 0) {
             return;
         }
-        FleetConfiguration configuration =
-                records.configuration().orElseThrow().configuration();
-        Optional<Destination> other = board.choose(configuration, request.route().pool(), request.triedTargets());
+        FleetConfiguration configuration = records.configuration().orElseThrow().configuration();
+        Optional<Destination> other =
+                board.choose(configuration, request.route().pool(), request.triedTargets());
         if (other.isPresent() && hedges(request).tryHedge()) {
             metrics.count("entry.hedges");
             send(request, other.get(), remaining, true);
@@ -274,7 +276,8 @@
     }
 
     private RetryBudget retryBudget(String organisation) {
-        return retryBudgets.computeIfAbsent(organisation, name -> new RetryBudget(clock, RETRY_SHARE, RETRIES_PER_SECOND));
+        return retryBudgets.computeIfAbsent(
+                organisation, name -> new RetryBudget(clock, RETRY_SHARE, RETRIES_PER_SECOND));
     }
 
     private HedgePolicy hedges(RoutedRequest request) {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/BudgetKeepers.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/BudgetKeepers.java
@@ -60,7 +60,9 @@
                 followBudget(role, role.substring(RoleNames.BUDGET_PREFIX.length()));
             }
         }
-        held.keySet().removeIf(budget -> rights.assignedToken(RoleNames.budget(budget)).isEmpty());
+        held.keySet()
+                .removeIf(
+                        budget -> rights.assignedToken(RoleNames.budget(budget)).isEmpty());
     }
 
     /**
@@ -81,8 +83,8 @@
 
     private void followBudget(String role, String budget) {
         Optional<Long> token = rights.assignedToken(role);
-        Optional<BudgetSettings> settings = records.configuration()
-                .flatMap(revision -> settingsOf(revision.configuration(), budget));
+        Optional<BudgetSettings> settings =
+                records.configuration().flatMap(revision -> settingsOf(revision.configuration(), budget));
         if (token.isEmpty() || settings.isEmpty()) {
             return;
         }
@@ -96,11 +98,7 @@
             return new HeldBudget(
                     token.get(),
                     new BudgetKeeper(
-                            clock,
-                            settings.get().rate(),
-                            settings.get().burst(),
-                            activeFrom,
-                            false));
+                            clock, settings.get().rate(), settings.get().burst(), activeFrom, false));
         });
     }
 }
--- a/daemon/src/main/java/org/snipewind/daemon/entry/CallerRequest.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/CallerRequest.java
@@ -13,5 +13,4 @@
  * @param body the whole body
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record CallerRequest(
-        String method, String uri, String path, Map<String, List<String>> headers, byte[] body) {}
+public record CallerRequest(String method, String uri, String path, Map<String, List<String>> headers, byte[] body) {}
--- a/daemon/src/main/java/org/snipewind/daemon/entry/EntryPath.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/EntryPath.java
@@ -45,10 +45,8 @@
         LoadBoard board = new LoadBoard(memberId, settings, clock, records, supervisors, peers, metrics);
         SupervisorClient client = new SupervisorClient(memberId, supervisors, peers, metrics);
         this.attempts = new AttemptRunner(clock, records, board, client, settings.policy(), workers, metrics);
-        this.budgets = new BudgetClient(
-                memberId, settings.policy(), clock, records, keepers, peers, workers, metrics);
-        this.router = new RequestRouter(
-                memberId, clock, records, organisations, budgets, attempts, readiness, metrics);
+        this.budgets = new BudgetClient(memberId, settings.policy(), clock, records, keepers, peers, workers, metrics);
+        this.router = new RequestRouter(memberId, clock, records, organisations, budgets, attempts, readiness, metrics);
         metrics.gauge("entry.parked", attempts::parkedCount);
     }
 
--- a/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
@@ -138,9 +138,8 @@
         peers.call(holder.get().peerAddress(), new LoadProbe(target), PROBE_TIMEOUT_MILLIS)
                 .whenComplete((answer, failure) -> {
                     probing.remove(target);
-                    LoadAnswer load = answer instanceof LoadAnswer found
-                            ? found
-                            : new LoadAnswer(target, false, 0, 0, 1, 0);
+                    LoadAnswer load =
+                            answer instanceof LoadAnswer found ? found : new LoadAnswer(target, false, 0, 0, 1, 0);
                     views.put(target, new View(load, clock.nowMillis(), new AtomicInteger()));
                 });
     }
--- a/daemon/src/main/java/org/snipewind/daemon/entry/RequestRouter.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RequestRouter.java
@@ -78,11 +78,10 @@
             return RoutedOutcome.refused(prepared.getLeft());
         }
         RoutedRequest routed = prepared.get();
-        String budget = routed.organisation().isEmpty()
-                ? BudgetNames.ofRoute(routed.routeName())
-                : routed.organisation();
-        Optional<BudgetSettings> settings = records.configuration()
-                .flatMap(revision -> BudgetKeepers.settingsOf(revision.configuration(), budget));
+        String budget =
+                routed.organisation().isEmpty() ? BudgetNames.ofRoute(routed.routeName()) : routed.organisation();
+        Optional<BudgetSettings> settings =
+                records.configuration().flatMap(revision -> BudgetKeepers.settingsOf(revision.configuration(), budget));
         if (settings.isEmpty()) {
             return RoutedOutcome.refused(Refusal.of(ErrorKind.KEY_REJECTED, "the organisation was withdrawn"));
         }
--- a/daemon/src/main/java/org/snipewind/daemon/entry/RouteTable.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RouteTable.java
@@ -29,12 +29,11 @@
     }
 
     static Optional<String> key(KeySource source, CallerRequest request) {
-        Optional<String> key =
-                switch (source.kind()) {
-                    case HEADER -> CallerHeaders.first(request.headers(), source.name());
-                    case PATH -> segment(request.path(), Integer.parseInt(source.name()));
-                    case QUERY -> queryParameter(request.uri(), source.name());
-                };
+        Optional<String> key = switch (source.kind()) {
+            case HEADER -> CallerHeaders.first(request.headers(), source.name());
+            case PATH -> segment(request.path(), Integer.parseInt(source.name()));
+            case QUERY -> queryParameter(request.uri(), source.name());
+        };
         return key.filter(value -> !value.isEmpty());
     }
 
@@ -43,7 +42,8 @@
     }
 
     private static Optional<String> segment(String path, int number) {
-        List<String> segments = Arrays.stream(path.split("/")).filter(part -> !part.isEmpty()).toList();
+        List<String> segments =
+                Arrays.stream(path.split("/")).filter(part -> !part.isEmpty()).toList();
         return number <= segments.size() ? Optional.of(segments.get(number - 1)) : Optional.empty();
     }
 
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/LostGroupRule.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/LostGroupRule.java
@@ -171,8 +171,8 @@
     private boolean hearsMajority(FleetRecord fleet) {
         long now = clock.nowMillis();
         long heard = fleet.members().keySet().stream()
-                .filter(id -> id.equals(memberId)
-                        || now - heardMillis.getOrDefault(id, now - HEARD_MILLIS) < HEARD_MILLIS)
+                .filter(id ->
+                        id.equals(memberId) || now - heardMillis.getOrDefault(id, now - HEARD_MILLIS) < HEARD_MILLIS)
                 .count();
         return heard > fleet.members().size() / 2;
     }
@@ -193,7 +193,8 @@
     private void call(Member member, Heartbeat heartbeat) {
         peers.call(member.peerAddress(), heartbeat, CALL_TIMEOUT_MILLIS).whenComplete((answer, failure) -> {
             // The address of a lost member may be that of its successor, which answers under another id.
-            if (answer instanceof HeartbeatAcknowledgement found && found.witness().equals(member.id())) {
+            if (answer instanceof HeartbeatAcknowledgement found
+                    && found.witness().equals(member.id())) {
                 heardMillis.put(member.id(), clock.nowMillis());
                 failedSince.remove(member.id());
             } else {
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/Membership.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/Membership.java
@@ -64,10 +64,14 @@
         boolean member = records.fleet().member(self.id()).isPresent();
         if (member && !joined) {
             joined = true;
-            log.write(LogEvent.FLEET_JOINED, self.id() + " at epoch " + records.fleet().epoch());
+            log.write(
+                    LogEvent.FLEET_JOINED,
+                    self.id() + " at epoch " + records.fleet().epoch());
         } else if (!member && joined && !leaving) {
             leaving = true;
-            log.write(LogEvent.FLEET_REMOVED, self.id() + " at epoch " + records.fleet().epoch());
+            log.write(
+                    LogEvent.FLEET_REMOVED,
+                    self.id() + " at epoch " + records.fleet().epoch());
             onRemoved.run();
         } else if (!member && !joined && !joining) {
             join();
@@ -106,11 +110,12 @@
         if (records.fleet().epoch() == 0) {
             learn(RecordNames.FLEET);
         }
-        records.configuration().ifPresent(revision -> revision.configuration().pools().forEach((pool, settings) -> {
-            if (settings.divided() && records.table(pool).version() == 0) {
-                learn(RecordNames.table(pool));
-            }
-        }));
+        records.configuration()
+                .ifPresent(revision -> revision.configuration().pools().forEach((pool, settings) -> {
+                    if (settings.divided() && records.table(pool).version() == 0) {
+                        learn(RecordNames.table(pool));
+                    }
+                }));
     }
 
     private void learn(String name) {
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/PoolCoordinator.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/PoolCoordinator.java
@@ -76,9 +76,8 @@
      */
     public boolean report(String sender, TargetReport report) {
         RoleAssignment assignment = records.fleet().roles().get(RoleNames.target(report.target()));
-        boolean current = assignment != null
-                && assignment.holder().equals(sender)
-                && assignment.token() == report.token();
+        boolean current =
+                assignment != null && assignment.holder().equals(sender) && assignment.token() == report.token();
         if (current) {
             reports.add(report);
         }
@@ -90,14 +89,16 @@
         long now = clock.nowMillis();
         double earned = MOVES_PER_HOUR * (now - lastRunMillis) / MILLIS_PER_HOUR;
         lastRunMillis = now;
-        records.configuration().ifPresent(revision -> revision.configuration().pools().forEach((name, pool) -> {
-            if (pool.divided() && rights.activeToken(RoleNames.pool(name)).isPresent()) {
-                movesLeft.merge(name, earned, (left, added) -> Math.min(MOVES_PER_HOUR, left + added));
-                plan(revision.configuration(), name, pool);
-            } else {
-                pendingSince.remove(name);
-            }
-        }));
+        records.configuration()
+                .ifPresent(revision -> revision.configuration().pools().forEach((name, pool) -> {
+                    if (pool.divided()
+                            && rights.activeToken(RoleNames.pool(name)).isPresent()) {
+                        movesLeft.merge(name, earned, (left, added) -> Math.min(MOVES_PER_HOUR, left + added));
+                        plan(revision.configuration(), name, pool);
+                    } else {
+                        pendingSince.remove(name);
+                    }
+                }));
     }
 
     private void plan(FleetConfiguration configuration, String name, PoolSettings pool) {
@@ -154,8 +155,7 @@
     private Map<String, TargetView> views(FleetConfiguration configuration, PoolSettings pool, SliceTable table) {
         FleetRecord fleet = records.fleet();
         Map<String, TargetView> views = new HashMap<>();
-        pool.targets().forEach((target, settings) ->
-                views.put(target, view(fleet, configuration, target, settings)));
+        pool.targets().forEach((target, settings) -> views.put(target, view(fleet, configuration, target, settings)));
         for (SliceOwnership slice : table.slices()) {
             slice.owner().ifPresent(target -> addUnlisted(fleet, pool, views, target));
             slice.releasing().ifPresent(target -> addUnlisted(fleet, pool, views, target));
@@ -166,14 +166,15 @@
     private TargetView view(
             FleetRecord fleet, FleetConfiguration configuration, String target, TargetSettings settings) {
         RoleAssignment assignment = fleet.roles().get(RoleNames.target(target));
-        Optional<TargetReport> report = reports.find(target)
-                .filter(known -> assignment != null && assignment.token() == known.token());
-        TargetStanding standing = report.map(known -> standing(known.condition()))
-                .orElse(TargetStanding.SUSPECTED);
+        Optional<TargetReport> report =
+                reports.find(target).filter(known -> assignment != null && assignment.token() == known.token());
+        TargetStanding standing =
+                report.map(known -> standing(known.condition())).orElse(TargetStanding.SUSPECTED);
         if (standing == TargetStanding.LIVE && !configuration.isInService(settings)) {
             standing = TargetStanding.LEAVING;
         }
-        return new TargetView(target, standing, report.map(TargetReport::releasedVersion).orElse(0L));
+        return new TargetView(
+                target, standing, report.map(TargetReport::releasedVersion).orElse(0L));
     }
 
     /** A target that left the configuration is lost once its last grant and requests have ended without a supervisor. */
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/StoreWatcher.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/StoreWatcher.java
@@ -94,11 +94,12 @@
 
     private List<String> names() {
         List<String> names = new ArrayList<>(List.of(RecordNames.CONFIGURATION, RecordNames.FLEET));
-        records.configuration().ifPresent(current -> current.configuration().pools().forEach((pool, settings) -> {
-            if (settings.divided()) {
-                names.add(RecordNames.table(pool));
-            }
-        }));
+        records.configuration()
+                .ifPresent(current -> current.configuration().pools().forEach((pool, settings) -> {
+                    if (settings.divided()) {
+                        names.add(RecordNames.table(pool));
+                    }
+                }));
         return names;
     }
 
--- a/daemon/src/main/java/org/snipewind/daemon/http/CallerController.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/CallerController.java
@@ -146,14 +146,11 @@
                 HopByHopHeaders.strip(headers),
                 body == null ? new byte[0] : body);
         RoutedOutcome outcome = gate.take(call);
-        return Mono.fromFuture(outcome.result(), true)
-                .map(this::response)
-                .doOnCancel(outcome.cancellation()::run);
+        return Mono.fromFuture(outcome.result(), true).map(this::response).doOnCancel(outcome.cancellation()::run);
     }
 
     private HttpResponse<byte[]> response(Either<Refusal, TargetAnswer> outcome) {
-        MutableHttpResponse<byte[]> response =
-                outcome.isRight() ? answer(outcome.get()) : refusal(outcome.getLeft());
+        MutableHttpResponse<byte[]> response = outcome.isRight() ? answer(outcome.get()) : refusal(outcome.getLeft());
         if (gate.isClosing()) {
             response.header(HttpHeaders.CONNECTION, "close");
         }
@@ -182,9 +179,10 @@
                     .contentType(MediaType.APPLICATION_JSON_TYPE)
                     .header("Snipewind-Error", refusal.kind().wireName())
                     .header("Snipewind-Execution", execution);
-            refusal.retryAfterMillis().ifPresent(millis -> response.header(
-                    HttpHeaders.RETRY_AFTER,
-                    String.valueOf((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND)));
+            refusal.retryAfterMillis()
+                    .ifPresent(millis -> response.header(
+                            HttpHeaders.RETRY_AFTER,
+                            String.valueOf((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND)));
             return response;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/daemon/src/main/java/org/snipewind/daemon/http/CallerGate.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/CallerGate.java
@@ -84,8 +84,8 @@
     private Optional<Refusal> enter(CallerRequest request) {
         int size = request.body().length;
         if (size > limits.bodyBytes()) {
-            return Optional.of(Refusal.of(
-                    ErrorKind.REQUEST_TOO_LARGE, "the body exceeds " + limits.bodyBytes() + " bytes"));
+            return Optional.of(
+                    Refusal.of(ErrorKind.REQUEST_TOO_LARGE, "the body exceeds " + limits.bodyBytes() + " bytes"));
         }
         if (requests.incrementAndGet() > limits.requests()) {
             requests.decrementAndGet();
--- a/daemon/src/main/java/org/snipewind/daemon/http/OperatorSources.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/OperatorSources.java
@@ -12,5 +12,4 @@
  * @param metrics metrics of the daemon
  * @param operatorPort port of the operators' listener
  */
-public record OperatorSources(
-        Supplier<DaemonCore> core, CallerGate gate, DaemonMetrics metrics, int operatorPort) {}
+public record OperatorSources(Supplier<DaemonCore> core, CallerGate gate, DaemonMetrics metrics, int operatorPort) {}
--- a/daemon/src/main/java/org/snipewind/daemon/metrics/PrometheusText.java
+++ b/daemon/src/main/java/org/snipewind/daemon/metrics/PrometheusText.java
@@ -25,9 +25,14 @@
     public static String write(MetricRegistry registry) {
         StringBuilder text = new StringBuilder();
         for (Map.Entry<String, Counter> entry : registry.getCounters().entrySet()) {
-            sample(text, name(entry.getKey()) + "_total", "counter", entry.getValue().getCount());
+            sample(
+                    text,
+                    name(entry.getKey()) + "_total",
+                    "counter",
+                    entry.getValue().getCount());
         }
-        for (@SuppressWarnings("rawtypes") Map.Entry<String, Gauge> entry : registry.getGauges().entrySet()) {
+        for (@SuppressWarnings("rawtypes")
+        Map.Entry<String, Gauge> entry : registry.getGauges().entrySet()) {
             sample(text, name(entry.getKey()), "gauge", entry.getValue().getValue());
         }
         for (Map.Entry<String, Timer> entry : registry.getTimers().entrySet()) {
--- a/daemon/src/main/java/org/snipewind/daemon/record/RecordType.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordType.java
@@ -20,11 +20,7 @@
 
     /** The fleet record. */
     public static final RecordType<FleetRecord> FLEET = new RecordType<>(
-            RecordNames.FLEET,
-            FleetRecord.EMPTY,
-            RecordCodec::encode,
-            RecordCodec::fleetRecord,
-            FleetRecord::writer);
+            RecordNames.FLEET, FleetRecord.EMPTY, RecordCodec::encode, RecordCodec::fleetRecord, FleetRecord::writer);
 
     /**
      * Describes the slice table of a pool.
--- a/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
@@ -108,7 +108,8 @@
         }
         byte[] content = type.encode().apply(next.get());
         long expected = value.map(VersionedValue::version).orElse(0L);
-        Function<byte[], String> writerOf = bytes -> type.writerOf().apply(type.decode().apply(bytes));
+        Function<byte[], String> writerOf =
+                bytes -> type.writerOf().apply(type.decode().apply(bytes));
         return new ConditionalWriter(store, writerOf)
                 .write(type.name(), expected, content)
                 .thenCompose(outcome -> settle(type, transition, content, outcome, number));
--- a/daemon/src/main/java/org/snipewind/daemon/settings/PolicySettings.java
+++ b/daemon/src/main/java/org/snipewind/daemon/settings/PolicySettings.java
@@ -10,11 +10,7 @@
  * @param sharedBudget whether rates are issued by one keeper instead of an equal share on each daemon
  */
 public record PolicySettings(
-        boolean hedging,
-        boolean loadAwareChoice,
-        boolean coldStartRamp,
-        boolean fairQueueing,
-        boolean sharedBudget) {
+        boolean hedging, boolean loadAwareChoice, boolean coldStartRamp, boolean fairQueueing, boolean sharedBudget) {
 
     /** All mechanisms in use. */
     public static final PolicySettings DEFAULT = new PolicySettings(true, true, true, true, true);
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/SupervisorTable.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/SupervisorTable.java
@@ -95,8 +95,10 @@
             return;
         }
         FleetConfiguration configuration = revision.get().configuration();
-        configuration.pools().forEach((poolName, pool) -> pool.targets()
-                .forEach((target, settings) -> followTarget(target, settings, poolName, pool)));
+        configuration
+                .pools()
+                .forEach((poolName, pool) ->
+                        pool.targets().forEach((target, settings) -> followTarget(target, settings, poolName, pool)));
         for (String target : List.copyOf(supervisors.keySet())) {
             if (rights.assignedToken(RoleNames.target(target)).isEmpty()) {
                 end(target);
@@ -105,10 +107,8 @@
         if (RecordNames.isTable(name) || name.equals(RecordNames.FLEET)) {
             supervisors.values().forEach(TargetSupervisor::recheck);
         } else {
-            supervisors.forEach((target, supervisor) -> configuration
-                    .poolOf(target)
-                    .map(configuration.pools()::get)
-                    .ifPresent(supervisor::configure));
+            supervisors.forEach((target, supervisor) ->
+                    configuration.poolOf(target).map(configuration.pools()::get).ifPresent(supervisor::configure));
         }
     }
 
@@ -200,8 +200,8 @@
             // Another daemon held the role in between and may have given a grant that this supervisor does not know.
             end(target);
         }
-        token.ifPresent(assigned -> supervisors.computeIfAbsent(
-                target, name -> create(name, assigned, settings, poolName, pool)));
+        token.ifPresent(assigned ->
+                supervisors.computeIfAbsent(target, name -> create(name, assigned, settings, poolName, pool)));
     }
 
     private TargetSupervisor create(
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
@@ -193,7 +193,12 @@
     }
 
     private boolean ownsSlice(int slice) {
-        return records.table(pool).slices().get(slice).owner().filter(target::equals).isPresent();
+        return records.table(pool)
+                .slices()
+                .get(slice)
+                .owner()
+                .filter(target::equals)
+                .isPresent();
     }
 
     /** The grant of a target that checks tokens, or the waiting time after a predecessor, must allow a send. */
@@ -253,11 +258,7 @@
 
     private void acknowledged(GrantOrder order, long sentAt, GrantAcknowledgement answer) {
         boolean restarted = grant.acknowledged(
-                order.validUntilTargetMillis(),
-                sentAt,
-                answer.targetMillis(),
-                answer.incarnation(),
-                answer.accepted());
+                order.validUntilTargetMillis(), sentAt, answer.targetMillis(), answer.incarnation(), answer.accepted());
         gate.noteIncarnation(answer.incarnation());
         if (restarted) {
             metrics.count("supervisor.target-restarts");
--- a/protocol/src/main/java/org/snipewind/protocol/HeartbeatAcknowledgement.java
+++ b/protocol/src/main/java/org/snipewind/protocol/HeartbeatAcknowledgement.java
@@ -10,4 +10,5 @@
  * @param storeContactAgeMillis age of the newest contact with the store that the witness knows of
  */
 public record HeartbeatAcknowledgement(
-        String witness, long sequence, boolean accepted, RecordVersions versions, long storeContactAgeMillis) implements PeerMessage {}
+        String witness, long sequence, boolean accepted, RecordVersions versions, long storeContactAgeMillis)
+        implements PeerMessage {}
