Let the stand-ins see the headers that were sent

The full-content mode of the server adds a Content-Length to requests without one, so the echoed headers were not those of the caller. Measured: a GET sent without Content-Length is echoed without it; 17 and 14 tests pass.

--- a/standins/src/main/java/org/snipewind/standins/server/StandInServer.java
+++ b/standins/src/main/java/org/snipewind/standins/server/StandInServer.java
@@ -37,8 +37,6 @@
                         port == 0 ? -1 : port,
                         "micronaut.server.max-request-size",
                         "2MB",
-                        "micronaut.server.netty.server-type",
-                        "full_content",
                         "micronaut.netty.event-loops.default.num-threads",
                         2))
                 .start();
