--- a/daemon/src/main/java/org/snipewind/daemon/Daemon.java
+++ b/daemon/src/main/java/org/snipewind/daemon/Daemon.java
@@ -72,7 +72,7 @@
     }
 
     private static void run(DaemonSettings settings) {
-        System.setProperty("snipewind.log.appender", settings.textLog() ? "TEXT" : "JSON");
+        System.setProperty("snipewind.log.format", settings.textLog() ? "text" : "json");
         DaemonMetrics metrics = new DaemonMetrics();
         DaemonRuntime runtime = new DaemonRuntime(
                 settings,
--- a/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -48,9 +49,11 @@
 import org.snipewind.platform.target.TargetEndpoint;
 import org.snipewind.protocol.NettyPeerConnections;
 import org.snipewind.protocol.PeerConnections;
+import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.PeerServer;
 import org.snipewind.protocol.PeerSettings;
 import org.snipewind.protocol.TargetReport;
+import org.snipewind.protocol.TargetReportAnswer;
 
 /**
  * One incarnation of a daemon: its state, its control loops and its connections to peers. Lock order: fleet record,
@@ -296,14 +299,16 @@
         entry.recordsChanged();
     }
 
-    private void sendReport(TargetReport report) {
-        records.fleet().holder(RoleNames.pool(report.pool())).ifPresent(holder -> {
-            if (holder.id().equals(memberId)) {
-                coordinator.report(memberId, report);
-            } else {
-                peers.call(holder.peerAddress(), report, REPORT_TIMEOUT_MILLIS).exceptionally(failure -> null);
-            }
-        });
+    private CompletableFuture<PeerMessage> sendReport(TargetReport report) {
+        Optional<Member> holder = records.fleet().holder(RoleNames.pool(report.pool()));
+        if (holder.isEmpty()) {
+            return CompletableFuture.completedFuture(new TargetReportAnswer(false, 0));
+        }
+        if (holder.get().id().equals(memberId)) {
+            return CompletableFuture.completedFuture(coordinator.report(memberId, report));
+        }
+        return peers.call(holder.get().peerAddress(), report, REPORT_TIMEOUT_MILLIS)
+                .exceptionally(failure -> new TargetReportAnswer(false, 0));
     }
 
     private boolean isIdle(String role) {
--- a/daemon/src/main/java/org/snipewind/daemon/PeerDispatcher.java
+++ b/daemon/src/main/java/org/snipewind/daemon/PeerDispatcher.java
@@ -14,7 +14,6 @@
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.supervisor.SupervisorTable;
 import org.snipewind.platform.target.TargetAnswer;
-import org.snipewind.protocol.Acknowledgement;
 import org.snipewind.protocol.BudgetRequest;
 import org.snipewind.protocol.CancelRequest;
 import org.snipewind.protocol.ExpiryQuery;
@@ -84,7 +83,7 @@
             return Optional.of(distributor.answer(fetch));
         }
         if (message instanceof TargetReport report) {
-            return Optional.of(new Acknowledgement(coordinator.report(senderId, report)));
+            return Optional.of(coordinator.report(senderId, report));
         }
         if (message instanceof RecordPush push) {
             records.offer(push.name(), push.content());
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/PoolCoordinator.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/PoolCoordinator.java
@@ -25,6 +25,7 @@
 import org.snipewind.platform.configuration.TargetSettings;
 import org.snipewind.protocol.TargetCondition;
 import org.snipewind.protocol.TargetReport;
+import org.snipewind.protocol.TargetReportAnswer;
 
 /** Writes the slice tables of the pools whose coordinator role this daemon holds. */
 public final class PoolCoordinator {
@@ -43,6 +44,8 @@
     private final EventLog log;
     private final TargetReports reports = new TargetReports();
     private final Set<String> writing = ConcurrentHashMap.newKeySet();
+    // Token of the coordinator role under which no earlier write can take effect any more, by pool.
+    private final Map<String, Long> fencedTokens = new ConcurrentHashMap<>();
     private final Map<String, Long> absentSince = new ConcurrentHashMap<>();
     private final Map<String, Long> pendingSince = new ConcurrentHashMap<>();
     private final Map<String, Double> movesLeft = new ConcurrentHashMap<>();
@@ -72,16 +75,22 @@
      *
      * @param sender id of the supervisor
      * @param report the report
-     * @return whether the sender supervises the target under that token
+     * @return whether all later plans take the report into account, and the table version that then counts
      */
-    public boolean report(String sender, TargetReport report) {
+    public TargetReportAnswer report(String sender, TargetReport report) {
         RoleAssignment assignment = records.fleet().roles().get(RoleNames.target(report.target()));
-        boolean current =
-                assignment != null && assignment.holder().equals(sender) && assignment.token() == report.token();
-        if (current) {
-            reports.add(report);
+        long knownToken = assignment == null ? 0 : assignment.token();
+        String pool = report.pool();
+        Optional<Long> token = rights.activeToken(RoleNames.pool(pool));
+        synchronized (reports) {
+            // A supervisor with a newer token may know of its role before this daemon does.
+            boolean newest = report.token() >= knownToken && reports.add(report);
+            boolean accepted = newest
+                    && token.isPresent()
+                    && token.get().equals(fencedTokens.get(pool))
+                    && !writing.contains(pool);
+            return new TargetReportAnswer(accepted, records.table(pool).version());
         }
-        return current;
     }
 
     /** Plans and writes the tables that need a change. */
@@ -94,34 +103,86 @@
                     if (pool.divided()
                             && rights.activeToken(RoleNames.pool(name)).isPresent()) {
                         movesLeft.merge(name, earned, (left, added) -> Math.min(MOVES_PER_HOUR, left + added));
-                        plan(revision.configuration(), name, pool);
+                        fenceOrPlan(revision.configuration(), name, pool);
                     } else {
                         pendingSince.remove(name);
+                        fencedTokens.remove(name);
                     }
                 }));
     }
 
+    private void fenceOrPlan(FleetConfiguration configuration, String name, PoolSettings pool) {
+        Optional<Long> token = rights.activeToken(RoleNames.pool(name));
+        if (token.isEmpty()) {
+            return;
+        }
+        if (token.get().equals(fencedTokens.get(name)) || records.table(name).version() == 0) {
+            fencedTokens.put(name, token.get());
+            plan(configuration, name, pool);
+        } else if (writing.add(name)) {
+            // A write of the predecessor, or one of this daemon whose effect is not known, may still be on its way to
+            // the store. A new version makes it fail.
+            updater.update(RecordType.table(name), PoolCoordinator::renewed).whenComplete((written, failure) -> {
+                if (failure == null) {
+                    fencedTokens.put(name, token.get());
+                }
+                writing.remove(name);
+            });
+        }
+    }
+
+    private static Optional<SliceTable> renewed(SliceTable current, String writer) {
+        return Optional.of(new SliceTable(current.pool(), current.version() + 1, writer, current.slices()));
+    }
+
     private void plan(FleetConfiguration configuration, String name, PoolSettings pool) {
         SliceTable table = records.table(name);
-        Map<String, TargetView> views = views(configuration, pool, table);
+        Map<String, TargetView> views;
+        synchronized (reports) {
+            views = views(configuration, pool, table);
+            if (!writing.add(name)) {
+                return;
+            }
+        }
+        boolean began = false;
+        try {
+            began = write(configuration, name, pool, table, views);
+        } finally {
+            if (!began) {
+                writing.remove(name);
+            }
+        }
+    }
+
+    /** Writes the next table, if there is one, and tells whether a write began. */
+    private boolean write(
+            FleetConfiguration configuration,
+            String name,
+            PoolSettings pool,
+            SliceTable table,
+            Map<String, TargetView> views) {
         if (table.version() == 0 && isFirstTableEarly(name, configuration, pool, views)) {
-            return;
+            return false;
         }
         Map<Integer, Long> load = reports.loadOf(pool.targets().keySet());
         PlannerLimits limits = new PlannerLimits(
                 IMBALANCE_THRESHOLD, movesLeft.getOrDefault(name, 0.0).intValue());
-        if (AssignmentPlanner.plan(table, views, load, limits, "").isEmpty() || !writing.add(name)) {
-            return;
+        if (AssignmentPlanner.plan(table, views, load, limits, "").isEmpty()) {
+            return false;
         }
         updater.update(
                         RecordType.table(name),
                         (current, writer) -> AssignmentPlanner.plan(current, views, load, limits, writer))
                 .whenComplete((written, failure) -> {
+                    if (RecordUpdater.isUncertain(failure)) {
+                        fencedTokens.remove(name);
+                    }
                     writing.remove(name);
                     if (failure == null && written) {
                         noteWritten(name, table, views);
                     }
                 });
+        return true;
     }
 
     private void noteWritten(String name, SliceTable before, Map<String, TargetView> views) {
@@ -167,7 +228,7 @@
             FleetRecord fleet, FleetConfiguration configuration, String target, TargetSettings settings) {
         RoleAssignment assignment = fleet.roles().get(RoleNames.target(target));
         Optional<TargetReport> report =
-                reports.find(target).filter(known -> assignment != null && assignment.token() == known.token());
+                reports.find(target).filter(known -> assignment != null && assignment.token() <= known.token());
         TargetStanding standing =
                 report.map(known -> standing(known.condition())).orElse(TargetStanding.SUSPECTED);
         if (standing == TargetStanding.LIVE && !configuration.isInService(settings)) {
@@ -177,7 +238,7 @@
                 target, standing, report.map(TargetReport::releasedVersion).orElse(0L));
     }
 
-    /** A target that left the configuration is lost once its last grant and requests have ended without a supervisor. */
+    /** A target outside the configuration is lost once its last grant and requests have ended without a supervisor. */
     private void addUnlisted(FleetRecord fleet, PoolSettings pool, Map<String, TargetView> views, String target) {
         if (views.containsKey(target)) {
             return;
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/TargetReports.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/TargetReports.java
@@ -17,9 +17,15 @@
     private final Map<String, TargetReport> byTarget = new ConcurrentHashMap<>();
     private final Map<String, Map<Integer, Double>> loadByTarget = new ConcurrentHashMap<>();
 
-    void add(TargetReport report) {
+    /** Adds a report unless a later supervisor has reported before. */
+    boolean add(TargetReport report) {
+        TargetReport known = byTarget.get(report.target());
+        if (known != null && known.token() > report.token()) {
+            return false;
+        }
         byTarget.put(report.target(), report);
         loadByTarget.compute(report.target(), (target, load) -> merge(load, report.requestsBySlice()));
+        return true;
     }
 
     Optional<TargetReport> find(String target) {
--- a/daemon/src/main/java/org/snipewind/daemon/http/CallerController.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/CallerController.java
@@ -1,5 +1,6 @@
 package org.snipewind.daemon.http;
 
+import io.micronaut.context.annotation.Requires;
 import io.micronaut.core.annotation.Nullable;
 import io.micronaut.http.HttpHeaders;
 import io.micronaut.http.HttpRequest;
@@ -36,9 +37,11 @@
 @Controller
 @Consumes(MediaType.ALL)
 @Produces(MediaType.ALL)
+@Requires(beans = OperatorSources.class)
 public final class CallerController {
 
-    private static final String ANY_PATH = "/{+path}";
+    // Every path but those of the operators.
+    private static final String ANY_PATH = "/{path:(?!-/).*}";
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private final CallerGate gate;
--- a/daemon/src/main/java/org/snipewind/daemon/http/FaultHandler.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/FaultHandler.java
@@ -1,5 +1,6 @@
 package org.snipewind.daemon.http;
 
+import io.micronaut.context.annotation.Requires;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.annotation.Controller;
@@ -10,6 +11,7 @@
 
 /** Answers requests that fail before they reach the router, in the same form as every refusal. */
 @Controller
+@Requires(beans = OperatorSources.class)
 public final class FaultHandler {
 
     private final DaemonMetrics metrics;
--- a/daemon/src/main/java/org/snipewind/daemon/http/ListenerFilter.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/ListenerFilter.java
@@ -1,5 +1,6 @@
 package org.snipewind.daemon.http;
 
+import io.micronaut.context.annotation.Requires;
 import io.micronaut.core.annotation.Nullable;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
@@ -8,6 +9,7 @@
 
 /** Keeps callers' paths and operators' paths on their own listeners. */
 @ServerFilter("/**")
+@Requires(beans = OperatorSources.class)
 public final class ListenerFilter {
 
     private static final String OPERATOR_PATHS = "/-/";
--- a/daemon/src/main/java/org/snipewind/daemon/http/OperatorController.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/OperatorController.java
@@ -1,5 +1,6 @@
 package org.snipewind.daemon.http;
 
+import io.micronaut.context.annotation.Requires;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.HttpStatus;
 import io.micronaut.http.MediaType;
@@ -15,6 +16,7 @@
 
 /** Serves operators and the balancer: readiness, liveness, status and metrics. */
 @Controller("/-")
+@Requires(beans = OperatorSources.class)
 public final class OperatorController {
 
     private final Supplier<DaemonCore> core;
--- a/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
@@ -14,7 +14,7 @@
 import org.snipewind.platform.store.VersionedValue;
 import org.snipewind.platform.store.WriteOutcome;
 
-/** Reads and writes records in the store; each write is a compare-and-swap whose effect is known when it is reported. */
+/** Reads and writes records in the store; a write is reported only once its effect is known. */
 public final class RecordUpdater {
 
     private static final int MOST_ATTEMPTS = 8;
@@ -50,6 +50,21 @@
         this.contact = contact;
     }
 
+    /**
+     * Tells whether a failed update may still take effect.
+     *
+     * @param failure failure of an update, null for none
+     * @return true if the effect of its write is not known
+     */
+    public static boolean isUncertain(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof UncertainWriteException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Reads a record from the store.
      *
@@ -128,8 +143,11 @@
             return CompletableFuture.supplyAsync(() -> null, jitteredBackoff(number))
                     .thenCompose(ignored -> attempt(type, transition, number + 1));
         }
+        String message = "write of " + type.name() + " ended as " + outcome.kind();
         return CompletableFuture.failedFuture(
-                new IllegalStateException("write of " + type.name() + " ended as " + outcome.kind()));
+                outcome.kind() == WriteOutcome.Kind.UNKNOWN
+                        ? new UncertainWriteException(message)
+                        : new IllegalStateException(message));
     }
 
     private static Executor jitteredBackoff(int number) {
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/SupervisorTable.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/SupervisorTable.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.snipewind.coordination.clock.MillisClock;
@@ -30,6 +29,7 @@
 import org.snipewind.platform.target.TargetEndpoint;
 import org.snipewind.protocol.ForwardRequest;
 import org.snipewind.protocol.LoadAnswer;
+import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.TargetReport;
 
 /** The supervisors of the targets whose supervisor role this daemon holds. */
@@ -42,7 +42,7 @@
     private final OrganisationDirectory organisations;
     private final Predicate<String> leavingInstances;
     private final Function<TargetSettings, TargetEndpoint> endpoints;
-    private final Consumer<TargetReport> reporter;
+    private final Function<TargetReport, CompletableFuture<PeerMessage>> reporter;
     private final DaemonMetrics metrics;
     private final EventLog log;
     private final Map<String, TargetSupervisor> supervisors = new ConcurrentHashMap<>();
@@ -69,7 +69,7 @@
             OrganisationDirectory organisations,
             Predicate<String> leavingInstances,
             Function<TargetSettings, TargetEndpoint> endpoints,
-            Consumer<TargetReport> reporter,
+            Function<TargetReport, CompletableFuture<PeerMessage>> reporter,
             DaemonMetrics metrics,
             EventLog log) {
         this.daemon = daemon;
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetGate.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetGate.java
@@ -29,8 +29,8 @@
 
 /**
  * Admits requests to one target: it holds them in a fair queue, keeps the number in flight within the target's slots
- * and ramp, and checks the right to send at the last moment. Queue, ramp and requests in flight are guarded by one lock,
- * which is never held across a send or a completion.
+ * and ramp, and checks the right to send at the last moment. Queue, ramp and requests in flight are guarded by one
+ * lock, which is never held across a send or a completion.
  */
 final class TargetGate {
 
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
@@ -3,8 +3,9 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
+import java.util.function.Function;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
@@ -26,8 +27,10 @@
 import org.snipewind.platform.target.TargetEndpoint;
 import org.snipewind.protocol.ForwardRequest;
 import org.snipewind.protocol.LoadAnswer;
+import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.TargetCondition;
 import org.snipewind.protocol.TargetReport;
+import org.snipewind.protocol.TargetReportAnswer;
 
 /** Supervises one target: renews its grant, judges its condition and admits its requests. */
 final class TargetSupervisor implements AutoCloseable {
@@ -47,7 +50,7 @@
     private final TargetEndpoint endpoint;
     private final TargetGrant grant;
     private final TargetGate gate;
-    private final Consumer<TargetReport> reporter;
+    private final Function<TargetReport, CompletableFuture<PeerMessage>> reporter;
     private final DaemonMetrics metrics;
     private final EventLog log;
     private final long createdMillis;
@@ -61,6 +64,13 @@
     private volatile long orderedVersion = -1;
     private volatile long reportedMillis;
     private volatile boolean draining;
+    private volatile Clearance clearance = new Clearance(0, false, 0);
+
+    /**
+     * Whether slices may be granted. A new supervisor, and one that reported its target as lost, must not grant from
+     * its copy of the table before the coordinator has answered a newer report: others may own the slices by now.
+     */
+    private record Clearance(int losses, boolean given, long tableVersion) {}
 
     private record GrantedSlices(long token, long tableVersion, Set<Integer> slices) {}
 
@@ -76,7 +86,7 @@
             OrganisationDirectory organisations,
             BooleanSupplier leaving,
             TargetEndpoint endpoint,
-            Consumer<TargetReport> reporter,
+            Function<TargetReport, CompletableFuture<PeerMessage>> reporter,
             DaemonMetrics metrics,
             EventLog log) {
         this.target = target;
@@ -174,7 +184,7 @@
         return new TargetStatus(
                 target,
                 pool,
-                (gate.isSlow() ? "slow" : condition.name().toLowerCase(java.util.Locale.ROOT)),
+                gate.isSlow() && condition == TargetCondition.LIVE ? "SLOW" : condition.name(),
                 load.inFlight(),
                 load.queued(),
                 load.limit(),
@@ -242,7 +252,8 @@
         long sentAt = clock.nowMillis();
         orderedMillis = sentAt;
         orderedVersion = version;
-        GrantOrder order = new GrantOrder(target, token, version, slices, grant.beginOrder());
+        long validUntil = isCleared(version) ? grant.beginOrder() : 0;
+        GrantOrder order = new GrantOrder(target, token, version, slices, validUntil);
         metrics.count("supervisor.grant-orders");
         endpoint.grant(order).whenComplete((answer, failure) -> {
             if (failure == null) {
@@ -271,7 +282,10 @@
         acknowledgedMillis = clock.nowMillis();
         draining = answer.draining();
         if (order.validUntilTargetMillis() == 0 || restarted) {
-            order(order.token());
+            judge();
+            if (isCleared(order.tableVersion())) {
+                order(order.token());
+            }
             return;
         }
         if (answer.accepted() && order.tableVersion() >= granted.tableVersion()) {
@@ -291,7 +305,7 @@
         TargetCondition next;
         if (answers && (grant.isLive() || !settings.checksTokens())) {
             next = draining || leaving.getAsBoolean() ? TargetCondition.DRAINING : TargetCondition.LIVE;
-        } else if (hasEnded(now)) {
+        } else if (!answers && hasEnded(now)) {
             next = TargetCondition.LOST;
         } else {
             next = TargetCondition.SUSPECTED;
@@ -318,19 +332,39 @@
         switch (next) {
             case LIVE -> log.write(LogEvent.TARGET_LIVE, target);
             case LOST -> {
+                clearance = new Clearance(clearance.losses() + 1, false, 0);
                 log.write(LogEvent.TARGET_LOST, target);
                 gate.drain(Refusal.of(ErrorKind.OWNER_UNAVAILABLE, target + " is lost"));
             }
             case SUSPECTED -> log.write(LogEvent.TARGET_SUSPECTED, target);
-            case DRAINING -> metrics.count("supervisor.target-drains");
+            default -> metrics.count("supervisor.target-drains");
         }
     }
 
+    private boolean isCleared(long tableVersion) {
+        Clearance present = clearance;
+        return !settings.divided() || (present.given() && tableVersion >= present.tableVersion());
+    }
+
     private void report(long token) {
         long now = clock.nowMillis();
-        if (settings.divided() && now - reportedMillis >= FleetTimes.REPORT_MILLIS) {
+        boolean waitsForClearance = !clearance.given() && condition != TargetCondition.LOST;
+        if (settings.divided() && (waitsForClearance || now - reportedMillis >= FleetTimes.REPORT_MILLIS)) {
             reportedMillis = now;
-            reporter.accept(new TargetReport(pool, target, token, condition, releasedVersion, gate.takeLoad()));
+            int losses = clearance.losses();
+            TargetCondition reported = condition;
+            reporter.apply(new TargetReport(pool, target, token, reported, releasedVersion, gate.takeLoad()))
+                    .thenAccept(answer -> clear(reported, losses, answer));
+        }
+    }
+
+    private synchronized void clear(TargetCondition reported, int losses, PeerMessage message) {
+        if (message instanceof TargetReportAnswer answer
+                && answer.accepted()
+                && reported != TargetCondition.LOST
+                && !clearance.given()
+                && clearance.losses() == losses) {
+            clearance = new Clearance(losses, true, answer.tableVersion());
         }
     }
 
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -12,10 +12,10 @@
     static final List<MessageLayout<?>> ALL = List.of(
             new MessageLayout<>(
                     1,
-                    Acknowledgement.class,
-                    1,
-                    (out, message) -> out.flag(message.accepted()),
-                    in -> new Acknowledgement(in.flag("accepted"))),
+                    TargetReportAnswer.class,
+                    2,
+                    (out, message) -> out.flag(message.accepted()).number(message.tableVersion()),
+                    in -> new TargetReportAnswer(in.flag("accepted"), in.number("tableVersion"))),
             new MessageLayout<>(
                     2,
                     Heartbeat.class,
--- a/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
+++ b/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
@@ -2,8 +2,7 @@
 
 /** A message between daemons. */
 public sealed interface PeerMessage
-        permits Acknowledgement,
-                BudgetGrant,
+        permits BudgetGrant,
                 BudgetRequest,
                 CancelRequest,
                 ExpiryAnswer,
@@ -17,4 +16,5 @@
                 RecordAnswer,
                 RecordFetch,
                 RecordPush,
-                TargetReport {}
+                TargetReport,
+                TargetReportAnswer {}
--- a/standins/src/main/java/org/snipewind/standins/target/TargetEngine.java
+++ b/standins/src/main/java/org/snipewind/standins/target/TargetEngine.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.ownership.GrantRegister;
 import org.snipewind.platform.target.GrantAcknowledgement;
 import org.snipewind.platform.target.GrantOrder;
 import org.snipewind.platform.target.TargetHeaders;
