Bound waiting updates, and give roles away one by one at shutdown

Cause: the control loops ask again each round, so during a long outage of the store their reads and writes would have queued without limit and run all at once afterwards. A leaving daemon kept its budgets until its last target was idle, which blocked organisations for as long as a slow request ran. Change: one read in flight per record, at most eight waiting updates per record; a leaving daemon hands each role over as soon as no work goes on under it.

--- a/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
@@ -19,6 +19,7 @@
 import org.snipewind.daemon.entry.OrganisationDirectory;
 import org.snipewind.daemon.entry.Readiness;
 import org.snipewind.daemon.entry.RequestRouter;
+import org.snipewind.daemon.fleet.Departure;
 import org.snipewind.daemon.fleet.FailureMonitor;
 import org.snipewind.daemon.fleet.FleetTimes;
 import org.snipewind.daemon.fleet.InstanceView;
@@ -217,21 +218,14 @@
      */
     public void leave(long longestMillis) {
         readiness.beginShutdown();
-        long end = clock.nowMillis() + longestMillis;
-        List<String> held = records.fleet().rolesOf(memberId);
-        held.forEach(rights::relinquish);
-        held.stream()
+        records.fleet().rolesOf(memberId).stream()
                 .filter(role -> role.startsWith(RoleNames.TARGET_PREFIX))
-                .forEach(role -> supervisors.stopAdmitting(role.substring(RoleNames.TARGET_PREFIX.length())));
-        Pauses.until(clock, end, () -> held.stream().allMatch(this::isIdle));
-        try {
-            membership.leave().get(Math.max(100, end - clock.nowMillis()), TimeUnit.MILLISECONDS);
-        } catch (Exception e) {
-            if (e instanceof InterruptedException) {
-                Thread.currentThread().interrupt();
-            }
-            log.write(LogEvent.LOOP_FAILED, "the leave could not be written; peers will remove this member", e);
-        }
+                .forEach(role -> {
+                    rights.relinquish(role);
+                    supervisors.stopAdmitting(role.substring(RoleNames.TARGET_PREFIX.length()));
+                });
+        new Departure(memberId, clock, records, updater, requirements, rights, this::isIdle, membership, log)
+                .run(longestMillis);
     }
 
     /**
--- a/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
@@ -120,6 +120,16 @@
         if (request.result().isDone()) {
             return;
         }
+        try {
+            attemptNow(request, lastRefusal);
+        } catch (RuntimeException e) {
+            // The caller must get an outcome also after a fault of the router itself.
+            metrics.count("entry.faults");
+            finish(request, Either.left(Refusal.of(ErrorKind.INTERNAL, "the router failed: " + e.getMessage())));
+        }
+    }
+
+    private void attemptNow(RoutedRequest request, Optional<Refusal> lastRefusal) {
         long remaining = request.deadlineMillis() - clock.nowMillis();
         if (request.isCancelled()) {
             finish(request, Either.left(Refusal.of(ErrorKind.CANCELLED, "the caller went away")));
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/FailureMonitor.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/FailureMonitor.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import org.snipewind.coordination.clock.MillisClock;
@@ -32,6 +33,7 @@
     private final RoleRequirements requirements;
     private final PeerConnections peers;
     private final EventLog log;
+    private final Set<String> removing = ConcurrentHashMap.newKeySet();
     private final Map<String, Long> lastQueries = new ConcurrentHashMap<>();
 
     /**
@@ -123,15 +125,16 @@
     }
 
     private void removeIfSufficient(Member member, RemovalEvidence evidence) {
-        if (!evidence.isSufficient() || records.fleet().member(member.id()).isEmpty()) {
+        if (!evidence.isSufficient() || records.fleet().member(member.id()).isEmpty() || !removing.add(member.id())) {
             return;
         }
         updater.update(
                         RecordType.FLEET,
                         (current, writer) ->
                                 FleetTransitions.remove(current, member.id(), evidence, requirements.all(), writer))
-                .thenAccept(written -> {
-                    if (written) {
+                .whenComplete((written, failure) -> {
+                    removing.remove(member.id());
+                    if (failure == null && written) {
                         String roles = records.fleet().members().keySet().stream()
                                 .collect(Collectors.joining(", ", "left in the fleet: ", ""));
                         log.write(LogEvent.MEMBER_REMOVED, member.id() + "; " + roles);
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/LeaseKeeper.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/LeaseKeeper.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.fleet.FleetTransitions;
 import org.snipewind.coordination.fleet.Member;
@@ -34,6 +35,7 @@
     private final StoreContact contact;
     private final EventLog log;
     private volatile Optional<PendingGroup> pending = Optional.empty();
+    private final AtomicBoolean regrouping = new AtomicBoolean();
     private volatile boolean wasValid;
 
     private record PendingGroup(List<String> members, long baseEpoch) {}
@@ -89,13 +91,18 @@
 
     /** Chooses a new lease group if the present one has lost members or could be larger. */
     public void regroup() {
-        if (pending.isPresent() || records.fleet().member(memberId).isEmpty()) {
+        if (regrouping.get()
+                || pending.isPresent()
+                || records.fleet().member(memberId).isEmpty()) {
             return;
         }
         if (FleetTransitions.regroup(records.fleet(), memberId, "").isEmpty()) {
             return;
         }
-        updater.update(RecordType.FLEET, this::regroupTransition).exceptionally(failure -> false);
+        if (regrouping.compareAndSet(false, true)) {
+            updater.update(RecordType.FLEET, this::regroupTransition)
+                    .whenComplete((written, failure) -> regrouping.set(false));
+        }
     }
 
     /**
--- a/daemon/src/main/java/org/snipewind/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/snipewind/daemon/log/LogEvent.java
@@ -15,6 +15,8 @@
     SHUTDOWN_COMPLETED(1004, Level.INFO),
     /** Work was still in flight when the grace period ended. */
     SHUTDOWN_CUT_WORK(1005, Level.WARNING),
+    /** The leave could not be written to the fleet record; the lease ends instead. */
+    LEAVE_NOT_WRITTEN(1006, Level.WARNING),
     /** The daemon joined the fleet. */
     FLEET_JOINED(2001, Level.INFO),
     /** The daemon found that it is not a member any more and joins as a new incarnation. */
--- a/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.snipewind.platform.store.ConditionalWriter;
@@ -19,6 +20,9 @@
 
     private static final int MOST_ATTEMPTS = 8;
     private static final long LONGEST_BACKOFF_MILLIS = 60;
+    // The control loops repeat what is still needed, so more waiting updates would only replay old wishes after an
+    // outage.
+    private static final int MOST_WAITING = 8;
 
     private final String memberId;
     private final KeyValueStore store;
@@ -26,6 +30,8 @@
     private final RecordDistributor distributor;
     private final StoreContact contact;
     private final AtomicLong writes = new AtomicLong();
+    private final Map<String, CompletableFuture<Void>> refreshes = new ConcurrentHashMap<>();
+    private final Map<String, AtomicInteger> waitingUpdates = new ConcurrentHashMap<>();
     private final Map<String, CompletableFuture<?>> lastUpdates = new ConcurrentHashMap<>();
 
     /**
@@ -66,16 +72,28 @@
     }
 
     /**
-     * Reads a record from the store.
+     * Reads a record from the store; reads of one record at the same time share one call.
      *
      * @param name store key of the record
      * @return completes when the record is in force here; fails if the store does not answer
      */
     public CompletableFuture<Void> refresh(String name) {
-        return store.get(name).thenAccept(value -> {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        CompletableFuture<Void> running = refreshes.putIfAbsent(name, started);
+        if (running != null) {
+            return running;
+        }
+        store.get(name).whenComplete((value, failure) -> {
+            refreshes.remove(name);
+            if (failure != null) {
+                started.completeExceptionally(failure);
+                return;
+            }
             contact.contacted();
             value.ifPresent(found -> records.offer(name, found.content()));
+            started.complete(null);
         });
+        return started;
     }
 
     /**
@@ -88,12 +106,19 @@
      *     effect is not known
      */
     public <T> CompletableFuture<Boolean> update(RecordType<T> type, RecordTransition<T> transition) {
+        AtomicInteger waiting = waitingUpdates.computeIfAbsent(type.name(), name -> new AtomicInteger());
+        if (waiting.incrementAndGet() > MOST_WAITING) {
+            waiting.decrementAndGet();
+            return CompletableFuture.failedFuture(
+                    new IllegalStateException(MOST_WAITING + " updates of " + type.name() + " are waiting already"));
+        }
         CompletableFuture<Boolean> result = new CompletableFuture<>();
         lastUpdates.compute(type.name(), (name, last) -> {
             CompletableFuture<?> previous = last == null ? CompletableFuture.completedFuture(null) : last;
             previous.handle((value, failure) -> null)
                     .thenCompose(ignored -> attempt(type, transition, 1))
                     .whenComplete((value, failure) -> {
+                        waiting.decrementAndGet();
                         if (failure != null) {
                             result.completeExceptionally(failure);
                         } else {
