Index organisation keys by digest

Change: one index per configuration revision; the found digest is still compared in constant time. Result: builds and passes; the cost is one lookup whatever the number of organisations.

--- a/daemon/src/main/java/org/snipewind/daemon/entry/OrganisationDirectory.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/OrganisationDirectory.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +15,12 @@
 public final class OrganisationDirectory {
 
     private final SharedRecords records;
+    private volatile KeyIndex index = new KeyIndex(-1, Map.of());
+
+    @SuppressWarnings("ArrayRecordComponent")
+    private record KnownKey(String organisation, byte[] digest) {}
+
+    private record KeyIndex(long revision, Map<String, KnownKey> keys) {}
 
     /**
      * Creates a directory.
@@ -40,22 +47,17 @@
     }
 
     /**
-     * Finds the organisation of a key; every configured digest is compared, each in constant time.
+     * Finds the organisation of a key.
      *
      * @param digest digest of the key
      * @return name of the organisation, or empty if no organisation has the key
      */
     public Optional<String> organisationOf(String digest) {
-        byte[] wanted = digest.getBytes(StandardCharsets.US_ASCII);
-        Optional<String> found = Optional.empty();
-        for (Map.Entry<String, OrganisationSettings> entry : organisations().entrySet()) {
-            for (String known : entry.getValue().keys().values()) {
-                if (MessageDigest.isEqual(wanted, known.getBytes(StandardCharsets.US_ASCII))) {
-                    found = Optional.of(entry.getKey());
-                }
-            }
-        }
-        return found;
+        KnownKey known = keys().get(digest);
+        // The lookup depends only on the digest, from which the key can't be found; the comparison is in constant time.
+        return known != null && MessageDigest.isEqual(known.digest(), digest.getBytes(StandardCharsets.US_ASCII))
+                ? Optional.of(known.organisation())
+                : Optional.empty();
     }
 
     /**
@@ -81,6 +83,27 @@
         return settings == null ? 1 : settings.weight();
     }
 
+    private Map<String, KnownKey> keys() {
+        Optional<ConfigurationRevision> current = records.configuration();
+        KeyIndex known = index;
+        if (current.isPresent() && current.get().revision() != known.revision()) {
+            known = buildIndex(current.get());
+            index = known;
+        }
+        return known.keys();
+    }
+
+    private static KeyIndex buildIndex(ConfigurationRevision revision) {
+        Map<String, KnownKey> keys = new HashMap<>();
+        revision.configuration()
+                .organisations()
+                .forEach((organisation, settings) -> settings.keys()
+                        .values()
+                        .forEach(digest -> keys.put(
+                                digest, new KnownKey(organisation, digest.getBytes(StandardCharsets.US_ASCII)))));
+        return new KeyIndex(revision.revision(), keys);
+    }
+
     private Map<String, OrganisationSettings> organisations() {
         return records.configuration()
                 .map(ConfigurationRevision::configuration)
