Send no new requests to a supervisor that does not answer

Cause: a frozen supervisor or a cut network leaves the connection open, so each non-idempotent request sent to it until its removal ended with an unknown outcome.

--- a/daemon/src/main/java/org/snipewind/daemon/entry/EntryPath.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/EntryPath.java
@@ -43,7 +43,8 @@
             ScheduledExecutorService workers,
             DaemonMetrics metrics) {
         LoadBoard board = new LoadBoard(memberId, settings, clock, records, supervisors, peers, metrics);
-        SupervisorClient client = new SupervisorClient(memberId, supervisors, peers, metrics);
+        SupervisorClient client =
+                new SupervisorClient(memberId, supervisors, peers, new SupervisorHealth(clock, peers), metrics);
         this.attempts = new AttemptRunner(clock, records, board, client, settings.policy(), workers, metrics);
         this.budgets = new BudgetClient(memberId, settings.policy(), clock, records, keepers, peers, workers, metrics);
         this.router = new RequestRouter(memberId, clock, records, organisations, budgets, attempts, readiness, metrics);
--- a/daemon/src/main/java/org/snipewind/daemon/entry/SupervisorClient.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/SupervisorClient.java
@@ -25,12 +25,19 @@
     private final String memberId;
     private final SupervisorTable supervisors;
     private final PeerConnections peers;
+    private final SupervisorHealth health;
     private final DaemonMetrics metrics;
 
-    SupervisorClient(String memberId, SupervisorTable supervisors, PeerConnections peers, DaemonMetrics metrics) {
+    SupervisorClient(
+            String memberId,
+            SupervisorTable supervisors,
+            PeerConnections peers,
+            SupervisorHealth health,
+            DaemonMetrics metrics) {
         this.memberId = memberId;
         this.supervisors = supervisors;
         this.peers = peers;
+        this.health = health;
         this.metrics = metrics;
     }
 
@@ -40,8 +47,13 @@
             metrics.count("entry.local-requests");
             return supervisors.submit(request);
         }
-        metrics.count("entry.forwarded-requests");
         String address = destination.supervisor().peerAddress();
+        if (!health.isAnswering(address)) {
+            metrics.count("entry.silent-supervisors");
+            return CompletableFuture.completedFuture(
+                    Either.left(Refusal.of(ErrorKind.OWNER_UNREACHABLE, "the supervisor does not answer")));
+        }
+        metrics.count("entry.forwarded-requests");
         return peers.call(address, request, request.remainingMillis() + ANSWER_ALLOWANCE_MILLIS)
                 .handle((answer, failure) -> outcome(request, address, answer, failure));
     }
@@ -59,6 +71,7 @@
         if (failure != null) {
             return Either.left(refusal(request, address, failure));
         }
+        health.noteAnswer(address);
         if (answer instanceof ForwardAnswer forwarded && forwarded.requestId().equals(request.requestId())) {
             return forwarded.refusal().isPresent()
                     ? Either.left(forwarded.refusal().get())
--- a/protocol/src/main/java/org/snipewind/protocol/PeerLink.java
+++ b/protocol/src/main/java/org/snipewind/protocol/PeerLink.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /**
  * The connection to one address and the calls on it. All state but {@link #peerId()} belongs to the link's event loop,
@@ -175,7 +176,8 @@
         } else if (waiting.remove(call.number()) != null) {
             waitingBytes -= call.body().length;
         }
-        call.fail("no answer from " + address + " within " + timeoutMillis + " ms", sent, null);
+        String problem = "no answer from " + address + " within " + timeoutMillis + " ms";
+        call.fail(problem, sent, new TimeoutException(problem));
     }
 
     private void connect() {
