--- /dev/null
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonFaultTest.java
@@ -0,0 +1,185 @@
+package org.snipewind.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.fleet.FleetTransitions;
+import org.snipewind.coordination.fleet.RoleNames;
+import org.snipewind.coordination.ownership.SliceTable;
+import org.snipewind.daemon.record.RecordNames;
+import org.snipewind.platform.store.RecordCodec;
+
+/** Faults of daemons and of the network between them. */
+class DaemonFaultTest {
+
+    private final SimulatedFleet fleet = SimulatedFleet.running(5, 4);
+
+    /** Guards against a holder that acts on rights that ended while it was paused. */
+    @Test
+    void holderPausedPastItsLeaseForwardsNothingAndRenewsNothingWhenItWakes() {
+        SimulatedDaemon holder = fleet.supervisorOf("target-1");
+        SimulatedTarget target = fleet.targets.get("target-1");
+        int slice = fleet.sliceOf("target-1");
+        holder.pause();
+        fleet.run(1_000);
+        int orders = target.orders.size();
+        long token = fleet.fleet().roles().get(RoleNames.target("target-1")).token();
+
+        // The threads of a woken process may run before it reads any message.
+        assertThat(holder.rights.activeToken(RoleNames.target("target-1"))).isEqualTo(Optional.empty());
+        holder.supervisors.run();
+        var refused = holder.submit(fleet.request("target-1", slice, 30_000));
+        assertThat(target.orders.stream()
+                        .skip(orders)
+                        .filter(order -> order.token() == token)
+                        .toList())
+                .isEmpty();
+        assertThat(target.executions).isEmpty();
+
+        fleet.run(3_000);
+        holder.resume();
+        fleet.run(3_000);
+
+        assertThat(holder.isRemoved).isTrue();
+        assertThat(refused.join().getLeft().kind()).isAnyOf(ErrorKind.NOT_SUPERVISOR, ErrorKind.LEASE_EXPIRED);
+        assertThat(target.executions).isEmpty();
+        assertThat(fleet.heldCount()).isEqualTo(SliceTable.SLICE_COUNT);
+    }
+
+    /** Guards against a table that a paused coordinator writes after its role went to another. */
+    @Test
+    void coordinatorPausedPastItsLeaseWritesNoTableWhenItWakes() {
+        SimulatedDaemon coordinator = fleet.holderOf(RoleNames.pool(SimulatedFleet.POOL));
+        coordinator.pause();
+        fleet.targets.get("target-1").isDead = true;
+        fleet.await(
+                "another one moves the slices",
+                6_000,
+                () -> fleet.table().servableBy("target-1").isEmpty());
+        long version = fleet.table().version();
+
+        coordinator.resume();
+        fleet.run(5_000);
+
+        assertThat(fleet.table().writer()).doesNotContain(coordinator.id());
+        assertThat(coordinator.isRemoved).isTrue();
+        assertThat(fleet.table().version()).isAtLeast(version);
+    }
+
+    /** Guards against a write of a lost coordinator that reaches the store after its successor has planned. */
+    @Test
+    void lateTableWriteOfAPredecessorFailsAfterTheFencingWrite() {
+        SimulatedDaemon coordinator = fleet.holderOf(RoleNames.pool(SimulatedFleet.POOL));
+        fleet.store.heldKeys.add(RecordNames.table(SimulatedFleet.POOL));
+        fleet.targets.get("target-1").isDead = true;
+        fleet.await("the write is on its way", 3_000, () -> fleet.store.heldWriteCount() > 0);
+        coordinator.isDead = true;
+        fleet.store.heldKeys.clear();
+        long before = fleet.table().version();
+        fleet.await("the successor writes", 5_000, () -> fleet.table().version() > before);
+
+        fleet.store.releaseHeldWrites();
+
+        assertThat(fleet.store.releasedWrites).contains(false);
+        assertThat(fleet.store.releasedWrites).doesNotContain(true);
+        fleet.await("all slices are held", 5_000, () -> fleet.heldCount() == SliceTable.SLICE_COUNT);
+    }
+
+    /** Guards against a supervisor that grants slices of an old table which have gone to another target. */
+    @Test
+    void newSupervisorWithAnOldTableGrantsNothingBeforeTheCoordinatorsAnswer() {
+        SimulatedTarget target = fleet.targets.get("target-1");
+        long token = fleet.fleet().roles().get(RoleNames.target("target-1")).token();
+        fleet.store.heldKeys.add(RecordNames.table(SimulatedFleet.POOL));
+        fleet.holderOf(RoleNames.pool(SimulatedFleet.POOL)).isDead = true;
+        fleet.supervisorOf("target-1").isDead = true;
+        fleet.await(
+                "the new supervisor has sent orders",
+                3_000,
+                () -> target.orders.stream().anyMatch(order -> order.token() > token));
+        fleet.run(3_000);
+
+        assertThat(target.orders.stream()
+                        .filter(order -> order.token() > token && order.validUntilTargetMillis() != 0)
+                        .toList())
+                .isEmpty();
+        fleet.store.heldKeys.clear();
+        fleet.await("all slices are held", 6_000, () -> fleet.heldCount() == SliceTable.SLICE_COUNT);
+        fleet.store.releaseHeldWrites();
+        assertThat(fleet.store.releasedWrites).doesNotContain(true);
+    }
+
+    /** Guards against a member that others have removed and that still counts itself as valid. */
+    @Test
+    void memberWhoseHeartbeatsAreNotAcknowledgedLosesItsLeaseAndItsRoles() {
+        SimulatedDaemon lost = fleet.supervisorOf("target-1");
+        int slice = fleet.sliceOf("target-1");
+
+        for (String id : List.copyOf(fleet.daemons.keySet())) {
+            fleet.cut(id, lost.id());
+        }
+
+        fleet.await("the lease ends", 1_100, () -> !lost.lease.isValid());
+        fleet.run(1_000);
+        assertThat(lost.rights.isActiveMember()).isFalse();
+        assertThat(lost.rights.activeToken(RoleNames.target("target-1"))).isEqualTo(Optional.empty());
+        fleet.heal();
+        fleet.await("the slice is served", 5_000, () -> fleet.isServed(slice));
+    }
+
+    /** Guards against one-way loss towards the witnesses that removes a member which goes on acting. */
+    @Test
+    void memberWhoseHeartbeatsAreLostIsRemovedAndStopsBefore() {
+        SimulatedDaemon lost = fleet.supervisorOf("target-1");
+        for (String id : List.copyOf(fleet.daemons.keySet())) {
+            fleet.cut(lost.id(), id);
+        }
+
+        fleet.await(
+                "the member is removed",
+                3_000,
+                () -> fleet.fleet().member(lost.id()).isEmpty());
+
+        assertThat(lost.lease.isValid()).isFalse();
+        fleet.await("all slices are held", 5_000, () -> fleet.heldCount() == SliceTable.SLICE_COUNT);
+    }
+
+    /** Guards against state that only the replaced daemons had. */
+    @Test
+    void fleetOfOnlyNewDaemonsServesAllSlices() {
+        List<SimulatedDaemon> old = List.copyOf(fleet.daemons.values());
+        for (int number = 0; number < old.size(); number++) {
+            fleet.start("daemon" + number + "-b", SimulatedFleet.dataCentre(number));
+            fleet.run(3_000);
+            old.get(number).isDead = true;
+            fleet.run(3_000);
+        }
+
+        fleet.await("all slices are held", 5_000, () -> fleet.heldCount() == SliceTable.SLICE_COUNT);
+        assertThat(fleet.fleet().members().keySet())
+                .containsNoneIn(old.stream().map(SimulatedDaemon::id).toList());
+    }
+
+    /** Guards against a live member that is removed because a mark was set by mistake, and one that acts while marked. */
+    @Test
+    void markedMemberStopsAndResumesOnceItsMarkIsGone() {
+        SimulatedDaemon marked = fleet.supervisorOf("target-1");
+        fleet.store.refusedCallers.add(marked.id());
+
+        fleet.store.put(
+                RecordNames.FLEET,
+                RecordCodec.encode(FleetTransitions.mark(fleet.fleet(), marked.id(), "test/1")
+                        .orElseThrow()));
+        fleet.await("the member stops", 3_000, () -> !marked.rights.isActiveMember());
+        fleet.run(2_000);
+        assertThat(marked.rights.activeToken(RoleNames.target("target-1"))).isEqualTo(Optional.empty());
+        fleet.store.refusedCallers.clear();
+
+        fleet.await("the mark is gone", 3_000, () -> fleet.fleet().marks().isEmpty());
+        fleet.await("the member resumes", 3_000, marked.rights::isActiveMember);
+        assertThat(fleet.fleet().member(marked.id())).isNotEqualTo(Optional.empty());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/snipewind/daemon/SimulatedDaemon.java
@@ -0,0 +1,216 @@
+package org.snipewind.daemon;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.coordination.fleet.Member;
+import org.snipewind.coordination.fleet.RoleNames;
+import org.snipewind.coordination.lease.LeaseWitness;
+import org.snipewind.coordination.lease.MemberLease;
+import org.snipewind.daemon.entry.BudgetKeepers;
+import org.snipewind.daemon.entry.OrganisationDirectory;
+import org.snipewind.daemon.entry.Readiness;
+import org.snipewind.daemon.fleet.FailureMonitor;
+import org.snipewind.daemon.fleet.FleetTimes;
+import org.snipewind.daemon.fleet.InstanceView;
+import org.snipewind.daemon.fleet.LeaseKeeper;
+import org.snipewind.daemon.fleet.LostGroupRule;
+import org.snipewind.daemon.fleet.Membership;
+import org.snipewind.daemon.fleet.PoolCoordinator;
+import org.snipewind.daemon.fleet.RoleManager;
+import org.snipewind.daemon.fleet.RoleRequirements;
+import org.snipewind.daemon.fleet.RoleRights;
+import org.snipewind.daemon.fleet.StoreWatcher;
+import org.snipewind.daemon.log.EventLog;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.record.RecordDistributor;
+import org.snipewind.daemon.record.RecordUpdater;
+import org.snipewind.daemon.record.SharedRecords;
+import org.snipewind.daemon.record.StoreContact;
+import org.snipewind.daemon.settings.DaemonSettings;
+import org.snipewind.daemon.settings.Endpoint;
+import org.snipewind.daemon.settings.PolicySettings;
+import org.snipewind.daemon.settings.RequestLimits;
+import org.snipewind.daemon.supervisor.SupervisorTable;
+import org.snipewind.platform.store.KeyValueStore;
+import org.snipewind.platform.target.TargetAnswer;
+import org.snipewind.protocol.ForwardRequest;
+import org.snipewind.protocol.PeerConnections;
+import org.snipewind.protocol.PeerHandler;
+import org.snipewind.protocol.PeerMessage;
+import org.snipewind.protocol.TargetReport;
+import org.snipewind.protocol.TargetReportAnswer;
+
+/** The control classes of one daemon, run by a manual clock; what arrives during a pause waits for its end. */
+final class SimulatedDaemon {
+
+    final SharedRecords records;
+    final StoreContact contact;
+    final MemberLease lease;
+    final RoleRights rights;
+    final SupervisorTable supervisors;
+    final LeaseWitness witness;
+    final PeerHandler dispatcher;
+    final Readiness readiness;
+    final DaemonMetrics metrics = new DaemonMetrics();
+    boolean isRemoved;
+    boolean isDead;
+
+    private final String id;
+    private final MillisClock clock;
+    private final long startMillis;
+    private final Deque<Runnable> inbox = new ArrayDeque<>();
+    private final PeerConnections peers;
+    private final LeaseKeeper leases;
+    private final FailureMonitor failures;
+    private final PoolCoordinator coordinator;
+    private final RoleManager roles;
+    private final StoreWatcher watcher;
+    private final LostGroupRule lostGroups;
+    private final Membership membership;
+    private boolean paused;
+
+    SimulatedDaemon(String id, String dataCentre, SimulatedFleet fleet, List<String> seeds) {
+        this.id = id;
+        this.clock = fleet.clock;
+        this.startMillis = clock.nowMillis();
+        EventLog log = new EventLog(id);
+        DaemonSettings settings = settings(id, dataCentre, seeds);
+        KeyValueStore store = fleet.store.viewOf(this);
+        peers = fleet.peersOf(this);
+        records = new SharedRecords(clock, log);
+        contact = new StoreContact(clock);
+        lease = new MemberLease(clock, FleetTimes.LEASE_MILLIS);
+        rights = new RoleRights(id, records, lease);
+        RecordDistributor distributor = new RecordDistributor(id, records, peers);
+        RecordUpdater updater = new RecordUpdater(id, store, records, distributor, contact);
+        RoleRequirements requirements = new RoleRequirements(records);
+        witness = new LeaseWitness(clock, FleetTimes.WITNESS_SILENCE_MILLIS);
+        leases = new LeaseKeeper(id, lease, witness, records, updater, distributor, peers, contact, log);
+        failures = new FailureMonitor(id, clock, witness, records, updater, requirements, peers, log);
+        coordinator = new PoolCoordinator(clock, records, updater, rights, log);
+        InstanceView instances = new InstanceView(Optional.empty());
+        supervisors = new SupervisorTable(
+                settings,
+                clock,
+                records,
+                rights,
+                new OrganisationDirectory(records),
+                target -> false,
+                target -> fleet.targets.get(target.address()).endpointOf(this),
+                this::sendReport,
+                metrics,
+                log);
+        roles = new RoleManager(id, clock, records, updater, requirements, rights, this::isIdle);
+        watcher = new StoreWatcher(dataCentre, clock, store, records, updater, distributor, rights, contact, log);
+        lostGroups =
+                new LostGroupRule(id, clock, records, updater, requirements, rights, contact, instances, peers, log);
+        readiness = new Readiness(dataCentre, records, contact, lease);
+        dispatcher = new PeerDispatcher(
+                records,
+                distributor,
+                leases,
+                failures,
+                coordinator,
+                supervisors,
+                new BudgetKeepers(clock, records, rights));
+        Member self = new Member(id, "region", dataCentre, id, id, List.of());
+        membership =
+                new Membership(self, seeds, records, updater, distributor, requirements, () -> isRemoved = true, log);
+        records.addListener(supervisors::follow);
+    }
+
+    String id() {
+        return id;
+    }
+
+    boolean runs() {
+        return !isDead && !paused;
+    }
+
+    void pause() {
+        paused = true;
+    }
+
+    /** Ends a pause as a process does: its threads go on before any message that waited is read. */
+    void resume() {
+        paused = false;
+        while (!inbox.isEmpty()) {
+            inbox.remove().run();
+        }
+    }
+
+    void deliver(Runnable message) {
+        if (paused) {
+            inbox.add(message);
+        } else if (!isDead) {
+            message.run();
+        }
+    }
+
+    CompletableFuture<Either<Refusal, TargetAnswer>> submit(ForwardRequest request) {
+        return supervisors.submit(request);
+    }
+
+    /** Runs the control loops that are due. */
+    void tick() {
+        long age = clock.nowMillis() - startMillis;
+        due(age, 300, membership::run);
+        due(age, 200, leases::beat);
+        due(age, 500, leases::regroup);
+        due(age, 100, failures::check);
+        due(age, 250, roles::run);
+        due(age, 100, coordinator::run);
+        due(age, 50, supervisors::run);
+        due(age, 250, watcher::run);
+        due(age, 1_000, lostGroups::run);
+    }
+
+    private void due(long age, long period, Runnable round) {
+        if (runs() && !isRemoved && age % period == 0) {
+            round.run();
+        }
+    }
+
+    private CompletableFuture<PeerMessage> sendReport(TargetReport report) {
+        Optional<Member> holder = records.fleet().holder(RoleNames.pool(report.pool()));
+        if (holder.isEmpty()) {
+            return CompletableFuture.completedFuture(new TargetReportAnswer(false, 0));
+        }
+        if (holder.get().id().equals(id)) {
+            return CompletableFuture.completedFuture(coordinator.report(id, report));
+        }
+        return peers.call(holder.get().peerAddress(), report, 500)
+                .exceptionally(failure -> new TargetReportAnswer(false, 0));
+    }
+
+    private boolean isIdle(String role) {
+        return !role.startsWith(RoleNames.TARGET_PREFIX)
+                || supervisors.isIdle(role.substring(RoleNames.TARGET_PREFIX.length()));
+    }
+
+    private static DaemonSettings settings(String id, String dataCentre, List<String> seeds) {
+        Endpoint unused = new Endpoint("127.0.0.1", 0);
+        return new DaemonSettings(
+                id,
+                "region",
+                dataCentre,
+                unused,
+                unused,
+                unused,
+                "secret",
+                Optional.empty(),
+                List.of(),
+                Optional.empty(),
+                seeds,
+                RequestLimits.DEFAULT,
+                PolicySettings.DEFAULT,
+                1_000,
+                true);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/snipewind/daemon/StoreFaultTest.java
@@ -0,0 +1,121 @@
+package org.snipewind.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.coordination.fleet.FleetRecord;
+import org.snipewind.coordination.ownership.SliceTable;
+import org.snipewind.daemon.record.RecordNames;
+
+/** Faults of the store and of single daemons' way to it. */
+class StoreFaultTest {
+
+    private final SimulatedFleet fleet = SimulatedFleet.running(5, 4);
+
+    /** Guards against a write that is done twice or given up because its answer was lost. */
+    @Test
+    void writesWhoseAnswersAreLostTakeEffectOnce() {
+        SimulatedDaemon lost = fleet.supervisorOf("target-1");
+        fleet.store.losesSwapAnswers = true;
+        lost.isDead = true;
+        fleet.targets.get("target-1").isDead = true;
+
+        fleet.await("all slices are held", 10_000, () -> fleet.heldCount() == SliceTable.SLICE_COUNT);
+
+        assertThat(fleet.store.lostAnswers).isAtLeast(2);
+        assertThat(fleet.fleet().member(lost.id())).isEqualTo(Optional.empty());
+    }
+
+    /** Guards against an outage of the store that ends grants or starts take-overs. */
+    @Test
+    void longOutageOfTheStoreEndsNoGrantAndMovesNoRole() {
+        fleet.store.isDown = true;
+        FleetRecord before = fleet.fleet();
+        long version = fleet.table().version();
+
+        for (int second = 0; second < 60; second++) {
+            fleet.run(1_000);
+            assertThat(fleet.heldCount()).isEqualTo(SliceTable.SLICE_COUNT);
+        }
+
+        assertThat(fleet.fleet()).isEqualTo(before);
+        assertThat(fleet.table().version()).isEqualTo(version);
+        fleet.daemons
+                .values()
+                .forEach(daemon -> assertThat(daemon.readiness.refusal()).isEqualTo(Optional.empty()));
+        for (String target : fleet.targets.keySet()) {
+            assertThat(fleet.isServed(fleet.sliceOf(target))).isTrue();
+        }
+    }
+
+    /** Guards against a take-over of slices or roles that the store has not confirmed. */
+    @Test
+    void nothingIsTakenOverWhileTheStoreIsDownAndAllIsAfterwards() {
+        fleet.store.isDown = true;
+        int slice = fleet.sliceOf("target-1");
+        fleet.targets.get("target-1").isDead = true;
+        fleet.supervisorOf("target-2").isDead = true;
+
+        fleet.run(20_000);
+        assertThat(fleet.isServed(slice)).isFalse();
+        fleet.store.isDown = false;
+
+        fleet.await("all slices are held", 10_000, () -> fleet.heldCount() == SliceTable.SLICE_COUNT);
+    }
+
+    /** Guards against a daemon that stops because its own way to the store is cut. */
+    @Test
+    void daemonThatAloneCannotReachTheStoreGoesOnAndLearnsThroughItsPeers() {
+        SimulatedDaemon alone = fleet.supervisorOf("target-1");
+        fleet.store.refusedCallers.add(alone.id());
+
+        fleet.run(30_000);
+        fleet.configure(Map.of());
+        fleet.await("it learns the configuration", 3_000, () -> alone.records.version(RecordNames.CONFIGURATION) == 2);
+
+        assertThat(alone.readiness.refusal()).isEqualTo(Optional.empty());
+        assertThat(alone.contact.ageMillis()).isLessThan(10_000);
+        assertThat(alone.rights.isActiveMember()).isTrue();
+    }
+
+    /** Guards against a daemon that serves callers by a configuration which may have been withdrawn. */
+    @Test
+    void daemonThatHearsNobodyRefusesKeyedRequestsAsStale() {
+        SimulatedDaemon alone = fleet.supervisorOf("target-1");
+        fleet.store.refusedCallers.add(alone.id());
+        fleet.isolate(alone.id());
+
+        fleet.run(10_500);
+
+        assertThat(alone.readiness.refusal().map(Refusal::kind)).isEqualTo(Optional.of(ErrorKind.CONFIGURATION_STALE));
+        assertThat(alone.rights.isActiveMember()).isFalse();
+    }
+
+    /** Guards against a new daemon that serves before it knows the configuration, the fleet and the tables. */
+    @Test
+    void newDaemonLearnsFromItsPeersWhileTheStoreIsDownAndServesNothingBefore() {
+        fleet.store.isDown = true;
+        SimulatedDaemon added = fleet.start("daemon9-a", "dc-0");
+
+        assertThat(added.readiness.refusal().map(Refusal::kind)).isEqualTo(Optional.of(ErrorKind.NOT_READY));
+        assertThat(added.readiness.isReady()).isFalse();
+        fleet.await(
+                "it has all records",
+                10_000,
+                () -> added.records
+                        .versions()
+                        .byName()
+                        .keySet()
+                        .containsAll(List.of(
+                                RecordNames.CONFIGURATION, RecordNames.FLEET, RecordNames.table(SimulatedFleet.POOL))));
+        assertThat(added.rights.isActiveMember()).isFalse();
+        fleet.store.isDown = false;
+
+        fleet.await("it serves", 10_000, () -> added.readiness.isReady() && added.rights.isActiveMember());
+    }
+}
