Count a witness's silence from its return to a lease group

A witness kept the time of the last heartbeat of a member that had chosen another lease group. When the member chose it again, as after a daemon or a data centre came back, the witness found a silence of more than 950 ms at its next check, confirmed the expiry and never acknowledged that member again. Each such return took one witness from a live member.

Ruled out: the order of heartbeat and record (the check runs every 100 ms, heartbeats every 200 ms, so the check often comes first) and the probes of LostGroupRule (one member a second in turn, too rare to help).

A witness now forgets holders whose group does not contain it and starts anew when one comes back. It also learns a holder from its heartbeat, so that a group whose write is not settled can acknowledge. Both are safe: the silence only counts later, and confirmed expiries are still kept.

Before: witnessThatReturnsToALeaseGroupAcknowledgesItsHolderAgain fails (acknowledge gives false). After: it passes with the 24 other tests of TargetFaultTest, DaemonFaultTest and StoreFaultTest.

--- a/daemon/src/main/java/org/snipewind/daemon/fleet/FailureMonitor.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/FailureMonitor.java
@@ -68,14 +68,17 @@
     /** Looks for members that have been silent for longer than a lease. */
     public void check() {
         Map<String, Member> members = records.fleet().members();
-        witness.retain(members.keySet());
-        for (Member member : members.values()) {
-            if (member.leaseGroup().contains(memberId)) {
-                witness.learn(member.id());
-                OptionalLong silence = witness.silenceOf(member.id());
-                if (silence.isPresent() && silence.getAsLong() > FleetTimes.WITNESS_SILENCE_MILLIS) {
-                    query(member);
-                }
+        Map<String, Member> holders = members.values().stream()
+                .filter(member -> member.leaseGroup().contains(memberId))
+                .collect(Collectors.toMap(Member::id, member -> member));
+        // A holder that chose another group and comes back sent no heartbeats here in between, so its silence counts
+        // from its return.
+        witness.retain(holders.keySet());
+        for (Member member : holders.values()) {
+            witness.learn(member.id());
+            OptionalLong silence = witness.silenceOf(member.id());
+            if (silence.isPresent() && silence.getAsLong() > FleetTimes.WITNESS_SILENCE_MILLIS) {
+                query(member);
             }
         }
         lastQueries.keySet().retainAll(members.keySet());
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/LeaseKeeper.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/LeaseKeeper.java
@@ -112,6 +112,11 @@
         member.ifPresent(known -> distributor.catchUp(known.peerAddress(), heartbeat.versions()));
         long senderEpoch = heartbeat.versions().byName().getOrDefault(RecordType.FLEET.name(), 0L);
         boolean removed = member.isEmpty() && fleet.epoch() >= senderEpoch;
+        if (member.isPresent()) {
+            // The sender may have chosen this witness in a write that is not known here yet, or not known to anyone
+            // while the store is down.
+            witness.learn(sender);
+        }
         boolean accepted = !removed && witness.acknowledge(sender);
         return new HeartbeatAcknowledgement(
                 memberId, heartbeat.sequence(), accepted, records.versions(), contact.ageMillis());
--- a/daemon/src/test/java/org/snipewind/daemon/DaemonFaultTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonFaultTest.java
@@ -182,4 +182,32 @@
         fleet.await("the member resumes", 3_000, marked.rights::isActiveMember);
         assertThat(fleet.fleet().member(marked.id())).isNotEqualTo(Optional.empty());
     }
+
+    /** Guards against a witness that counts the silence of the time in which it was not a witness. */
+    @Test
+    void witnessThatReturnsToALeaseGroupAcknowledgesItsHolderAgain() {
+        SimulatedFleet four = SimulatedFleet.running(4, 3);
+        four.daemons.get("daemon3-a").isDead = true;
+        four.await(
+                "the groups shrink",
+                5_000,
+                () -> four.fleet().members().values().stream()
+                        .allMatch(member -> member.leaseGroup().size() == 1));
+        four.run(3_000);
+        four.start("daemon3-b", SimulatedFleet.dataCentre(3));
+        four.await(
+                "the groups grow",
+                5_000,
+                () -> four.fleet().members().values().stream()
+                        .allMatch(member -> member.leaseGroup().size() == 3));
+        four.run(2_000);
+
+        four.fleet()
+                .members()
+                .values()
+                .forEach(member -> member.leaseGroup()
+                        .forEach(witness -> assertThat(
+                                        four.daemons.get(witness).witness.acknowledge(member.id()))
+                                .isTrue()));
+    }
 }
