Count a contact with the store from the begin of its call

A daemon that was paused took heartbeats and answers that had waited in its buffers for news: their contact age was added to the time of reading. After a pause of a minute it counted its configuration as about a second old and served callers by it. The same error added the time on the way at each hop between daemons, so that ages grew too slowly in an outage.

Ruled out: the lease check, which stops roles but not the entry path, and the majority test of the readiness check, which is asked only once the contact is older than 10 s.

A contact now counts from the begin of the call that told of it; ages in heartbeats are ignored, since nothing bounds how long they waited, and the probes of LostGroupRule are used instead. An empty answer of a watch counts from the end of its wait at the latest.

--- a/daemon/src/main/java/org/snipewind/daemon/fleet/LeaseKeeper.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/LeaseKeeper.java
@@ -106,7 +106,8 @@
      * @return the acknowledgement
      */
     public HeartbeatAcknowledgement answer(String sender, Heartbeat heartbeat) {
-        contact.heard(heartbeat.storeContactAgeMillis());
+        // The contact that a heartbeat tells of is not used: it may have waited here while this process was paused, and
+        // its age would then be far too low. An acknowledgement bounds that time by its call.
         FleetRecord fleet = records.fleet();
         Optional<Member> member = fleet.member(sender);
         member.ifPresent(known -> distributor.catchUp(known.peerAddress(), heartbeat.versions()));
@@ -148,13 +149,14 @@
     }
 
     private void send(Member member, Heartbeat heartbeat) {
+        long begun = contact.begin();
         peers.call(member.peerAddress(), heartbeat, FleetTimes.LEASE_MILLIS).thenAccept(answer -> {
             if (answer instanceof HeartbeatAcknowledgement acknowledgement) {
                 // A successor at the same address has not kept the promises of the witness.
                 if (acknowledgement.accepted() && acknowledgement.witness().equals(member.id())) {
                     lease.acknowledge(member.id(), acknowledgement.sequence());
                 }
-                contact.heard(acknowledgement.storeContactAgeMillis());
+                contact.heard(acknowledgement.storeContactAgeMillis(), begun);
                 distributor.catchUp(member.peerAddress(), acknowledgement.versions());
             }
         });
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/LostGroupRule.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/LostGroupRule.java
@@ -191,12 +191,14 @@
     }
 
     private void call(Member member, Heartbeat heartbeat) {
+        long begun = contact.begin();
         peers.call(member.peerAddress(), heartbeat, CALL_TIMEOUT_MILLIS).whenComplete((answer, failure) -> {
             // The address of a lost member may be that of its successor, which answers under another id.
             if (answer instanceof HeartbeatAcknowledgement found
                     && found.witness().equals(member.id())) {
                 heardMillis.put(member.id(), clock.nowMillis());
                 failedSince.remove(member.id());
+                contact.heard(found.storeContactAgeMillis(), begun);
             } else {
                 failedSince.putIfAbsent(member.id(), clock.nowMillis());
             }
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/StoreWatcher.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/StoreWatcher.java
@@ -105,13 +105,15 @@
 
     private void watch(String name) {
         long known = storeVersions.getOrDefault(name, 0L);
+        long begun = contact.begin();
         store.watch(name, known, WAIT_MILLIS).whenComplete((value, failure) -> {
             watching.remove(name);
             if (failure != null) {
                 storeFailed(failure);
                 return;
             }
-            storeAnswered();
+            // The store answers without a value only after the wait.
+            storeAnswered(value.isPresent() ? begun : Math.min(clock.nowMillis(), begun + WAIT_MILLIS));
             value.ifPresent(found -> take(name, found));
         });
     }
@@ -124,17 +126,18 @@
     }
 
     private void read(String name) {
+        long begun = contact.begin();
         updater.refresh(name).whenComplete((ignored, failure) -> {
             if (failure == null) {
-                storeAnswered();
+                storeAnswered(begun);
             } else {
                 storeFailed(failure);
             }
         });
     }
 
-    private void storeAnswered() {
-        contact.contacted();
+    private void storeAnswered(long begunMillis) {
+        contact.contacted(begunMillis);
         if (!reachable) {
             reachable = true;
             log.write(LogEvent.STORE_REACHABLE, "the store answers again");
--- a/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
@@ -72,8 +72,9 @@
      * @return completes when the record is in force here; fails if the store does not answer
      */
     public CompletableFuture<Void> refresh(String name) {
+        long begun = contact.begin();
         return store.get(name).thenAccept(value -> {
-            contact.contacted();
+            contact.contacted(begun);
             value.ifPresent(found -> records.offer(name, found.content()));
         });
     }
@@ -106,8 +107,9 @@
     }
 
     private <T> CompletableFuture<Boolean> attempt(RecordType<T> type, RecordTransition<T> transition, int number) {
+        long begun = contact.begin();
         return store.get(type.name()).thenCompose(value -> {
-            contact.contacted();
+            contact.contacted(begun);
             value.ifPresent(found -> records.offer(type.name(), found.content()));
             return write(type, transition, value, number);
         });
@@ -133,13 +135,11 @@
     private <T> CompletableFuture<Boolean> settle(
             RecordType<T> type, RecordTransition<T> transition, byte[] content, WriteOutcome outcome, int number) {
         if (outcome.kind() == WriteOutcome.Kind.APPLIED) {
-            contact.contacted();
             records.offer(type.name(), content);
             distributor.push(type.name(), member -> true);
             return CompletableFuture.completedFuture(true);
         }
         if (outcome.kind() == WriteOutcome.Kind.CONFLICT && number < MOST_ATTEMPTS) {
-            contact.contacted();
             return CompletableFuture.supplyAsync(() -> null, jitteredBackoff(number))
                     .thenCompose(ignored -> attempt(type, transition, number + 1));
         }
--- a/daemon/src/main/java/org/snipewind/daemon/record/StoreContact.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/StoreContact.java
@@ -22,20 +22,36 @@
         this.newestMillis = new AtomicLong(never);
     }
 
-    /** Records an answer of the store to this daemon. */
-    public void contacted() {
-        long now = clock.nowMillis();
-        ownMillis.accumulateAndGet(now, Math::max);
-        newestMillis.accumulateAndGet(now, Math::max);
+    /**
+     * Begins a call that may tell of a contact.
+     *
+     * @return reading of the clock to give with the answer
+     */
+    public long begin() {
+        return clock.nowMillis();
+    }
+
+    /**
+     * Records an answer of the store to this daemon.
+     *
+     * <p>The contact counts from the begin of the call, because the answer may have waited here while this process was
+     * paused.
+     *
+     * @param begunMillis what {@link #begin} gave before the call
+     */
+    public void contacted(long begunMillis) {
+        ownMillis.accumulateAndGet(begunMillis, Math::max);
+        newestMillis.accumulateAndGet(begunMillis, Math::max);
     }
 
     /**
-     * Records the contact that a peer knows of.
+     * Records the contact that a peer's answer tells of; it is at least as old as the call.
      *
      * @param ageMillis age of the contact in milliseconds when the peer sent it
+     * @param begunMillis what {@link #begin} gave before the call that the peer answered
      */
-    public void heard(long ageMillis) {
-        newestMillis.accumulateAndGet(clock.nowMillis() - ageMillis, Math::max);
+    public void heard(long ageMillis, long begunMillis) {
+        newestMillis.accumulateAndGet(begunMillis - ageMillis, Math::max);
     }
 
     /**
--- a/daemon/src/test/java/org/snipewind/daemon/StoreFaultTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/StoreFaultTest.java
@@ -96,6 +96,23 @@
         assertThat(alone.rights.isActiveMember()).isFalse();
     }
 
+    /** Guards against messages that waited during a pause and count as news when they are read. */
+    @Test
+    void pausedDaemonDoesNotTakeOldHeartbeatsForFreshContactWithTheStore() {
+        SimulatedDaemon paused = fleet.daemons.get("daemon0-a");
+        fleet.store.refusedCallers.add(paused.id());
+        paused.pause();
+        fleet.run(200);
+        fleet.store.isDown = true;
+        fleet.isolate(paused.id());
+        fleet.run(60_000);
+
+        paused.resume();
+
+        assertThat(paused.contact.ageMillis()).isAtLeast(60_000);
+        assertThat(paused.readiness.refusal().map(Refusal::kind)).isEqualTo(Optional.of(ErrorKind.CONFIGURATION_STALE));
+    }
+
     /** Guards against a new daemon that serves before it knows the configuration, the fleet and the tables. */
     @Test
     void newDaemonLearnsFromItsPeersWhileTheStoreIsDownAndServesNothingBefore() {
