Let the result of a membership check hold for 4 s only

A member without witnesses has a lease that never ends, so only its mark can remove it, and only LostGroupRule, which runs once a second, stops it. When such a member was paused through its removal and woke, it acted in its old roles until the next run of the rule.

Ruled out: the lease check (valid for an empty group) and tokens (they fence only targets that check them, not table writes of another pool or budgets).

RoleRights now treats a check older than 4 s (the mark's 15 s less the 10 s of freshness and 1 s of margin) as forbidding every role.

Before: memberWithoutWitnessesThatWasRemovedDuringAPauseActsInNoRoleWhenItWakes fails with an active token. After: it passes with the 30 other tests of TargetFaultTest, DaemonFaultTest, StoreFaultTest and UncheckedTokenFaultTest.

--- a/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
@@ -126,7 +126,7 @@
         this.records = new SharedRecords(clock, log);
         this.contact = new StoreContact(clock);
         this.lease = new MemberLease(clock, FleetTimes.LEASE_MILLIS);
-        this.rights = new RoleRights(memberId, records, lease);
+        this.rights = new RoleRights(memberId, clock, records, lease);
         this.peers = new NettyPeerConnections(peerSettings);
         this.distributor = new RecordDistributor(memberId, records, peers);
         this.updater = new RecordUpdater(memberId, store, records, distributor, contact);
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/LostGroupRule.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/LostGroupRule.java
@@ -94,6 +94,8 @@
     public void run() {
         FleetRecord fleet = records.fleet();
         if (fleet.member(memberId).isEmpty()) {
+            // A daemon that is no member has no roles; the result counts when it has just joined.
+            rights.suspend(false);
             return;
         }
         heardMillis.keySet().retainAll(fleet.members().keySet());
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/RoleRights.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/RoleRights.java
@@ -3,27 +3,39 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.lease.MemberLease;
 import org.snipewind.daemon.record.SharedRecords;
 
 /** Tells whether this daemon may act in a role at this moment. */
 public final class RoleRights {
 
+    // A member's mark stands for 15 s before its removal, and the check that finds none may rest on a record that is 10
+    // s
+    // old. What is left, less a margin, is how long the result of a check holds.
+    private static final long CHECK_HOLDS_MILLIS =
+            LostGroupRule.MARK_MILLIS - FleetTimes.FRESHNESS_MILLIS - FleetTimes.HEARTBEAT_MILLIS * 5;
+
     private final String memberId;
+    private final MillisClock clock;
     private final SharedRecords records;
     private final MemberLease lease;
     private final Set<String> relinquished = ConcurrentHashMap.newKeySet();
     private volatile boolean suspended;
+    private volatile long checkedMillis;
 
     /**
      * Creates the rights of a member.
      *
      * @param memberId id of this daemon
+     * @param clock the clock
      * @param records records of this daemon
      * @param lease lease of this daemon
      */
-    public RoleRights(String memberId, SharedRecords records, MemberLease lease) {
+    public RoleRights(String memberId, MillisClock clock, SharedRecords records, MemberLease lease) {
         this.memberId = memberId;
+        this.clock = clock;
+        this.checkedMillis = clock.nowMillis();
         this.records = records;
         this.lease = lease;
     }
@@ -45,7 +57,7 @@
      * @return the token, or empty if the role is another's or is being given away
      */
     public Optional<Long> assignedToken(String role) {
-        if (suspended || relinquished.contains(role)) {
+        if (isSuspended() || relinquished.contains(role)) {
             return Optional.empty();
         }
         return records.fleet().tokenOf(role, memberId);
@@ -57,7 +69,9 @@
      * @return true if this daemon may act as a member
      */
     public boolean isActiveMember() {
-        return !suspended && lease.isValid() && records.fleet().member(memberId).isPresent();
+        return !isSuspended()
+                && lease.isValid()
+                && records.fleet().member(memberId).isPresent();
     }
 
     /**
@@ -79,11 +93,17 @@
     }
 
     /**
-     * Sets whether the rules of membership forbid this daemon to act at all.
+     * Sets whether the rules of membership forbid this daemon to act at all; the answer holds only for some seconds, so
+     * that a process that was paused acts in no role before it has checked again.
      *
      * @param value true to act in no role
      */
     public void suspend(boolean value) {
         suspended = value;
+        checkedMillis = clock.nowMillis();
+    }
+
+    private boolean isSuspended() {
+        return suspended || clock.nowMillis() - checkedMillis > CHECK_HOLDS_MILLIS;
     }
 }
--- a/daemon/src/test/java/org/snipewind/daemon/DaemonFaultTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonFaultTest.java
@@ -210,4 +210,29 @@
                                         four.daemons.get(witness).witness.acknowledge(member.id()))
                                 .isTrue()));
     }
+
+    /** Guards against a lease without witnesses, which never ends, of a member that was removed by its mark. */
+    @Test
+    void memberWithoutWitnessesThatWasRemovedDuringAPauseActsInNoRoleWhenItWakes() {
+        SimulatedFleet small = new SimulatedFleet(true, 1, 2);
+        small.await("all slices are held", 10_000, () -> small.heldCount() == SliceTable.SLICE_COUNT);
+        SimulatedDaemon first = small.daemons.get("daemon0-a");
+        small.start("daemon1-a", "dc-1");
+        small.await("the second one joins", 5_000, () -> small.fleet().members().size() == 2);
+        assertThat(small.fleet().members().get(first.id()).leaseGroup()).isEmpty();
+        first.pause();
+        small.start("daemon0-b", "dc-0");
+        small.await(
+                "the first one is removed",
+                120_000,
+                () -> small.fleet().member(first.id()).isEmpty());
+
+        // The threads of a woken process may run before it reads any message.
+        for (String role : first.records.fleet().roles().keySet()) {
+            assertThat(first.rights.activeToken(role)).isEqualTo(Optional.empty());
+        }
+        assertThat(first.rights.isActiveMember()).isFalse();
+        first.resume();
+        small.await("all slices are held", 10_000, () -> small.heldCount() == SliceTable.SLICE_COUNT);
+    }
 }
--- a/daemon/src/test/java/org/snipewind/daemon/SimulatedDaemon.java
+++ b/daemon/src/test/java/org/snipewind/daemon/SimulatedDaemon.java
@@ -86,7 +86,7 @@
         records = new SharedRecords(clock, log);
         contact = new StoreContact(clock);
         lease = new MemberLease(clock, FleetTimes.LEASE_MILLIS);
-        rights = new RoleRights(id, records, lease);
+        rights = new RoleRights(id, clock, records, lease);
         RecordDistributor distributor = new RecordDistributor(id, records, peers);
         RecordUpdater updater = new RecordUpdater(id, store, records, distributor, contact);
         RoleRequirements requirements = new RoleRequirements(records);
