Add deployments of stand-ins and daemons

The quick start, the measurements and the failure tests each need a whole deployment.

ProcessLauncher starts processes in parallel and keeps their output, so that a failed start can be explained.

--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/deployment/DeploymentPlan.java
@@ -0,0 +1,147 @@
+package org.snipewind.standins.deployment;
+
+import java.util.List;
+import java.util.Set;
+import org.snipewind.daemon.settings.PolicySettings;
+import org.snipewind.platform.configuration.FleetConfiguration;
+
+/**
+ * What a deployment consists of.
+ *
+ * @param configuration configuration that is applied; the addresses of its targets are replaced
+ * @param daemons number of daemons, spread over the data centres in turn
+ * @param separateTargets targets that run in processes of their own
+ * @param targetsPerProcess how many of the other targets share a process
+ * @param behaviour behaviour of the targets
+ * @param policy variants of mechanisms of the daemons
+ * @param daemonOptions options of the virtual machine of each daemon
+ */
+public record DeploymentPlan(
+        FleetConfiguration configuration,
+        int daemons,
+        Set<String> separateTargets,
+        int targetsPerProcess,
+        TargetBehaviour behaviour,
+        PolicySettings policy,
+        List<String> daemonOptions) {
+
+    /** Name of the deployment of the casting business. */
+    public static final String VOCES_DEL_PLATA = "voces-del-plata";
+
+    /** Name of the deployment of the water delivery business. */
+    public static final String JALSETU = "jalsetu";
+
+    // With the first compiler only, nine daemons start in a few seconds of processor time.
+    private static final List<String> SMALL_PROCESS =
+            List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final List<String> OPTIMISED_PROCESS = List.of("-Xmx128m", "-XX:+UseSerialGC");
+    private static final int DAEMONS = 9;
+    private static final int TARGETS_PER_PROCESS = 12;
+    private static final double QUICK_START_FACTOR = 0.4;
+
+    /** Copies the collections. */
+    public DeploymentPlan {
+        separateTargets = Set.copyOf(separateTargets);
+        daemonOptions = List.copyOf(daemonOptions);
+    }
+
+    /**
+     * Creates the plan of a sample deployment with nine daemons.
+     *
+     * @param name name of the sample
+     * @param factor share of the targets of each pool
+     * @return the plan
+     */
+    public static DeploymentPlan of(String name, double factor) {
+        return of(SampleConfiguration.scaled(SampleConfiguration.read(name), factor));
+    }
+
+    /**
+     * Creates the plan of a configuration with nine daemons.
+     *
+     * @param configuration the configuration
+     * @return the plan
+     */
+    public static DeploymentPlan of(FleetConfiguration configuration) {
+        return new DeploymentPlan(
+                configuration,
+                DAEMONS,
+                Set.of(),
+                TARGETS_PER_PROCESS,
+                TargetBehaviour.warm(5),
+                PolicySettings.DEFAULT,
+                SMALL_PROCESS);
+    }
+
+    /**
+     * Creates the small plan of the quick start, in which one target that owns keys can be killed.
+     *
+     * @return the plan
+     */
+    public static DeploymentPlan quickStart() {
+        return of(VOCES_DEL_PLATA, QUICK_START_FACTOR).withSeparateTargets(Set.of("reelteca-1"));
+    }
+
+    /**
+     * Replaces the configuration.
+     *
+     * @param value the configuration
+     * @return the changed plan
+     */
+    public DeploymentPlan withConfiguration(FleetConfiguration value) {
+        return new DeploymentPlan(value, daemons, separateTargets, targetsPerProcess, behaviour, policy, daemonOptions);
+    }
+
+    /**
+     * Replaces the number of daemons.
+     *
+     * @param value number of daemons
+     * @return the changed plan
+     */
+    public DeploymentPlan withDaemons(int value) {
+        return new DeploymentPlan(
+                configuration, value, separateTargets, targetsPerProcess, behaviour, policy, daemonOptions);
+    }
+
+    /**
+     * Chooses the targets that run in processes of their own and so can be killed and paused alone.
+     *
+     * @param value names of the targets
+     * @return the changed plan
+     */
+    public DeploymentPlan withSeparateTargets(Set<String> value) {
+        return new DeploymentPlan(configuration, daemons, value, targetsPerProcess, behaviour, policy, daemonOptions);
+    }
+
+    /**
+     * Replaces the behaviour of the targets.
+     *
+     * @param value behaviour of the targets
+     * @return the changed plan
+     */
+    public DeploymentPlan withBehaviour(TargetBehaviour value) {
+        return new DeploymentPlan(
+                configuration, daemons, separateTargets, targetsPerProcess, value, policy, daemonOptions);
+    }
+
+    /**
+     * Replaces the variants of mechanisms of the daemons.
+     *
+     * @param value variants of mechanisms
+     * @return the changed plan
+     */
+    public DeploymentPlan withPolicy(PolicySettings value) {
+        return new DeploymentPlan(
+                configuration, daemons, separateTargets, targetsPerProcess, behaviour, value, daemonOptions);
+    }
+
+    /**
+     * Lets the daemons use all compilers of the virtual machine, as measurements of speed need.
+     *
+     * @return the changed plan
+     */
+    public DeploymentPlan optimised() {
+        return new DeploymentPlan(
+                configuration, daemons, separateTargets, targetsPerProcess, behaviour, policy, OPTIMISED_PROCESS);
+    }
+}
--- a/standins/src/main/java/org/snipewind/standins/process/ProcessLauncher.java
+++ b/standins/src/main/java/org/snipewind/standins/process/ProcessLauncher.java
@@ -1,10 +1,13 @@
 package org.snipewind.standins.process;
 
 import java.io.BufferedReader;
+import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,7 +33,17 @@
      * @param logDirectory directory that receives the standard error of each process
      */
     public ProcessLauncher(int heapMegabytes, Path logDirectory) {
-        javaOptions = List.of("-Xmx" + heapMegabytes + "m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+        this(List.of("-Xmx" + heapMegabytes + "m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"), logDirectory);
+    }
+
+    /**
+     * Creates a launcher of processes with chosen options.
+     *
+     * @param javaOptions options of the virtual machine
+     * @param logDirectory directory that receives the output of each process
+     */
+    public ProcessLauncher(List<String> javaOptions, Path logDirectory) {
+        this.javaOptions = List.copyOf(javaOptions);
         this.logDirectory = logDirectory;
     }
 
@@ -44,8 +57,7 @@
      * @return the process
      * @throws IllegalStateException if it ends or 30 s pass before the ready line
      */
-    public synchronized ChildProcess start(
-            String name, String mainClass, List<String> arguments, Predicate<String> isReadyLine) {
+    public ChildProcess start(String name, String mainClass, List<String> arguments, Predicate<String> isReadyLine) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(javaOptions);
@@ -56,7 +68,7 @@
             Process process = new ProcessBuilder(command)
                     .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
                     .start();
-            started.add(process);
+            remember(process);
             return new ChildProcess(process, awaitReady(process, isReadyLine, log));
         } catch (IOException e) {
             throw new UncheckedIOException("the process " + name + " could not be started", e);
@@ -69,9 +81,13 @@
         started.clear();
     }
 
+    private synchronized void remember(Process process) {
+        started.add(process);
+    }
+
     private static String awaitReady(Process process, Predicate<String> isReadyLine, Path log) {
         CompletableFuture<String> ready = new CompletableFuture<>();
-        Thread reader = new Thread(() -> readLines(process, isReadyLine, ready), "output of " + process.pid());
+        Thread reader = new Thread(() -> readLines(process, isReadyLine, ready, log), "output of " + process.pid());
         reader.setDaemon(true);
         reader.start();
         try {
@@ -87,9 +103,17 @@
     }
 
     // Reads to the end, because a full pipe would block the process.
-    private static void readLines(Process process, Predicate<String> isReadyLine, CompletableFuture<String> ready) {
-        try (BufferedReader output = process.inputReader(StandardCharsets.UTF_8)) {
+    private static void readLines(
+            Process process, Predicate<String> isReadyLine, CompletableFuture<String> ready, Path log) {
+        try (BufferedReader output = process.inputReader(StandardCharsets.UTF_8);
+                BufferedWriter copy = Files.newBufferedWriter(
+                        log.resolveSibling(log.getFileName() + ".out"),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.APPEND)) {
             for (String line = output.readLine(); line != null; line = output.readLine()) {
+                copy.write(line);
+                copy.newLine();
+                copy.flush();
                 if (isReadyLine.test(line)) {
                     ready.complete(line);
                 }
