--- a/daemon/src/main/java/org/snipewind/daemon/fleet/LeaseKeeper.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/LeaseKeeper.java
@@ -113,12 +113,18 @@
      * @return the acknowledgement
      */
     public HeartbeatAcknowledgement answer(String sender, Heartbeat heartbeat) {
-        contact.heard(heartbeat.storeContactAgeMillis());
+        // The contact that a heartbeat tells of is not used: it may have waited here while this process was paused, and
+        // its age would then be far too low. An acknowledgement bounds that time by its call.
         FleetRecord fleet = records.fleet();
         Optional<Member> member = fleet.member(sender);
         member.ifPresent(known -> distributor.catchUp(known.peerAddress(), heartbeat.versions()));
         long senderEpoch = heartbeat.versions().byName().getOrDefault(RecordType.FLEET.name(), 0L);
         boolean removed = member.isEmpty() && fleet.epoch() >= senderEpoch;
+        if (member.isPresent()) {
+            // The sender may have chosen this witness in a write that is not known here yet, or not known to anyone
+            // while the store is down.
+            witness.learn(sender);
+        }
         boolean accepted = !removed && witness.acknowledge(sender);
         return new HeartbeatAcknowledgement(
                 memberId, heartbeat.sequence(), accepted, records.versions(), contact.ageMillis());
@@ -150,13 +156,14 @@
     }
 
     private void send(Member member, Heartbeat heartbeat) {
+        long begun = contact.begin();
         peers.call(member.peerAddress(), heartbeat, FleetTimes.LEASE_MILLIS).thenAccept(answer -> {
             if (answer instanceof HeartbeatAcknowledgement acknowledgement) {
                 // A successor at the same address has not kept the promises of the witness.
                 if (acknowledgement.accepted() && acknowledgement.witness().equals(member.id())) {
                     lease.acknowledge(member.id(), acknowledgement.sequence());
                 }
-                contact.heard(acknowledgement.storeContactAgeMillis());
+                contact.heard(acknowledgement.storeContactAgeMillis(), begun);
                 distributor.catchUp(member.peerAddress(), acknowledgement.versions());
             }
         });
--- a/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
@@ -83,13 +83,14 @@
         if (running != null) {
             return running;
         }
+        long begun = contact.begin();
         store.get(name).whenComplete((value, failure) -> {
             refreshes.remove(name);
             if (failure != null) {
                 started.completeExceptionally(failure);
                 return;
             }
-            contact.contacted();
+            contact.contacted(begun);
             value.ifPresent(found -> records.offer(name, found.content()));
             started.complete(null);
         });
@@ -131,8 +132,9 @@
     }
 
     private <T> CompletableFuture<Boolean> attempt(RecordType<T> type, RecordTransition<T> transition, int number) {
+        long begun = contact.begin();
         return store.get(type.name()).thenCompose(value -> {
-            contact.contacted();
+            contact.contacted(begun);
             value.ifPresent(found -> records.offer(type.name(), found.content()));
             return write(type, transition, value, number);
         });
@@ -158,13 +160,11 @@
     private <T> CompletableFuture<Boolean> settle(
             RecordType<T> type, RecordTransition<T> transition, byte[] content, WriteOutcome outcome, int number) {
         if (outcome.kind() == WriteOutcome.Kind.APPLIED) {
-            contact.contacted();
             records.offer(type.name(), content);
             distributor.push(type.name(), member -> true);
             return CompletableFuture.completedFuture(true);
         }
         if (outcome.kind() == WriteOutcome.Kind.CONFLICT && number < MOST_ATTEMPTS) {
-            contact.contacted();
             return CompletableFuture.supplyAsync(() -> null, jitteredBackoff(number))
                     .thenCompose(ignored -> attempt(type, transition, number + 1));
         }
