--- a/daemon/src/test/java/org/snipewind/daemon/DaemonFaultTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonFaultTest.java
@@ -163,7 +163,7 @@
                 .containsNoneIn(old.stream().map(SimulatedDaemon::id).toList());
     }
 
-    /** Guards against a live member that is removed because a mark was set by mistake, and one that acts while marked. */
+    /** Guards against a live member that is removed by a mistaken mark, and one that acts while marked. */
     @Test
     void markedMemberStopsAndResumesOnceItsMarkIsGone() {
         SimulatedDaemon marked = fleet.supervisorOf("target-1");
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the system on stand-ins. */
+package org.snipewind.standins.measure;
