Refuse what HTTP callers may send wrong in one form, and test the daemon

A run of the program showed JSON lines in spite of log.format text, because the YAML parser creates a logger before the settings are known.

Change: the server has a strict decoder, a limit on callers' connections and one writer of refusals; ErrorKind gains METHOD_UNSUPPORTED and DAEMON_CONNECTIONS_LIMIT. The log is set up again after the settings are read. SIGTERM ends the process with 0 (a Java process reports 143 otherwise), and a hand-over that uses up the grace period does not count as cut work.

--- a/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
+++ b/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
@@ -10,6 +10,8 @@
     KEY_REJECTED(401, Execution.NOT_RUN, false),
     /** No route matches the path. */
     ROUTE_UNKNOWN(404, Execution.NOT_RUN, false),
+    /** No request with this HTTP method is routed. */
+    METHOD_UNSUPPORTED(405, Execution.NOT_RUN, false),
     /** The route divides by key and the request carries none. */
     REQUEST_KEY_MISSING(400, Execution.NOT_RUN, false),
     /** The request body exceeds the limit. */
@@ -22,7 +24,9 @@
     OVERLOADED(503, Execution.NOT_RUN, true),
     /** The target's queue is full by entries or bytes. */
     QUEUE_FULL(503, Execution.NOT_RUN, true),
-    /** The daemon has too many caller connections or requests in progress. */
+    /** The daemon has too many open connections of callers. */
+    DAEMON_CONNECTIONS_LIMIT(503, Execution.NOT_RUN, false),
+    /** The daemon has too many requests of callers in progress. */
     DAEMON_REQUESTS_LIMIT(503, Execution.NOT_RUN, false),
     /** The daemon holds too many bytes of requests in progress. */
     DAEMON_BYTES_LIMIT(503, Execution.NOT_RUN, false),
--- a/daemon/src/main/java/org/snipewind/daemon/Daemon.java
+++ b/daemon/src/main/java/org/snipewind/daemon/Daemon.java
@@ -1,24 +1,20 @@
 package org.snipewind.daemon;
 
-import io.netty.handler.ssl.ClientAuth;
-import io.netty.handler.ssl.SslContext;
-import io.netty.handler.ssl.SslContextBuilder;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.Random;
 import java.util.function.UnaryOperator;
-import javax.net.ssl.SSLException;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.daemon.fleet.FleetTimes;
+import org.snipewind.daemon.log.LogFormat;
 import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.settings.DaemonSettings;
 import org.snipewind.daemon.settings.SettingsException;
 import org.snipewind.daemon.settings.SettingsFile;
-import org.snipewind.daemon.settings.TlsSettings;
 import org.snipewind.platform.instances.HttpInstanceList;
 import org.snipewind.platform.instances.InstanceList;
 import org.snipewind.platform.store.DelayedTasks;
@@ -58,9 +54,12 @@
                 .help("check the settings file and end");
         try {
             Namespace namespace = parser.parseArgs(arguments);
-            DaemonSettings settings = SettingsFile.read(Path.of(namespace.getString("settings")));
+            String file = namespace.getString("settings");
+            DaemonSettings settings = SettingsFile.read(Path.of(file));
+            UnaryOperator<PeerSettings> peerOptions =
+                    settings.tls().map(tls -> TlsOptions.read(file, tls)).orElse(UnaryOperator.identity());
             if (!namespace.getBoolean("check")) {
-                run(settings);
+                run(settings, peerOptions);
             }
         } catch (ArgumentParserException e) {
             parser.handleError(e);
@@ -71,8 +70,8 @@
         }
     }
 
-    private static void run(DaemonSettings settings) {
-        System.setProperty("snipewind.log.format", settings.textLog() ? "text" : "json");
+    private static void run(DaemonSettings settings, UnaryOperator<PeerSettings> peerOptions) {
+        LogFormat.apply(settings.textLog());
         DaemonMetrics metrics = new DaemonMetrics();
         DaemonRuntime runtime = new DaemonRuntime(
                 settings,
@@ -82,11 +81,17 @@
                         target.address(), TARGET_CONNECTIONS, TARGET_CONNECT_MILLIS, FleetTimes.GRANT_MILLIS),
                 settings.instanceListAddress()
                         .<InstanceList>map(address -> new HttpInstanceList(address, STORE_TIMEOUT_MILLIS)),
-                peerOptions(settings));
-        Runtime.getRuntime().addShutdownHook(new Thread(runtime::shutdown, "shutdown"));
+                peerOptions);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(runtime), "shutdown"));
         runtime.start();
     }
 
+    /** Ends with exit code 0; without the halt, the Java runtime reports the signal as the exit code 143. */
+    private static void end(DaemonRuntime runtime) {
+        runtime.shutdown();
+        Runtime.getRuntime().halt(0);
+    }
+
     private static KeyValueStore store(DaemonSettings settings, DaemonMetrics metrics) {
         KeyValueStore store = new HttpKeyValueStore(
                 settings.storeAddresses(), settings.name(), STORE_TIMEOUT_MILLIS, storeCounter(metrics));
@@ -101,25 +106,4 @@
     private static String wireName(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
-
-    private static UnaryOperator<PeerSettings> peerOptions(DaemonSettings settings) {
-        if (settings.tls().isEmpty()) {
-            return UnaryOperator.identity();
-        }
-        TlsSettings tls = settings.tls().get();
-        try {
-            SslContext server = SslContextBuilder.forServer(
-                            tls.certificate().toFile(), tls.key().toFile())
-                    .trustManager(tls.trust().toFile())
-                    .clientAuth(ClientAuth.REQUIRE)
-                    .build();
-            SslContext client = SslContextBuilder.forClient()
-                    .keyManager(tls.certificate().toFile(), tls.key().toFile())
-                    .trustManager(tls.trust().toFile())
-                    .build();
-            return options -> options.withTls(server, client);
-        } catch (SSLException | IllegalArgumentException e) {
-            throw new SettingsException("settings", "tls", "files can't be used: " + e.getMessage());
-        }
-    }
 }
--- a/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -190,6 +191,7 @@
         loop(entry::run, 20);
         loop(lostGroups::run, 1_000);
         loop(instances::run, 3_000);
+        loop(new StateLog(readiness, () -> Set.copyOf(records.fleet().rolesOf(memberId)), log)::run, 250);
     }
 
     /**
--- a/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
@@ -13,6 +13,7 @@
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.daemon.http.CallerGate;
+import org.snipewind.daemon.http.ConnectionLimit;
 import org.snipewind.daemon.http.OperatorSources;
 import org.snipewind.daemon.log.EventLog;
 import org.snipewind.daemon.log.LogEvent;
@@ -85,7 +86,9 @@
                 .singletons(
                         gate,
                         new OperatorSources(
-                                core::get, gate, metrics, settings.operators().port()))
+                                core::get, gate, metrics, settings.operators().port(), log),
+                        new ConnectionLimit(
+                                settings.callers().port(), settings.limits().connections(), metrics))
                 .start();
         context.getBean(EmbeddedServer.class).start();
         log.write(
@@ -126,7 +129,8 @@
         gate.beginClosing();
         core.get().leave(settings.shutdownGraceMillis());
         AtomicReference<Long> quietSince = new AtomicReference<>(clock.nowMillis());
-        boolean quiet = Pauses.until(clock, end, () -> {
+        // The hand-over of roles may have used up the grace period, for example while the store is down.
+        boolean quiet = Pauses.until(clock, Math.max(end, clock.nowMillis() + 2 * QUIET_MILLIS), () -> {
             if (gate.inFlight() > 0) {
                 quietSince.set(clock.nowMillis());
             }
--- a/daemon/src/main/java/org/snipewind/daemon/http/CallerController.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/CallerController.java
@@ -12,16 +12,15 @@
 import io.micronaut.http.annotation.Controller;
 import io.micronaut.http.annotation.Delete;
 import io.micronaut.http.annotation.Get;
-import io.micronaut.http.annotation.Head;
 import io.micronaut.http.annotation.Options;
 import io.micronaut.http.annotation.Patch;
 import io.micronaut.http.annotation.Post;
 import io.micronaut.http.annotation.Produces;
 import io.micronaut.http.annotation.Put;
-import io.micronaut.serde.ObjectMapper;
+import io.micronaut.http.server.netty.NettyHttpRequest;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -42,24 +41,23 @@
 
     // Every path but those of the operators.
     private static final String ANY_PATH = "/{path:(?!-/).*}";
-    private static final long MILLIS_PER_SECOND = 1_000;
 
     private final CallerGate gate;
-    private final ObjectMapper mapper;
+    private final RefusalResponses refusals;
 
     /**
      * Creates the controller.
      *
      * @param gate lets requests in
-     * @param mapper writes refusals as JSON
+     * @param refusals writes refusals
      */
-    public CallerController(CallerGate gate, ObjectMapper mapper) {
+    public CallerController(CallerGate gate, RefusalResponses refusals) {
         this.gate = gate;
-        this.mapper = mapper;
+        this.refusals = refusals;
     }
 
     /**
-     * Routes a GET request.
+     * Routes a GET request, and a HEAD request, which Micronaut maps to the same method.
      *
      * @param request the request
      * @return the answer
@@ -69,17 +67,6 @@
         return route(request, null);
     }
 
-    /**
-     * Routes a HEAD request.
-     *
-     * @param request the request
-     * @return the answer
-     */
-    @Head(uris = {"/", ANY_PATH})
-    public Publisher<HttpResponse<byte[]>> head(HttpRequest<?> request) {
-        return route(request, null);
-    }
-
     /**
      * Routes an OPTIONS request.
      *
@@ -149,11 +136,13 @@
                 HopByHopHeaders.strip(headers),
                 body == null ? new byte[0] : body);
         RoutedOutcome outcome = gate.take(call);
-        return Mono.fromFuture(outcome.result(), true).map(this::response).doOnCancel(outcome.cancellation()::run);
+        cancelOnClose(request, outcome);
+        return Mono.fromFuture(outcome.result(), true).map(this::response).doOnCancel(outcome.cancellation());
     }
 
     private HttpResponse<byte[]> response(Either<Refusal, TargetAnswer> outcome) {
-        MutableHttpResponse<byte[]> response = outcome.isRight() ? answer(outcome.get()) : refusal(outcome.getLeft());
+        MutableHttpResponse<byte[]> response =
+                outcome.isRight() ? answer(outcome.get()) : refusals.response(outcome.getLeft());
         if (gate.isClosing()) {
             response.header(HttpHeaders.CONNECTION, "close");
         }
@@ -172,23 +161,15 @@
         return response;
     }
 
-    private MutableHttpResponse<byte[]> refusal(Refusal refusal) {
-        String execution = refusal.kind().execution().wireName();
-        RefusalBody body = new RefusalBody(refusal.kind().wireName(), execution, refusal.detail());
-        try {
-            MutableHttpResponse<byte[]> response = HttpResponse.<byte[]>status(
-                            refusal.kind().status(), refusal.kind().wireName())
-                    .body(mapper.writeValueAsBytes(body))
-                    .contentType(MediaType.APPLICATION_JSON_TYPE)
-                    .header("Snipewind-Error", refusal.kind().wireName())
-                    .header("Snipewind-Execution", execution);
-            refusal.retryAfterMillis()
-                    .ifPresent(millis -> response.header(
-                            HttpHeaders.RETRY_AFTER,
-                            String.valueOf((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND)));
-            return response;
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+    /** Cancels the work of a caller that goes away; Micronaut does not cancel a publisher that has not answered yet. */
+    private static void cancelOnClose(HttpRequest<?> request, RoutedOutcome outcome) {
+        if (request instanceof NettyHttpRequest<?> nettyRequest) {
+            ChannelFuture closed =
+                    nettyRequest.getChannelHandlerContext().channel().closeFuture();
+            ChannelFutureListener cancellation =
+                    future -> outcome.cancellation().run();
+            closed.addListener(cancellation);
+            outcome.result().whenComplete((result, failure) -> closed.removeListener(cancellation));
         }
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/http/ConnectionLimit.java
@@ -0,0 +1,90 @@
+package org.snipewind.daemon.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+
+/** Counts the open connections of callers and refuses those above the limit. */
+public final class ConnectionLimit {
+
+    private static final byte[] REFUSAL = refusal().getBytes(StandardCharsets.US_ASCII);
+
+    private final int callerPort;
+    private final int longest;
+    private final DaemonMetrics metrics;
+    private final AtomicInteger connections = new AtomicInteger();
+
+    /**
+     * Creates a limit.
+     *
+     * @param callerPort port of the callers' listener; other listeners are not limited
+     * @param longest connections that may be open at a time
+     * @param metrics metrics of the daemon
+     */
+    public ConnectionLimit(int callerPort, int longest, DaemonMetrics metrics) {
+        this.callerPort = callerPort;
+        this.longest = longest;
+        this.metrics = metrics;
+        metrics.gauge("entry.connections", connections::get);
+    }
+
+    /**
+     * Counts a new connection until it closes, and refuses it if it is one too many.
+     *
+     * @param channel the connection
+     */
+    void admit(Channel channel) {
+        if (!(channel.localAddress() instanceof InetSocketAddress local) || local.getPort() != callerPort) {
+            return;
+        }
+        boolean surplus = connections.incrementAndGet() > longest;
+        channel.closeFuture().addListener(closed -> connections.decrementAndGet());
+        if (surplus) {
+            metrics.countRefusal(ErrorKind.DAEMON_CONNECTIONS_LIMIT);
+            channel.pipeline().addFirst("connection-refusal", new RefusingHandler());
+        }
+    }
+
+    private static String refusal() {
+        ErrorKind kind = ErrorKind.DAEMON_CONNECTIONS_LIMIT;
+        String execution = kind.execution().wireName();
+        String body = "{\"kind\":\"" + kind.wireName() + "\",\"execution\":\"" + execution
+                + "\",\"detail\":\"too many connections are open\"}";
+        return "HTTP/1.1 " + kind.status() + " " + kind.wireName() + "\r\nContent-Type: application/json\r\n"
+                + "Snipewind-Error: " + kind.wireName() + "\r\nSnipewind-Execution: " + execution
+                + "\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Answers before any request is read and passes nothing on. */
+    private static final class RefusingHandler extends ChannelInboundHandlerAdapter {
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            if (context.channel().isActive()) {
+                refuse(context);
+            }
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            refuse(context);
+        }
+
+        private static void refuse(ChannelHandlerContext context) {
+            context.writeAndFlush(Unpooled.wrappedBuffer(REFUSAL)).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            ReferenceCountUtil.release(message);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/http/FramingHeaders.java
@@ -0,0 +1,40 @@
+package org.snipewind.daemon.http;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * Headers of a request that reject two readings of where the body ends.
+ *
+ * <p>The decoder drops Content-Length silently if Transfer-Encoding is present, and takes other transfer codings for no
+ * body. A proxy in front of the daemon may read such a request in another way (RFC 9112, section 6.3).
+ */
+final class FramingHeaders extends DefaultHttpHeaders {
+
+    @Override
+    public HttpHeaders add(CharSequence name, Object value) {
+        check(name, value);
+        return super.add(name, value);
+    }
+
+    @Override
+    public HttpHeaders add(String name, Object value) {
+        check(name, value);
+        return super.add(name, value);
+    }
+
+    private void check(CharSequence name, Object value) {
+        if (HttpHeaderNames.TRANSFER_ENCODING.contentEqualsIgnoreCase(name)) {
+            boolean chunked = HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                    value.toString().strip());
+            if (!chunked || contains(HttpHeaderNames.CONTENT_LENGTH) || contains(name)) {
+                throw new IllegalArgumentException("the end of the body is ambiguous");
+            }
+        } else if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name)
+                && contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+            throw new IllegalArgumentException("the end of the body is ambiguous");
+        }
+    }
+}
--- a/daemon/src/main/java/org/snipewind/daemon/http/OperatorSources.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/OperatorSources.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Supplier;
 import org.snipewind.daemon.DaemonCore;
+import org.snipewind.daemon.log.EventLog;
 import org.snipewind.daemon.metrics.DaemonMetrics;
 
 /**
@@ -11,5 +12,7 @@
  * @param gate callers' requests
  * @param metrics metrics of the daemon
  * @param operatorPort port of the operators' listener
+ * @param log the event log
  */
-public record OperatorSources(Supplier<DaemonCore> core, CallerGate gate, DaemonMetrics metrics, int operatorPort) {}
+public record OperatorSources(
+        Supplier<DaemonCore> core, CallerGate gate, DaemonMetrics metrics, int operatorPort, EventLog log) {}
--- /dev/null
+++ b/daemon/src/main/java/org/snipewind/daemon/http/ServerFaults.java
@@ -0,0 +1,70 @@
+package org.snipewind.daemon.http;
+
+import io.micronaut.context.annotation.Primary;
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.server.exceptions.response.ErrorContext;
+import io.micronaut.http.server.exceptions.response.ErrorResponseProcessor;
+import jakarta.inject.Singleton;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.daemon.log.EventLog;
+import org.snipewind.daemon.log.LogEvent;
+
+/** Gives the errors that Micronaut itself answers the same form as every refusal. */
+@Primary
+@Singleton
+@Requires(beans = OperatorSources.class)
+public final class ServerFaults implements ErrorResponseProcessor<byte[]> {
+
+    private static final int NOT_FOUND = 404;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int TOO_LARGE = 413;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final RefusalResponses refusals;
+    private final EventLog log;
+
+    /**
+     * Creates the processor.
+     *
+     * @param refusals writes refusals
+     * @param sources gives the log
+     */
+    public ServerFaults(RefusalResponses refusals, OperatorSources sources) {
+        this.refusals = refusals;
+        this.log = sources.log();
+    }
+
+    @Override
+    public MutableHttpResponse<byte[]> processResponse(ErrorContext context, MutableHttpResponse<?> response) {
+        Refusal refusal = refusal(response.code());
+        if (refusal.kind() == ErrorKind.INTERNAL) {
+            // The path is left out, because it may hold what belongs to the caller alone.
+            String detail = context.getRequest().getMethodName() + " request";
+            context.getRootCause()
+                    .ifPresentOrElse(
+                            cause -> log.write(LogEvent.REQUEST_FAULT, detail, cause),
+                            () -> log.write(LogEvent.REQUEST_FAULT, detail));
+        }
+        MutableHttpResponse<byte[]> answer = refusals.counted(refusal);
+        response.getHeaders()
+                .getAll(HttpHeaders.ALLOW)
+                .forEach(methods -> answer.getHeaders().add(HttpHeaders.ALLOW, methods));
+        return answer;
+    }
+
+    private static Refusal refusal(int status) {
+        if (status >= FIRST_SERVER_ERROR) {
+            return Refusal.of(ErrorKind.INTERNAL, "the daemon failed on this request");
+        }
+        return switch (status) {
+            case NOT_FOUND -> Refusal.of(ErrorKind.ROUTE_UNKNOWN, "no route has this path");
+            case METHOD_NOT_ALLOWED ->
+                Refusal.of(ErrorKind.METHOD_UNSUPPORTED, "requests with this method are not routed");
+            case TOO_LARGE -> Refusal.of(ErrorKind.REQUEST_TOO_LARGE, "the body exceeds the limit");
+            default -> Refusal.of(ErrorKind.MALFORMED_REQUEST, "the request is not valid HTTP");
+        };
+    }
+}
--- a/daemon/src/main/java/org/snipewind/daemon/settings/SettingsFile.java
+++ b/daemon/src/main/java/org/snipewind/daemon/settings/SettingsFile.java
@@ -30,7 +30,7 @@
         try {
             return parse(file.toString(), Files.readString(file));
         } catch (IOException e) {
-            throw new SettingsException(file.toString(), "(whole file)", "can't be read: " + e.getMessage());
+            throw new SettingsException(file.toString(), "(whole file)", "expected a file that can be read");
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/org/snipewind/daemon/CatalogueTest.java
@@ -0,0 +1,69 @@
+package org.snipewind.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.daemon.log.LogEvent;
+
+class CatalogueTest {
+
+    // Guards against a catalogue that misses or invents an event, or gives it another code or level.
+    @Test
+    void theEventCatalogueMatchesTheEvents() throws Exception {
+        List<String> expected = Arrays.stream(LogEvent.values())
+                .map(event -> event.code() + " | " + event.wireName() + " | "
+                        + event.level().name().toLowerCase(java.util.Locale.ROOT))
+                .toList();
+        assertThat(rows("events.md", "| SW-", 3))
+                .containsExactlyElementsIn(expected)
+                .inOrder();
+    }
+
+    // Guards against a catalogue that misses or invents an error kind, or gives it another outcome.
+    @Test
+    void theErrorCatalogueMatchesTheErrorKinds() throws Exception {
+        List<String> expected = Arrays.stream(ErrorKind.values())
+                .map(kind -> "`" + kind.wireName() + "` | " + kind.status() + " | "
+                        + kind.execution().wireName() + " | " + (kind.isRetryable() ? "yes" : "no"))
+                .toList();
+        assertThat(rows("errors.md", "| `", 4))
+                .containsExactlyElementsIn(expected)
+                .inOrder();
+    }
+
+    // Guards against events that operators wait for and nothing writes.
+    @Test
+    void everyEventIsWrittenSomewhere() throws Exception {
+        StringBuilder code = new StringBuilder();
+        try (Stream<Path> files = Files.walk(Path.of("src", "main", "java"))) {
+            for (Path file :
+                    files.filter(path -> path.toString().endsWith(".java")).toList()) {
+                code.append(Files.readString(file));
+            }
+        }
+        for (LogEvent event : LogEvent.values()) {
+            assertWithMessage(event.name()).that(code.toString()).containsMatch("LogEvent\\." + event.name() + "\\b");
+        }
+    }
+
+    private static List<String> rows(String page, String start, int cells) throws IOException {
+        return Files.readAllLines(Path.of("..", "docs", page)).stream()
+                .filter(line -> line.startsWith(start))
+                .map(line -> String.join(
+                        " | ",
+                        Arrays.stream(line.split("\\|"))
+                                .map(String::trim)
+                                .skip(1)
+                                .limit(cells)
+                                .toList()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/snipewind/daemon/FakeTarget.java
@@ -0,0 +1,61 @@
+package org.snipewind.daemon;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Function;
+import org.snipewind.coordination.error.Refusal;
+import org.snipewind.platform.target.GrantAcknowledgement;
+import org.snipewind.platform.target.GrantOrder;
+import org.snipewind.platform.target.TargetAnswer;
+import org.snipewind.platform.target.TargetEndpoint;
+import org.snipewind.platform.target.TargetRequest;
+
+/** A target that accepts every grant and answers as the test says. */
+final class FakeTarget implements TargetEndpoint {
+
+    final BlockingQueue<TargetRequest> requests = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> cancelled = new LinkedBlockingQueue<>();
+    private volatile Function<TargetRequest, CompletableFuture<Either<Refusal, TargetAnswer>>> behaviour;
+
+    FakeTarget() {
+        answer(200, Map.of("Content-Type", List.of("text/plain")), "done".getBytes(Runtimes.UTF_8));
+    }
+
+    void answer(int status, Map<String, List<String>> headers, byte[] body) {
+        behaviour = request -> CompletableFuture.completedFuture(Either.right(new TargetAnswer(status, headers, body)));
+    }
+
+    void refuse(Refusal refusal) {
+        behaviour = request -> CompletableFuture.completedFuture(Either.left(refusal));
+    }
+
+    CompletableFuture<Either<Refusal, TargetAnswer>> hold() {
+        CompletableFuture<Either<Refusal, TargetAnswer>> held = new CompletableFuture<>();
+        behaviour = request -> held;
+        return held;
+    }
+
+    @Override
+    public CompletableFuture<GrantAcknowledgement> grant(GrantOrder order) {
+        return CompletableFuture.completedFuture(
+                new GrantAcknowledgement(true, order.token(), System.nanoTime() / 1_000_000, "first", 0, false));
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, TargetAnswer>> send(TargetRequest request) {
+        requests.add(request);
+        return behaviour.apply(request);
+    }
+
+    @Override
+    public void cancel(String requestId) {
+        cancelled.add(requestId);
+    }
+
+    @Override
+    public void close() {}
+}
