--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/quickstart/QuickStart.java
@@ -0,0 +1,244 @@
+package org.snipewind.standins.quickstart;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.snipewind.command.Command;
+import org.snipewind.platform.configuration.ConfigurationFolder;
+import org.snipewind.platform.transport.JsonCodec;
+import org.snipewind.standins.deployment.DaemonHandle;
+import org.snipewind.standins.deployment.Deployment;
+import org.snipewind.standins.deployment.DeploymentPlan;
+import org.snipewind.standins.deployment.SampleConfiguration;
+import org.snipewind.standins.load.LoadGenerator;
+import org.snipewind.standins.load.LoadOutcome;
+import org.snipewind.standins.load.LoadRequest;
+import org.snipewind.standins.load.RecordChecks;
+
+/** Runs a small deployment, stops a target with work in flight and checks the promises to callers. */
+public final class QuickStart {
+
+    private static final String STOPPED = "reelteca-1";
+    private static final List<String> ORGANISATIONS =
+            List.of("estudio-norte", "radio-litoral", "doblajes-pampa", "voz-y-cine");
+    private static final int KEYS = 40;
+    private static final int RATE = 100;
+    private static final int SECONDS = 16;
+    private static final long STOP_AT_MILLIS = 4_000;
+    private static final long GO_ON_AT_MILLIS = 10_000;
+    private static final long LONGEST_RECOVERY_MILLIS = 2_000;
+    private static final Duration START_LIMIT = Duration.ofSeconds(40);
+
+    private final Deployment deployment;
+    private final LoadGenerator load;
+
+    private QuickStart(Deployment deployment, LoadGenerator load) {
+        this.deployment = deployment;
+        this.load = load;
+    }
+
+    /**
+     * Runs the quick start.
+     *
+     * @param arguments {@code --keep} to leave the deployment up
+     * @throws Exception if a part of the deployment can't be started
+     */
+    public static void main(String[] arguments) throws Exception {
+        boolean keep = List.of(arguments).contains("--keep");
+        if (arguments.length > (keep ? 1 : 0)) {
+            System.err.println("usage: quickstart [--keep]");
+            System.exit(2);
+        }
+        boolean held = true;
+        try (Deployment deployment = Deployment.prepare(DeploymentPlan.quickStart());
+                LoadGenerator load = new LoadGenerator()) {
+            QuickStart quickStart = new QuickStart(deployment, load);
+            quickStart.start();
+            if (keep) {
+                quickStart.keep();
+            } else {
+                held = quickStart.run();
+            }
+        }
+        System.exit(held ? 0 : 1);
+    }
+
+    private void start() throws IOException, InterruptedException {
+        System.out.println("starting " + deployment.daemons().size() + " daemons; store at " + deployment.storeAddress()
+                + ", " + deployment.targets().size() + " targets");
+        deployment.startDaemons();
+        Path folder = deployment.folder().resolve("configuration");
+        ConfigurationFolder.write(deployment.configuration(), folder);
+        int exit = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx128m",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Command.class.getName(),
+                        "apply",
+                        folder.toString(),
+                        "--store",
+                        deployment.storeAddress(),
+                        "--author",
+                        "quickstart",
+                        "--wait",
+                        "30")
+                .inheritIO()
+                .start()
+                .waitFor();
+        if (exit != 0) {
+            throw new IllegalStateException("snipewind apply ended with " + exit);
+        }
+        deployment.awaitReady(START_LIMIT);
+        Deployment.await("service of all keys", START_LIMIT, () -> owners().size() == KEYS);
+    }
+
+    private boolean run() {
+        Set<String> lostKeys = new HashSet<>();
+        owners().forEach((key, target) -> {
+            if (target.equals(STOPPED)) {
+                lostKeys.add(key);
+            }
+        });
+        System.out.println("sending " + RATE + " requests/s of " + ORGANISATIONS.size()
+                + " organisations to all daemons; " + STOPPED + " owns " + lostKeys.size() + " of " + KEYS
+                + " keys and is frozen after " + STOP_AT_MILLIS + " ms until " + GO_ON_AT_MILLIS + " ms");
+        long started = System.nanoTime();
+        CompletableFuture<Long> stopped = CompletableFuture.supplyAsync(() -> {
+            pauseUntil(started, STOP_AT_MILLIS);
+            deployment.target(STOPPED).pause();
+            long at = System.nanoTime() - started;
+            pauseUntil(started, GO_ON_AT_MILLIS);
+            deployment.target(STOPPED).resume();
+            return at;
+        });
+        List<LoadOutcome> outcomes = load.run(requests());
+        return report(outcomes, lostKeys, stopped.join());
+    }
+
+    private List<LoadRequest> requests() {
+        List<LoadRequest> requests = new ArrayList<>();
+        List<DaemonHandle> daemons = deployment.daemons();
+        for (int number = 0; number < RATE * SECONDS; number++) {
+            requests.add(new LoadRequest(
+                    number * 1_000_000_000L / RATE,
+                    daemons.get(number % daemons.size()).callerAddress(),
+                    number % 4 == 3 ? "POST" : "GET",
+                    "/reels/" + key(number % KEYS) + "?n=" + number,
+                    ORGANISATIONS.get(number % 10 < 4 ? 0 : number % 10 < 7 ? 1 : number % 10 < 9 ? 2 : 3)));
+        }
+        return requests;
+    }
+
+    private boolean report(List<LoadOutcome> outcomes, Set<String> lostKeys, long stoppedNanos) {
+        Map<String, Integer> executions = RecordChecks.executionsByUri(deployment.targets());
+        Map<String, Integer> refusals = new TreeMap<>();
+        Map<String, Long> servedAt = new HashMap<>();
+        for (LoadOutcome outcome : outcomes) {
+            if (!outcome.isAnswered()) {
+                refusals.merge(outcome.error() + " (" + outcome.execution() + ")", 1, Integer::sum);
+            } else if (outcome.request().atNanos() > stoppedNanos) {
+                String path = outcome.request().uri().split("[/?]")[2];
+                servedAt.merge(path, outcome.endNanos(), Math::min);
+            }
+        }
+        long lastKey = lostKeys.stream()
+                .mapToLong(key -> servedAt.getOrDefault(key, Long.MAX_VALUE))
+                .max()
+                .orElse(Long.MAX_VALUE);
+        long recovery = lastKey == Long.MAX_VALUE ? -1 : (lastKey - stoppedNanos) / 1_000_000;
+        long overlaps = RecordChecks.overlaps(deployment.targets());
+        long twice = RecordChecks.runTwice(outcomes, executions);
+        long falseNotRun = RecordChecks.falseNotRun(outcomes, executions);
+        long answered = outcomes.stream().filter(LoadOutcome::isAnswered).count();
+        long unrecorded = outcomes.stream()
+                .filter(LoadOutcome::isAnswered)
+                .filter(outcome -> !executions.containsKey(outcome.request().uri()))
+                .count();
+        row("requests sent", outcomes.size(), "");
+        row("answers", answered, "");
+        refusals.forEach((kind, count) -> row("refused: " + kind, count, ""));
+        boolean held = row(
+                "ms until the keys of the stopped target were served",
+                recovery,
+                verdict(recovery >= 0 && recovery <= LONGEST_RECOVERY_MILLIS));
+        held &= row("overlaps of ownership", overlaps, verdict(overlaps == 0));
+        held &= row("non-idempotent requests run twice", twice, verdict(twice == 0));
+        held &= row("false \"not run\"", falseNotRun, verdict(falseNotRun == 0));
+        held &= row("answers without an execution", unrecorded, verdict(unrecorded == 0));
+        return held;
+    }
+
+    private void keep() throws InterruptedException {
+        System.out.println("\nThe deployment runs until this process is interrupted (Ctrl-C).");
+        deployment
+                .daemons()
+                .forEach(daemon -> System.out.println("  " + daemon.name() + " " + daemon.dataCentre() + "  callers "
+                        + daemon.callerAddress() + "  operators " + daemon.operatorAddress()));
+        DaemonHandle first = deployment.daemons().get(0);
+        System.out.println("Try:\n  curl -H 'Snipewind-Key: " + SampleConfiguration.keyOf(ORGANISATIONS.get(0))
+                + "' http://" + first.callerAddress() + "/reels/narrator-1\n  curl http://"
+                + first.operatorAddress() + "/-/metrics\n  bin/snipewind status --store "
+                + deployment.storeAddress() + "\n  bin/snipewind assignments --store "
+                + deployment.storeAddress() + "\n  bin/snipewind drain reelteca-2 --store "
+                + deployment.storeAddress());
+        Runtime.getRuntime().addShutdownHook(new Thread(deployment::close, "deployment end"));
+        new CountDownLatch(1).await();
+    }
+
+    private Map<String, String> owners() {
+        Map<String, String> owners = new HashMap<>();
+        for (int number = 0; number < KEYS; number++) {
+            String address = deployment
+                    .daemons()
+                    .get(number % deployment.daemons().size())
+                    .callerAddress();
+            LoadRequest request = new LoadRequest(
+                    0, address, "GET", "/reels/" + key(number), ORGANISATIONS.get(number % ORGANISATIONS.size()));
+            load.exchange(request)
+                    .handle((answer, failure) -> failure == null && answer.status() == 200 ? answer.body() : null)
+                    .thenAccept(body -> {
+                        if (body != null) {
+                            owners.put(
+                                    request.uri().substring("/reels/".length()),
+                                    String.valueOf(
+                                            JsonCodec.decode(body, Map.class).get("target")));
+                        }
+                    })
+                    .join();
+        }
+        return owners;
+    }
+
+    private static String key(int number) {
+        return "narrator-" + number;
+    }
+
+    private static boolean row(String name, long value, String verdict) {
+        System.out.printf("  %-60s %8d  %s%n", name, value, verdict);
+        return !verdict.equals("NOT HELD");
+    }
+
+    private static String verdict(boolean held) {
+        return held ? "held" : "NOT HELD";
+    }
+
+    private static void pauseUntil(long startNanos, long millis) {
+        try {
+            Thread.sleep(Math.max(0, millis - (System.nanoTime() - startNanos) / 1_000_000));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+}
