--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/deployment/DaemonGroup.java
@@ -0,0 +1,67 @@
+package org.snipewind.standins.deployment;
+
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.UnaryOperator;
+import org.snipewind.coordination.clock.SystemMillisClock;
+import org.snipewind.daemon.DaemonRuntime;
+import org.snipewind.daemon.fleet.FleetTimes;
+import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.daemon.settings.DaemonSettings;
+import org.snipewind.daemon.settings.SettingsFile;
+import org.snipewind.platform.instances.HttpInstanceList;
+import org.snipewind.platform.instances.InstanceList;
+import org.snipewind.platform.store.DelayedTasks;
+import org.snipewind.platform.store.HttpKeyValueStore;
+import org.snipewind.platform.store.KeyValueStore;
+import org.snipewind.platform.store.StoreBudget;
+import org.snipewind.platform.store.ThrottledKeyValueStore;
+import org.snipewind.platform.target.HttpTargetEndpoint;
+import org.snipewind.standins.Standins;
+
+/** Runs several daemons in one process; their frames still cross loopback sockets. */
+public final class DaemonGroup {
+
+    private static final long TIMEOUT_MILLIS = 1_000;
+    private static final int TARGET_CONNECTIONS = 16;
+    private static final long TARGET_CONNECT_MILLIS = 500;
+
+    private DaemonGroup() {}
+
+    /**
+     * Starts the daemons and prints one ready line; the process ends by a signal.
+     *
+     * @param arguments paths of the settings files
+     */
+    public static void main(String[] arguments) {
+        System.setProperty("snipewind.log.format", "text");
+        for (String file : arguments) {
+            runtime(SettingsFile.read(Path.of(file))).start();
+        }
+        System.out.println(Standins.READY_PREFIX + arguments.length);
+    }
+
+    private static DaemonRuntime runtime(DaemonSettings settings) {
+        DaemonMetrics metrics = new DaemonMetrics();
+        KeyValueStore store = new ThrottledKeyValueStore(
+                new HttpKeyValueStore(
+                        settings.storeAddresses(),
+                        settings.name(),
+                        TIMEOUT_MILLIS,
+                        (kind, outcome) -> metrics.count("store." + kind.name().toLowerCase(Locale.ROOT))),
+                new StoreBudget(new SystemMillisClock(), new Random()::nextDouble),
+                DelayedTasks.system());
+        Optional<InstanceList> instances =
+                settings.instanceListAddress().map(address -> new HttpInstanceList(address, TIMEOUT_MILLIS));
+        return new DaemonRuntime(
+                settings,
+                metrics,
+                store,
+                target -> new HttpTargetEndpoint(
+                        target.address(), TARGET_CONNECTIONS, TARGET_CONNECT_MILLIS, FleetTimes.GRANT_MILLIS),
+                instances,
+                UnaryOperator.identity());
+    }
+}
--- a/standins/src/main/java/org/snipewind/standins/deployment/Deployment.java
+++ b/standins/src/main/java/org/snipewind/standins/deployment/Deployment.java
@@ -10,11 +10,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.function.BooleanSupplier;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.daemon.Daemon;
@@ -36,7 +34,6 @@
 import org.snipewind.standins.server.StandInServer;
 import org.snipewind.standins.store.StoreFaults;
 import org.snipewind.standins.store.StoreStandIn;
-import org.snipewind.standins.target.TargetOptions;
 
 /**
  * A running deployment: the store and the list of instances in this process, targets and daemons in processes of their
@@ -46,7 +43,6 @@
 
     private static final Duration START_LIMIT = Duration.ofSeconds(60);
     private static final int TARGET_HEAP_MEGABYTES = 256;
-    private static final int PARALLEL_STARTS = 5;
     private static final long CALL_MILLIS = 3_000;
     private static final long STORE_SEED = 1;
     private static final long POLL_MILLIS = 20;
@@ -81,8 +77,9 @@
                 new HttpKeyValueStore(List.of(storeServer.address()), "deployment", CALL_MILLIS, (kind, outcome) -> {});
         configurations = new ConfigurationStore(storeClient, System::currentTimeMillis);
         FreePorts ports = new FreePorts();
-        planTargets(ports);
-        planDaemons(ports);
+        DeploymentLayout layout = new DeploymentLayout(plan, ports);
+        targets.putAll(layout.targets(transport));
+        daemons.putAll(layout.daemons(folder, storeServer.address(), instanceServer.address()));
         Map<String, String> addresses = new TreeMap<>();
         targets.forEach((name, target) -> addresses.put(name, target.address()));
         configuration = SampleConfiguration.withAddresses(plan.configuration(), addresses);
@@ -130,9 +127,13 @@
 
     /** Starts all daemons and waits until their listeners are open. */
     public void startDaemons() {
-        inParallel(daemons.values().stream()
-                .<Runnable>map(daemon -> () -> startDaemon(daemon.name()))
-                .toList());
+        List<DaemonHandle> all = daemons();
+        List<Runnable> starts = new ArrayList<>();
+        for (int from = 0; from < all.size(); from += plan.daemonsPerProcess()) {
+            List<DaemonHandle> group = all.subList(from, Math.min(all.size(), from + plan.daemonsPerProcess()));
+            starts.add(() -> startDaemons(group));
+        }
+        ParallelTasks.run(starts);
         setInstances(Map.of());
     }
 
@@ -142,12 +143,7 @@
      * @param name name of the instance
      */
     public void startDaemon(String name) {
-        DaemonHandle daemon = daemon(name);
-        daemon.runs(daemonLauncher.start(
-                name,
-                Daemon.class.getName(),
-                List.of("--settings", daemon.settings().toString()),
-                line -> line.contains("daemon-started")));
+        startDaemons(List.of(daemon(name)));
     }
 
     /**
@@ -208,7 +204,7 @@
      * @param daemon the daemon
      * @return the status, or empty if it does not answer
      */
-    public java.util.Optional<DaemonStatus> status(DaemonHandle daemon) {
+    public Optional<DaemonStatus> status(DaemonHandle daemon) {
         return operators(daemon, "/-/status").map(answer -> JsonCodec.decode(answer.body(), DaemonStatus.class));
     }
 
@@ -395,7 +391,22 @@
         }
     }
 
-    private java.util.Optional<HttpAnswer> operators(DaemonHandle daemon, String path) {
+    private void startDaemons(List<DaemonHandle> group) {
+        List<String> arguments = new ArrayList<>();
+        boolean alone = plan.daemonsPerProcess() == 1;
+        if (alone) {
+            arguments.add("--settings");
+        }
+        group.forEach(daemon -> arguments.add(daemon.settings().toString()));
+        ChildProcess process = daemonLauncher.start(
+                group.get(0).name(),
+                alone ? Daemon.class.getName() : DaemonGroup.class.getName(),
+                arguments,
+                line -> alone ? line.contains("daemon-started") : line.startsWith(Standins.READY_PREFIX));
+        group.forEach(daemon -> daemon.runs(process));
+    }
+
+    private Optional<HttpAnswer> operators(DaemonHandle daemon, String path) {
         return transport
                 .exchange(
                         "GET",
@@ -403,59 +414,10 @@
                         Map.of(),
                         new byte[0],
                         CALL_MILLIS)
-                .<java.util.Optional<HttpAnswer>>handle((answer, failure) -> java.util.Optional.ofNullable(answer))
+                .<Optional<HttpAnswer>>handle((answer, failure) -> Optional.ofNullable(answer))
                 .join();
     }
 
-    private void planTargets(FreePorts ports) {
-        TargetBehaviour behaviour = plan.behaviour();
-        plan.configuration()
-                .pools()
-                .forEach((poolName, pool) -> pool.targets().forEach((name, settings) -> {
-                    TargetOptions options = new TargetOptions(
-                            name,
-                            pool.slots(),
-                            behaviour.serviceMillis(),
-                            behaviour.coldConcurrency(),
-                            behaviour.coldAnswers(),
-                            behaviour.fallMillis(),
-                            pool.checksTokens(),
-                            behaviour.healthLagMillis(),
-                            behaviour.loadLagMillis());
-                    targets.put(
-                            name,
-                            new TargetHandle(
-                                    poolName,
-                                    settings.dataCentre(),
-                                    new TargetSpecification(options, ports.next()),
-                                    plan.separateTargets().contains(name),
-                                    transport));
-                }));
-    }
-
-    private void planDaemons(FreePorts ports) throws IOException {
-        List<String> dataCentres =
-                List.copyOf(plan.configuration().dataCentres().keySet());
-        for (int index = 0; index < plan.daemons(); index++) {
-            String name = String.format("entry-%02d", index + 1);
-            String dataCentre = dataCentres.get(index % dataCentres.size());
-            List<Integer> own = List.of(ports.next(), ports.next(), ports.next());
-            Path settings = folder.resolve(name + ".yaml");
-            Files.writeString(
-                    settings,
-                    DaemonSettingsText.write(
-                            name,
-                            plan.configuration().dataCentres().get(dataCentre).region(),
-                            dataCentre,
-                            own,
-                            storeServer.address(),
-                            instanceServer.address(),
-                            plan.policy()));
-            String[] addresses = own.stream().map(port -> "127.0.0.1:" + port).toArray(String[]::new);
-            daemons.put(name, new DaemonHandle(name, dataCentre, addresses, settings));
-        }
-    }
-
     private void startTargets() {
         List<Runnable> starts = new ArrayList<>();
         List<TargetHandle> shared = new ArrayList<>();
@@ -470,7 +432,7 @@
             List<TargetHandle> group = shared.subList(from, Math.min(shared.size(), from + plan.targetsPerProcess()));
             starts.add(() -> startGroup("targets-" + group.get(0).name(), group));
         }
-        inParallel(starts);
+        ParallelTasks.run(starts);
     }
 
     private ChildProcess startGroup(String name, List<TargetHandle> group) {
@@ -480,16 +442,4 @@
                 group.stream().map(target -> target.specification().format()).toList(),
                 line -> line.startsWith(Standins.READY_PREFIX));
     }
-
-    private static void inParallel(List<Runnable> tasks) {
-        ExecutorService executor = Executors.newFixedThreadPool(PARALLEL_STARTS);
-        try {
-            CompletableFuture.allOf(tasks.stream()
-                            .map(task -> CompletableFuture.runAsync(task, executor))
-                            .toArray(CompletableFuture[]::new))
-                    .join();
-        } finally {
-            executor.shutdown();
-        }
-    }
 }
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/deployment/DeploymentLayout.java
@@ -0,0 +1,75 @@
+package org.snipewind.standins.deployment;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.snipewind.platform.transport.HttpTransport;
+import org.snipewind.standins.target.TargetOptions;
+
+/** Gives names, ports and settings to the targets and daemons of a plan. */
+final class DeploymentLayout {
+
+    private final DeploymentPlan plan;
+    private final FreePorts ports;
+
+    DeploymentLayout(DeploymentPlan plan, FreePorts ports) {
+        this.plan = plan;
+        this.ports = ports;
+    }
+
+    Map<String, TargetHandle> targets(HttpTransport transport) {
+        Map<String, TargetHandle> targets = new LinkedHashMap<>();
+        TargetBehaviour behaviour = plan.behaviour();
+        plan.configuration()
+                .pools()
+                .forEach((poolName, pool) -> pool.targets().forEach((name, settings) -> {
+                    TargetOptions options = new TargetOptions(
+                            name,
+                            pool.slots(),
+                            behaviour.serviceMillis(),
+                            behaviour.coldConcurrency(),
+                            behaviour.coldAnswers(),
+                            behaviour.fallMillis(),
+                            pool.checksTokens(),
+                            behaviour.healthLagMillis(),
+                            behaviour.loadLagMillis());
+                    targets.put(
+                            name,
+                            new TargetHandle(
+                                    poolName,
+                                    settings.dataCentre(),
+                                    new TargetSpecification(options, ports.next()),
+                                    plan.separateTargets().contains(name),
+                                    transport));
+                }));
+        return targets;
+    }
+
+    Map<String, DaemonHandle> daemons(Path folder, String store, String instances) throws IOException {
+        Map<String, DaemonHandle> daemons = new LinkedHashMap<>();
+        List<String> dataCentres =
+                List.copyOf(plan.configuration().dataCentres().keySet());
+        for (int index = 0; index < plan.daemons(); index++) {
+            String name = String.format("entry-%02d", index + 1);
+            String dataCentre = dataCentres.get(index % dataCentres.size());
+            List<Integer> own = List.of(ports.next(), ports.next(), ports.next());
+            Path settings = folder.resolve(name + ".yaml");
+            Files.writeString(
+                    settings,
+                    DaemonSettingsText.write(
+                            name,
+                            plan.configuration().dataCentres().get(dataCentre).region(),
+                            dataCentre,
+                            own,
+                            store,
+                            instances,
+                            plan.policy()));
+            String[] addresses = own.stream().map(port -> "127.0.0.1:" + port).toArray(String[]::new);
+            daemons.put(name, new DaemonHandle(name, dataCentre, addresses, settings));
+        }
+        return daemons;
+    }
+}
--- a/standins/src/main/java/org/snipewind/standins/deployment/DeploymentPlan.java
+++ b/standins/src/main/java/org/snipewind/standins/deployment/DeploymentPlan.java
@@ -14,7 +14,8 @@
  * @param targetsPerProcess how many of the other targets share a process
  * @param behaviour behaviour of the targets
  * @param policy variants of mechanisms of the daemons
- * @param daemonOptions options of the virtual machine of each daemon
+ * @param daemonOptions options of the virtual machine of each daemon process
+ * @param daemonsPerProcess how many daemons share a process; one that shares can't be killed or paused alone
  */
 public record DeploymentPlan(
         FleetConfiguration configuration,
@@ -23,7 +24,8 @@
         int targetsPerProcess,
         TargetBehaviour behaviour,
         PolicySettings policy,
-        List<String> daemonOptions) {
+        List<String> daemonOptions,
+        int daemonsPerProcess) {
 
     /** Name of the deployment of the casting business. */
     public static final String VOCES_DEL_PLATA = "voces-del-plata";
@@ -70,7 +72,8 @@
                 TARGETS_PER_PROCESS,
                 TargetBehaviour.warm(5),
                 PolicySettings.DEFAULT,
-                SMALL_PROCESS);
+                SMALL_PROCESS,
+                1);
     }
 
     /**
@@ -89,7 +92,15 @@
      * @return the changed plan
      */
     public DeploymentPlan withConfiguration(FleetConfiguration value) {
-        return new DeploymentPlan(value, daemons, separateTargets, targetsPerProcess, behaviour, policy, daemonOptions);
+        return new DeploymentPlan(
+                value,
+                daemons,
+                separateTargets,
+                targetsPerProcess,
+                behaviour,
+                policy,
+                daemonOptions,
+                daemonsPerProcess);
     }
 
     /**
@@ -100,7 +111,14 @@
      */
     public DeploymentPlan withDaemons(int value) {
         return new DeploymentPlan(
-                configuration, value, separateTargets, targetsPerProcess, behaviour, policy, daemonOptions);
+                configuration,
+                value,
+                separateTargets,
+                targetsPerProcess,
+                behaviour,
+                policy,
+                daemonOptions,
+                daemonsPerProcess);
     }
 
     /**
@@ -110,7 +128,8 @@
      * @return the changed plan
      */
     public DeploymentPlan withSeparateTargets(Set<String> value) {
-        return new DeploymentPlan(configuration, daemons, value, targetsPerProcess, behaviour, policy, daemonOptions);
+        return new DeploymentPlan(
+                configuration, daemons, value, targetsPerProcess, behaviour, policy, daemonOptions, daemonsPerProcess);
     }
 
     /**
@@ -121,7 +140,14 @@
      */
     public DeploymentPlan withBehaviour(TargetBehaviour value) {
         return new DeploymentPlan(
-                configuration, daemons, separateTargets, targetsPerProcess, value, policy, daemonOptions);
+                configuration,
+                daemons,
+                separateTargets,
+                targetsPerProcess,
+                value,
+                policy,
+                daemonOptions,
+                daemonsPerProcess);
     }
 
     /**
@@ -132,7 +158,14 @@
      */
     public DeploymentPlan withPolicy(PolicySettings value) {
         return new DeploymentPlan(
-                configuration, daemons, separateTargets, targetsPerProcess, behaviour, value, daemonOptions);
+                configuration,
+                daemons,
+                separateTargets,
+                targetsPerProcess,
+                behaviour,
+                value,
+                daemonOptions,
+                daemonsPerProcess);
     }
 
     /**
@@ -142,6 +175,26 @@
      */
     public DeploymentPlan optimised() {
         return new DeploymentPlan(
-                configuration, daemons, separateTargets, targetsPerProcess, behaviour, policy, OPTIMISED_PROCESS);
+                configuration,
+                daemons,
+                separateTargets,
+                targetsPerProcess,
+                behaviour,
+                policy,
+                OPTIMISED_PROCESS,
+                daemonsPerProcess);
+    }
+
+    /**
+     * Lets several daemons share a process, because a process of its own for each takes about 170 MB.
+     *
+     * @param value daemons of a process
+     * @param heapMegabytes largest heap of a process
+     * @return the changed plan
+     */
+    public DeploymentPlan withSharedProcesses(int value, int heapMegabytes) {
+        List<String> options = List.of("-Xmx" + heapMegabytes + "m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+        return new DeploymentPlan(
+                configuration, daemons, separateTargets, targetsPerProcess, behaviour, policy, options, value);
     }
 }
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements, each beside a baseline of the same run. */
+package org.snipewind.standins.measure;
