End started processes when the launching process gets a signal

A measurement that timeout ended left its daemons running, because a signal skips the close of the deployment. A failed load now also names its refusals.

--- a/standins/src/main/java/org/snipewind/standins/measure/RoutedLoad.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/RoutedLoad.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 import org.snipewind.platform.configuration.FleetConfiguration;
 import org.snipewind.platform.configuration.PoolSettings;
@@ -100,16 +101,19 @@
     Histogram run(List<LoadRequest> requests) {
         Histogram histogram = new Histogram(HIGHEST_NANOS, 3);
         long failed = 0;
+        Map<String, Integer> reasons = new TreeMap<>();
         for (LoadOutcome outcome : load.run(requests)) {
             if (outcome.isAnswered()) {
                 histogram.recordValue(Math.min(HIGHEST_NANOS, Math.max(0, outcome.latencyNanos())));
             } else {
                 failed++;
+                reasons.merge(outcome.status() + " " + outcome.error(), 1, Integer::sum);
             }
         }
         // A few lost requests do not move a quantile; more would make it a figure of something else.
         if (failed * 100 > requests.size()) {
-            throw new IllegalStateException(failed + " of " + requests.size() + " requests were not answered");
+            throw new IllegalStateException(
+                    failed + " of " + requests.size() + " requests were not answered: " + reasons);
         }
         return histogram;
     }
--- a/standins/src/main/java/org/snipewind/standins/process/ProcessLauncher.java
+++ b/standins/src/main/java/org/snipewind/standins/process/ProcessLauncher.java
@@ -45,6 +45,8 @@
     public ProcessLauncher(List<String> javaOptions, Path logDirectory) {
         this.javaOptions = List.copyOf(javaOptions);
         this.logDirectory = logDirectory;
+        // A launcher that is interrupted by a signal is not closed by its owner.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close, "end of started processes"));
     }
 
     /**
