--- a/standins/src/main/java/org/snipewind/standins/measure/package-info.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements of the system on stand-ins. */
+/** Measurements, each beside a baseline of the same run. */
 package org.snipewind.standins.measure;
