--- a/standins/src/main/java/org/snipewind/standins/measure/Measurements.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/Measurements.java
@@ -12,7 +12,10 @@
             new ControlMeasurement(),
             new StoreLoadMeasurement(),
             new ConfigurationMeasurement(),
-            new ScaleMeasurement());
+            new ScaleMeasurement(),
+            new RecoveryMeasurement(),
+            new ExclusiveMeasurement(),
+            new BalanceMeasurement());
 
     private Measurements() {}
 
