Replay traces open-loop and generate those of the deployments

Measurements and operators need the same traffic against any deployment. A seeded generator draws Poisson arrivals by organisation, Zipf keys and exponential service times; a separate random generator for each organisation keeps the others' requests equal when one changes its rate. snipewind replay sends at the intended times and counts latency from them.

--- a/command/src/main/java/org/snipewind/command/Command.java
+++ b/command/src/main/java/org/snipewind/command/Command.java
@@ -11,6 +11,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.snipewind.command.replay.ReplayOptions;
 import org.snipewind.platform.configuration.AcceptFailure;
 import org.snipewind.platform.configuration.ConfigurationRevision;
 import org.snipewind.platform.configuration.ConfigurationStore;
@@ -73,6 +74,14 @@
         if (arguments.getString(CommandLine.SUBCOMMAND).equals("check")) {
             return FolderCommands.check(folder(arguments), arguments.getBoolean("json"), new Output(output));
         }
+        if (arguments.getString(CommandLine.SUBCOMMAND).equals("replay")) {
+            ReplayOptions options = new ReplayOptions(
+                    arguments.<String>getList("to"),
+                    arguments.getString("key_prefix"),
+                    Long.toString(System.currentTimeMillis(), Character.MAX_RADIX) + "-");
+            return new TraceReplay(output, errors, terminal)
+                    .replay(Path.of(arguments.getString("trace")), options, arguments.getBoolean("json"));
+        }
         try (KeyValueStore store = platform.connect(arguments.getString("store"))) {
             return run(arguments, new CommandContext(platform, store, input, output, errors, terminal));
         }
--- a/command/src/main/java/org/snipewind/command/CommandLine.java
+++ b/command/src/main/java/org/snipewind/command/CommandLine.java
@@ -5,6 +5,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.snipewind.command.replay.ReplayOptions;
 
 /** The arguments of the command. */
 final class CommandLine {
@@ -49,9 +50,25 @@
                 .help("how many revisions to list (default " + HISTORY_LIMIT + ")");
         Subparser rollback = change(subparsers.addParser("rollback").help("put an earlier revision in force again"));
         rollback.addArgument("revision").type(Long.class).metavar("REVISION").help("number of the revision");
+        addReplay(subparsers);
         return parser;
     }
 
+    private static void addReplay(Subparsers subparsers) {
+        Subparser replay = json(subparsers.addParser("replay").help("send the requests of a trace"));
+        replay.addArgument("trace").metavar("TRACE").help("file of JSON lines");
+        replay.addArgument("--to")
+                .required(true)
+                .nargs("+")
+                .metavar("ADDRESS")
+                .help("host and port of each entry instance");
+        replay.addArgument("--key-prefix")
+                .setDefault(ReplayOptions.SAMPLE_KEY_PREFIX)
+                .metavar("TEXT")
+                .help("text before an organisation's name in its key (default " + ReplayOptions.SAMPLE_KEY_PREFIX
+                        + ")");
+    }
+
     private static void addKey(Subparsers subparsers) {
         Subparsers keys = subparsers
                 .addParser("key")
--- a/command/src/main/java/org/snipewind/command/TraceReplay.java
+++ b/command/src/main/java/org/snipewind/command/TraceReplay.java
@@ -1,12 +1,87 @@
 package org.snipewind.command;
 
+import java.io.IOException;
+import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.snipewind.command.replay.LatencySummary;
+import org.snipewind.command.replay.ReplayEngine;
+import org.snipewind.command.replay.ReplayOptions;
+import org.snipewind.command.replay.ReplayProgress;
+import org.snipewind.command.replay.ReplayResult;
+import org.snipewind.command.replay.ReplaySummary;
+import org.snipewind.command.replay.TraceFile;
+import org.snipewind.command.replay.TraceRequest;
 
-/** Replays a trace of requests against entry daemons. */
-@FunctionalInterface
-interface TraceReplay {
+/** Replays a trace of requests against entry daemons and prints what became of them. */
+final class TraceReplay {
+
+    private static final int PROGRESS_STEPS = 100;
+
+    private final PrintStream output;
+    private final PrintStream errors;
+    private final boolean terminal;
+
+    TraceReplay(PrintStream output, PrintStream errors, boolean terminal) {
+        this.output = output;
+        this.errors = errors;
+        this.terminal = terminal;
+    }
 
     /** Sends the requests of the trace at their intended times and returns the exit code. */
-    int replay(Path trace, List<String> addresses);
+    int replay(Path trace, ReplayOptions options, boolean json) throws IOException {
+        List<TraceRequest> requests = TraceFile.read(trace);
+        try (ReplayEngine engine = new ReplayEngine(options)) {
+            List<ReplayResult> results = engine.replay(requests, progress());
+            ReplaySummary summary = ReplaySummary.of(results);
+            if (json) {
+                new Output(output).json(summary);
+            } else {
+                print(summary);
+            }
+            return summary.answers() == 0 && !requests.isEmpty() ? ExitCode.UNREACHABLE : ExitCode.DONE;
+        }
+    }
+
+    private ReplayProgress progress() {
+        if (!terminal) {
+            return ReplayProgress.NONE;
+        }
+        return (sent, total) -> {
+            if (sent == total) {
+                errors.printf("\rsent %d of %d%n", sent, total);
+            } else if (sent % Math.max(1, total / PROGRESS_STEPS) == 0) {
+                errors.printf("\rsent %d of %d", sent, total);
+            }
+        };
+    }
+
+    private void print(ReplaySummary summary) {
+        line("requests %d, answers %d", summary.requests(), summary.answers());
+        counts("answers with status", summary.answersByStatus());
+        counts("not run", summary.refusals());
+        counts("unknown", summary.unknown());
+        counts("ran without answer", summary.ran());
+        latency("latency of all", summary.latency());
+        latency("latency of urgent", summary.urgentLatency());
+        summary.shareInTime()
+                .forEach((organisation, share) -> line(
+                        "answered in time: %s %.2f%%", organisation.isEmpty() ? "(open)" : organisation, share * 100));
+    }
+
+    private void counts(String label, Map<String, Long> counts) {
+        counts.forEach((name, count) -> line("%s %s: %d", label, name, count));
+    }
+
+    private void latency(String label, LatencySummary latency) {
+        line(
+                "%s (ms): p50 %.1f, p99 %.1f, p99.9 %.1f, max %.1f",
+                label, latency.p50Millis(), latency.p99Millis(), latency.p999Millis(), latency.maxMillis());
+    }
+
+    private void line(String format, Object... values) {
+        output.println(String.format(Locale.ROOT, format, values));
+    }
 }
--- /dev/null
+++ b/command/src/main/java/org/snipewind/command/replay/package-info.java
@@ -0,0 +1,2 @@
+/** Replays of request traces with open-loop arrivals. */
+package org.snipewind.command.replay;
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/trace/package-info.java
@@ -0,0 +1,2 @@
+/** Generates traces of requests with the sizes of the deployments. */
+package org.snipewind.standins.trace;
--- /dev/null
+++ b/standins/src/test/java/org/snipewind/standins/trace/TraceReplayTest.java
@@ -0,0 +1,79 @@
+package org.snipewind.standins.trace;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.snipewind.command.replay.OutcomeKind;
+import org.snipewind.command.replay.ReplayEngine;
+import org.snipewind.command.replay.ReplayOptions;
+import org.snipewind.command.replay.ReplayProgress;
+import org.snipewind.command.replay.ReplayResult;
+import org.snipewind.command.replay.ReplaySummary;
+import org.snipewind.command.replay.TraceRequest;
+import org.snipewind.standins.server.StandInAnswer;
+import org.snipewind.standins.server.StandInServer;
+
+final class TraceReplayTest {
+
+    private static final TraceShape SHAPE = DeploymentTraces.jalsetu().lasting(2_000);
+
+    /** Guards against runs that can't be repeated, and against a baseline that differs by more than the offender. */
+    @Test
+    void sameSeedGivesTheSameRequestsAndAnOffenderChangesOnlyItsOwn() {
+        List<TraceRequest> calm = TraceGenerator.generate(SHAPE, 7);
+        List<TraceRequest> offended =
+                TraceGenerator.generate(SHAPE.scaled(name -> name.equals("rajkot-waters") ? 5 : 1), 7);
+
+        assertThat(TraceGenerator.generate(SHAPE, 7)).isEqualTo(calm);
+        assertThat(others(offended)).containsExactlyElementsIn(others(calm));
+    }
+
+    /** Guards against latency that hides the wait behind a slow answer, and against refusals taken for answers. */
+    @Test
+    void arrivalsAreOpenLoopAndOutcomesFollowTheHeaders() {
+        try (StandInServer server = StandInServer.start(request -> answer(request.path()), 0);
+                ReplayEngine engine =
+                        new ReplayEngine(new ReplayOptions(List.of(server.address()), "sample-key-", "test-"))) {
+            List<ReplayResult> results = engine.replay(
+                    List.of(request(0, "/slow"), request(10, "/refused"), request(20, "/unknown")),
+                    ReplayProgress.NONE);
+
+            assertThat(results.stream().map(ReplayResult::kind).toList())
+                    .containsExactly(OutcomeKind.ANSWERED, OutcomeKind.NOT_RUN, OutcomeKind.UNKNOWN)
+                    .inOrder();
+            assertThat(results.get(0).latencyMicros()).isAtLeast(300_000);
+            assertThat(results.get(2).sentMicros()).isLessThan(results.get(0).endMicros());
+            assertThat(ReplaySummary.of(results).refusals()).containsExactly("rate-exceeded", 1L);
+        }
+    }
+
+    private static List<TraceRequest> others(List<TraceRequest> requests) {
+        return requests.stream()
+                .filter(request -> !request.organisation().equals("rajkot-waters"))
+                .toList();
+    }
+
+    private static TraceRequest request(long timeMillis, String route) {
+        return new TraceRequest(timeMillis, "rajkot-waters", route, "", 0, 1, true, false, 2_000);
+    }
+
+    private static CompletableFuture<StandInAnswer> answer(String path) {
+        StandInAnswer answer = switch (path) {
+            case "/refused" -> refusal("rate-exceeded", "not-run");
+            case "/unknown" -> refusal("target-lost", "unknown");
+            default -> StandInAnswer.text(200, "done");
+        };
+        CompletableFuture<StandInAnswer> delayed = new CompletableFuture<>();
+        return path.equals("/slow")
+                ? delayed.completeOnTimeout(answer, 300, TimeUnit.MILLISECONDS)
+                : CompletableFuture.completedFuture(answer);
+    }
+
+    private static StandInAnswer refusal(String kind, String execution) {
+        return new StandInAnswer(503, Map.of("Snipewind-Error", kind, "Snipewind-Execution", execution), new byte[0]);
+    }
+}
