--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/measure/TrafficRun.java
@@ -0,0 +1,111 @@
+package org.snipewind.standins.measure;
+
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.UnaryOperator;
+import org.snipewind.command.replay.ReplayEngine;
+import org.snipewind.command.replay.ReplayOptions;
+import org.snipewind.command.replay.ReplayProgress;
+import org.snipewind.command.replay.ReplayResult;
+import org.snipewind.command.replay.TraceRequest;
+import org.snipewind.daemon.settings.PolicySettings;
+import org.snipewind.standins.deployment.DaemonHandle;
+import org.snipewind.standins.deployment.Deployment;
+import org.snipewind.standins.deployment.DeploymentPlan;
+import org.snipewind.standins.target.ExecutionRecord;
+import org.snipewind.standins.target.TargetReport;
+import org.snipewind.standins.trace.TraceGenerator;
+import org.snipewind.standins.trace.TraceShape;
+
+/**
+ * One replay against a deployment of its own.
+ *
+ * @param startMicros start of the replay in microseconds since the epoch
+ * @param results outcomes of the requests without those of the warm-up
+ * @param executions executions of these requests by all targets
+ * @param reports states of the targets at the end
+ */
+record TrafficRun(
+        long startMicros, List<ReplayResult> results, List<ExecutionRecord> executions, List<TargetReport> reports) {
+
+    private static final String ID_PREFIX = "m-";
+    private static final long WARM_UP_MILLIS = 4_000;
+    private static final long SETTLE_MILLIS = 3_000;
+    private static final long WARM_UP_SEED_OFFSET = 1_000;
+
+    /** Starts the deployment, warms it up with the same kind of traffic, and replays a trace. */
+    static TrafficRun play(DeploymentPlan plan, TraceShape shape, long seed, Disturbance disturbance) {
+        return play(plan, shape, shape, seed, disturbance);
+    }
+
+    static TrafficRun play(
+            DeploymentPlan plan, TraceShape warmUp, TraceShape shape, long seed, Disturbance disturbance) {
+        try (Deployment deployment = Deployment.start(plan)) {
+            List<String> addresses = deployment.daemons().stream()
+                    .map(DaemonHandle::callerAddress)
+                    .toList();
+            replay(
+                    addresses,
+                    "w-",
+                    TraceGenerator.generate(warmUp.lasting(WARM_UP_MILLIS), seed + WARM_UP_SEED_OFFSET));
+            sleep(SETTLE_MILLIS);
+            List<TraceRequest> trace = TraceGenerator.generate(shape, seed);
+            long start = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+            CompletableFuture<Void> ended = new CompletableFuture<>();
+            Thread thread = new Thread(() -> disturb(deployment, disturbance, ended), "disturbance");
+            thread.start();
+            List<ReplayResult> results = replay(addresses, ID_PREFIX, trace);
+            thread.interrupt();
+            ended.join();
+            sleep(SETTLE_MILLIS);
+            return new TrafficRun(
+                    start,
+                    results,
+                    deployment.targets().stream()
+                            .flatMap(target -> target.executions().stream())
+                            .filter(execution -> execution.uri().contains("request=" + ID_PREFIX))
+                            .toList(),
+                    deployment.targets().stream().map(target -> target.report()).toList());
+        }
+    }
+
+    /** Gives the id of the request that was executed. */
+    static String idOf(ExecutionRecord execution) {
+        return execution.uri().substring(execution.uri().indexOf("request=") + "request=".length());
+    }
+
+    /** Replaces the policy of a plan. */
+    static DeploymentPlan with(DeploymentPlan plan, UnaryOperator<PolicySettings> change) {
+        return plan.withPolicy(change.apply(plan.policy()));
+    }
+
+    private static List<ReplayResult> replay(List<String> addresses, String idPrefix, List<TraceRequest> trace) {
+        ReplayOptions options = new ReplayOptions(addresses, ReplayOptions.SAMPLE_KEY_PREFIX, idPrefix);
+        try (ReplayEngine engine = new ReplayEngine(options)) {
+            return engine.replay(trace, ReplayProgress.NONE);
+        }
+    }
+
+    private static void disturb(Deployment deployment, Disturbance disturbance, CompletableFuture<Void> ended) {
+        try {
+            disturbance.run(deployment);
+            ended.complete(null);
+        } catch (InterruptedException e) {
+            ended.complete(null);
+        } catch (RuntimeException e) {
+            ended.completeExceptionally(new CompletionException("the disturbance failed", e));
+        }
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted during a measurement", e);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewind/standins/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of whole deployments beside baselines of the same run. */
+package org.snipewind.standins.measure;
