Refuse requests without a destination by their own kinds

Cause: a request whose pool had no target in service, or whose key had no owner until the deadline, was refused as deadline-before-send, and a query parameter with a broken escape ended as a fault of the router. SHUTTING_DOWN was never used. Change: pool-unavailable and owner-unavailable are given in these cases; a broken escape counts as a missing key; the unused kind is gone.

--- a/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
+++ b/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
@@ -34,7 +34,7 @@
     DEADLINE_BEFORE_SEND(504, Execution.NOT_RUN, false),
     /** The deadline passed after the request was sent to a target. */
     DEADLINE_AFTER_SEND(504, Execution.UNKNOWN, false),
-    /** The owner of the key is not known or is being moved. */
+    /** The key has no owner at present, or its owner is being moved. */
     OWNER_UNAVAILABLE(503, Execution.NOT_RUN, true),
     /** The supervisor of the target can't be reached and nothing was sent to it. */
     OWNER_UNREACHABLE(503, Execution.NOT_RUN, true),
@@ -66,8 +66,6 @@
     CONFIGURATION_STALE(503, Execution.NOT_RUN, false),
     /** The daemon has not yet learned configuration and assignments. */
     NOT_READY(503, Execution.NOT_RUN, false),
-    /** The daemon is shutting down. */
-    SHUTTING_DOWN(503, Execution.NOT_RUN, true),
     /** A fault of the daemon itself. */
     INTERNAL(500, Execution.UNKNOWN, false);
 
--- a/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
@@ -136,10 +136,7 @@
             return;
         }
         if (remaining <= 0) {
-            finish(
-                    request,
-                    Either.left(lastRefusal.orElseGet(() ->
-                            Refusal.of(ErrorKind.DEADLINE_BEFORE_SEND, "no owner was found before the deadline"))));
+            finish(request, Either.left(lastRefusal.orElseGet(() -> noDestination(request))));
             return;
         }
         Optional<Destination> destination = destination(request);
@@ -151,6 +148,12 @@
         scheduleHedge(request);
     }
 
+    private static Refusal noDestination(RoutedRequest request) {
+        return request.slice().isPresent()
+                ? Refusal.of(ErrorKind.OWNER_UNAVAILABLE, "the key had no owner before the deadline")
+                : Refusal.of(ErrorKind.POOL_UNAVAILABLE, "the pool had no target in service before the deadline");
+    }
+
     private Optional<Destination> destination(RoutedRequest request) {
         FleetConfiguration configuration = records.configuration().orElseThrow().configuration();
         String pool = request.route().pool();
--- a/daemon/src/main/java/org/snipewind/daemon/entry/RouteTable.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RouteTable.java
@@ -54,7 +54,16 @@
         }
         return Arrays.stream(uri.substring(start + 1).split("&"))
                 .filter(parameter -> parameter.startsWith(name + "="))
-                .map(parameter -> URLDecoder.decode(parameter.substring(name.length() + 1), StandardCharsets.UTF_8))
-                .findFirst();
+                .findFirst()
+                .flatMap(parameter -> decode(parameter.substring(name.length() + 1)));
+    }
+
+    /** Decodes a value; one with a broken escape is no key. */
+    private static Optional<String> decode(String value) {
+        try {
+            return Optional.of(URLDecoder.decode(value, StandardCharsets.UTF_8));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
     }
 }
