End a disturbance that is interrupted while it starts a process

Cause: the end of the replay interrupts the disturbance, and a start of a daemon that was under way reported this as a failure of the measurement. Change: an interrupted disturbance counts as ended; log lines of stand-ins go to standard error, away from the figures.

--- a/standins/src/main/java/org/snipewind/standins/measure/TrafficMain.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/TrafficMain.java
@@ -27,6 +27,7 @@
      * @param arguments names of measurements
      */
     public static void main(String[] arguments) {
+        System.setProperty("logback.configurationFile", "standins-logback.xml");
         ArgumentParser parser = ArgumentParsers.newFor("traffic").build().description("Measures with replayed traces.");
         parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of all random choices (default 1)");
         parser.addArgument("name").nargs("+").choices(MEASUREMENTS.keySet()).help("measurements to run");
--- a/standins/src/main/java/org/snipewind/standins/measure/TrafficRun.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/TrafficRun.java
@@ -96,6 +96,11 @@
         } catch (InterruptedException e) {
             ended.complete(null);
         } catch (RuntimeException e) {
+            // The end of the replay also interrupts a start of a process, which reports that as a failure.
+            if (Thread.currentThread().isInterrupted()) {
+                ended.complete(null);
+                return;
+            }
             ended.completeExceptionally(new CompletionException("the disturbance failed", e));
         }
     }
