End grants with the lease of their supervisor, and list the traffic measurements

Cause: recovery from the loss of a target together with its supervisor took 3.1 to 3.5 s against a target of 2 s. The successor had to wait for the whole length of its predecessor's last grant on top of the end of its lease. Ruled out: the coordinator's writes, which take some milliseconds. Change: a grant now ends no later than the supervisor's lease, so that its successor waits for nothing more; a supervisor that gives a role away first lets the target release its grant, and a role with a long request stays where it is. The measurements that replay traces are in the registry of bin/measure.

--- a/coordination/src/main/java/org/snipewind/coordination/ownership/TargetGrant.java
+++ b/coordination/src/main/java/org/snipewind/coordination/ownership/TargetGrant.java
@@ -13,14 +13,14 @@
 public final class TargetGrant {
 
     // At a renewal every 250 ms this spans many grants; an acknowledgement of an older order extends nothing.
-    private static final int REMEMBERED_READINGS = 64;
+    private static final int REMEMBERED_ORDERS = 64;
     private static final long NEVER = Long.MIN_VALUE;
 
     private final MillisClock clock;
     private final long grantMillis;
     private final long marginMillis;
-    // Local send time of the call that yielded a reading, by reading; only of the present incarnation.
-    private final LinkedHashMap<Long, Long> sentAtByReading = new LinkedHashMap<>();
+    // Earliest local end of the grant that an order gives, by the end that it carries; only of the present incarnation.
+    private final LinkedHashMap<Long, Long> liveUntilByEnd = new LinkedHashMap<>();
     private Optional<Reading> newest = Optional.empty();
     private long liveUntil = NEVER;
     private long certainEnd;
@@ -44,18 +44,57 @@
         certainEnd = clock.nowMillis() + grantMillis + marginMillis;
     }
 
+    /**
+     * Creates the view of a supervisor whose predecessor's grants have all ended, because they ended with its lease or
+     * were released.
+     *
+     * @param clock the supervisor's clock
+     * @param grantMillis length of a grant from the reading of the target's clock
+     * @param marginMillis bound of the clocks' error over one grant
+     * @return a view in which no grant is in force
+     */
+    public static TargetGrant afterEndedGrants(MillisClock clock, long grantMillis, long marginMillis) {
+        TargetGrant grant = new TargetGrant(clock, grantMillis, marginMillis);
+        grant.certainEnd = clock.nowMillis();
+        return grant;
+    }
+
     /**
      * Begins an order to the target.
      *
      * @return the end of the grant on the target's clock, or 0 while no reading of that clock is known
      */
     public synchronized long beginOrder() {
+        return beginOrder(Long.MAX_VALUE);
+    }
+
+    /**
+     * Begins an order to the target whose grant ends no later than the supervisor's right to act. The target took its
+     * reading before the supervisor received it, so the time that remains to the supervisor from then on, added to the
+     * reading, is a bound on the target's clock.
+     *
+     * @param supervisorEndMillis end of the supervisor's right to act, as a reading of its clock
+     * @return the end of the grant on the target's clock, or 0 while no grant can be given
+     */
+    public synchronized long beginOrder(long supervisorEndMillis) {
         lastOrder = clock.nowMillis();
         if (newest.isEmpty()) {
             return 0;
         }
-        certainEnd = Math.max(certainEnd, newest.get().receivedAt + grantMillis + marginMillis);
-        return newest.get().targetMillis + grantMillis;
+        Reading reading = newest.get();
+        long duration = supervisorEndMillis == Long.MAX_VALUE
+                ? grantMillis
+                : Math.min(grantMillis, supervisorEndMillis - reading.receivedAt);
+        if (duration <= 0) {
+            return 0;
+        }
+        certainEnd = Math.max(certainEnd, reading.receivedAt + duration + marginMillis);
+        long end = reading.targetMillis + duration;
+        liveUntilByEnd.merge(end, reading.sentAt + duration, Math::min);
+        if (liveUntilByEnd.size() > REMEMBERED_ORDERS) {
+            liveUntilByEnd.remove(liveUntilByEnd.keySet().iterator().next());
+        }
+        return end;
     }
 
     /**
@@ -81,21 +120,17 @@
         }
         if (changed) {
             newest = Optional.empty();
-            sentAtByReading.clear();
+            liveUntilByEnd.clear();
             liveUntil = NEVER;
         }
-        Long usedSentAt = sentAtByReading.get(validUntilTargetMillis - grantMillis);
+        Long orderedUntil = liveUntilByEnd.get(validUntilTargetMillis);
         if (!accepted) {
             liveUntil = NEVER;
-        } else if (usedSentAt != null) {
-            liveUntil = Math.max(liveUntil, usedSentAt + grantMillis);
+        } else if (orderedUntil != null) {
+            liveUntil = Math.max(liveUntil, orderedUntil);
         }
         if (newest.isEmpty() || newest.get().targetMillis < targetMillis) {
             newest = Optional.of(reading);
-            sentAtByReading.put(targetMillis, sentAtMillis);
-            if (sentAtByReading.size() > REMEMBERED_READINGS) {
-                sentAtByReading.remove(sentAtByReading.keySet().iterator().next());
-            }
         }
         return changed;
     }
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/Departure.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/Departure.java
@@ -74,8 +74,12 @@
         long end = clock.nowMillis() + longestMillis;
         records.fleet().rolesOf(memberId).forEach(rights::relinquish);
         try {
-            giveAwayIdleRoles(end);
-            await(membership.leave(), end);
+            if (giveAwayIdleRoles(end)) {
+                await(membership.leave(), end);
+            } else {
+                // A grant may still be in force; it ends with the lease, after which peers remove this member.
+                log.write(LogEvent.LEAVE_NOT_WRITTEN, "work of " + memberId + " goes on at the end of the grace");
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException | TimeoutException e) {
@@ -83,15 +87,18 @@
         }
     }
 
-    private void giveAwayIdleRoles(long end) throws InterruptedException, ExecutionException, TimeoutException {
+    /** Gives roles away as they become idle, and tells whether no work is left under any role. */
+    private boolean giveAwayIdleRoles(long end) throws InterruptedException, ExecutionException, TimeoutException {
         List<String> held = records.fleet().rolesOf(memberId);
-        while (!held.isEmpty()
-                && clock.nowMillis() < end
-                && records.fleet().members().size() > 1) {
+        while (!held.isEmpty() && clock.nowMillis() < end) {
             held.forEach(rights::relinquish);
             Set<String> idle = new HashSet<>(held);
             idle.removeIf(role -> !activity.isIdle(role));
-            if (idle.isEmpty()) {
+            boolean alone = records.fleet().members().size() == 1;
+            if (alone && idle.size() == held.size()) {
+                return true;
+            }
+            if (alone || idle.isEmpty()) {
                 Thread.sleep(STEP_MILLIS);
             } else {
                 await(
@@ -103,6 +110,7 @@
             }
             held = records.fleet().rolesOf(memberId);
         }
+        return held.isEmpty();
     }
 
     private void await(CompletableFuture<Boolean> write, long end)
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/RoleManager.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/RoleManager.java
@@ -120,8 +120,11 @@
             if (fleet.tokenOf(role, memberId).isEmpty()) {
                 leaving.remove(role);
                 rights.reclaim(role);
-            } else if (activity.isIdle(role) || clock.nowMillis() - leaving.get(role) > LONGEST_DRAIN_MILLIS) {
+            } else if (activity.isIdle(role)) {
                 (required.containsKey(role) ? handedOver : dropped).add(role);
+            } else if (clock.nowMillis() - leaving.get(role) > LONGEST_DRAIN_MILLIS && required.containsKey(role)) {
+                // A long request keeps the role here; it moves in a later round.
+                takeBack(Set.of(role));
             }
         }
         if (writing || (handedOver.isEmpty() && dropped.isEmpty())) {
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/RoleRights.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/RoleRights.java
@@ -63,6 +63,35 @@
         return records.fleet().tokenOf(role, memberId);
     }
 
+    /**
+     * Finds the fencing token of a role that this daemon holds and is giving away.
+     *
+     * @param role name of the role
+     * @return the token, or empty if the role is another's or not being given away, or the lease is not valid
+     */
+    public Optional<Long> relinquishedToken(String role) {
+        return relinquished.contains(role) && lease.isValid() ? recordedToken(role) : Optional.empty();
+    }
+
+    /**
+     * Finds the fencing token of a role that the fleet record gives to this daemon.
+     *
+     * @param role name of the role
+     * @return the token, or empty if the role is another's
+     */
+    public Optional<Long> recordedToken(String role) {
+        return records.fleet().tokenOf(role, memberId);
+    }
+
+    /**
+     * Gives the end of this daemon's right to act.
+     *
+     * @return reading of the clock at which the lease ends unless it is renewed
+     */
+    public long validUntilMillis() {
+        return lease.validUntilMillis();
+    }
+
     /**
      * Tells whether the lease is valid and this daemon is a member.
      *
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/SupervisorTable.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/SupervisorTable.java
@@ -100,7 +100,7 @@
                 .forEach((poolName, pool) ->
                         pool.targets().forEach((target, settings) -> followTarget(target, settings, poolName, pool)));
         for (String target : List.copyOf(supervisors.keySet())) {
-            if (rights.assignedToken(RoleNames.target(target)).isEmpty()) {
+            if (rights.recordedToken(RoleNames.target(target)).isEmpty()) {
                 end(target);
             }
         }
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
@@ -38,6 +38,7 @@
     // Two missed renewals; one may be lost or late without anything being wrong.
     private static final long SUSPECT_AFTER_MILLIS = 2 * FleetTimes.GRANT_RENEWAL_MILLIS;
     private static final long RETRY_ORDER_MILLIS = 100;
+    private static final long RELEASE_INTERVAL_MILLIS = 40;
 
     private final String target;
     private final String pool;
@@ -64,6 +65,7 @@
     private volatile long orderedVersion = -1;
     private volatile long reportedMillis;
     private volatile boolean draining;
+    private volatile boolean released;
     private volatile Clearance clearance = new Clearance(0, false, 0);
 
     /**
@@ -106,7 +108,7 @@
         this.createdMillis = clock.nowMillis();
         this.acknowledgedMillis = createdMillis - SUSPECT_AFTER_MILLIS;
         this.orderedMillis = createdMillis - FleetTimes.GRANT_MILLIS;
-        this.grant = new TargetGrant(clock, FleetTimes.GRANT_MILLIS, FleetTimes.CLOCK_ERROR_MILLIS);
+        this.grant = TargetGrant.afterEndedGrants(clock, FleetTimes.GRANT_MILLIS, FleetTimes.CLOCK_ERROR_MILLIS);
         this.gate = new TargetGate(
                 target,
                 settings,
@@ -151,6 +153,7 @@
     void run() {
         Optional<Long> token = rights.activeToken(role);
         if (token.isPresent()) {
+            released = false;
             long interval = condition == TargetCondition.LIVE ? FleetTimes.GRANT_RENEWAL_MILLIS : RETRY_ORDER_MILLIS;
             boolean tableChanged = settings.divided() && records.table(pool).version() != orderedVersion;
             boolean notReleased = settings.divided() && releasedVersion < orderedVersion;
@@ -161,6 +164,7 @@
             judge();
             report(token.get());
         }
+        rights.relinquishedToken(role).ifPresent(this::release);
         gate.expire();
         gate.pump();
     }
@@ -175,8 +179,12 @@
         return gate.load(isOpen() && condition == TargetCondition.LIVE);
     }
 
+    /**
+     * Tells whether the role can be given away: nothing is in flight, and the target has released its grant or the
+     * grant has ended, so that a successor needs to wait for nothing.
+     */
     boolean isIdle() {
-        return gate.inFlightCount() == 0;
+        return gate.inFlightCount() == 0 && (released || grant.hasCertainlyEnded());
     }
 
     TargetStatus status() {
@@ -243,6 +251,18 @@
                 && records.table(pool).slices().get(slice).isServableBy(target);
     }
 
+    private void release(long token) {
+        if (released || gate.inFlightCount() > 0 || clock.nowMillis() - orderedMillis < RELEASE_INTERVAL_MILLIS) {
+            return;
+        }
+        orderedMillis = clock.nowMillis();
+        // The same table version without slices: the target refuses renewals of this supervisor that arrive later.
+        long version = settings.divided() ? Math.max(0, orderedVersion) : 0;
+        endpoint.grant(new GrantOrder(target, token, version, Set.of(), 0)).thenAccept(answer -> {
+            released |= answer.accepted() && rights.relinquishedToken(role).isPresent();
+        });
+    }
+
     private void order(long token) {
         SliceTable table = records.table(pool);
         Set<Integer> slices = settings.divided() ? table.servableBy(target) : Set.of();
@@ -252,7 +272,7 @@
         long sentAt = clock.nowMillis();
         orderedMillis = sentAt;
         orderedVersion = version;
-        long validUntil = isCleared(version) ? grant.beginOrder() : 0;
+        long validUntil = isCleared(version) ? grant.beginOrder(rights.validUntilMillis()) : 0;
         GrantOrder order = new GrantOrder(target, token, version, slices, validUntil);
         metrics.count("supervisor.grant-orders");
         endpoint.grant(order).whenComplete((answer, failure) -> {
--- a/standins/src/main/java/org/snipewind/standins/measure/Measurements.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/Measurements.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.snipewind.standins.deployment.DeploymentPlan;
 
 /** The list of all measurements. */
 public final class Measurements {
@@ -15,7 +16,14 @@
             new ScaleMeasurement(),
             new RecoveryMeasurement(),
             new ExclusiveMeasurement(),
-            new BalanceMeasurement());
+            new BalanceMeasurement(),
+            new TrafficMeasurement("stragglers", DeploymentPlan.VOCES_DEL_PLATA, false, StragglersMeasurement::run),
+            new TrafficMeasurement("fairness", DeploymentPlan.JALSETU, true, FairnessMeasurement::run),
+            new TrafficMeasurement("limits", DeploymentPlan.VOCES_DEL_PLATA, false, LimitsMeasurement::run),
+            new TrafficMeasurement("cold-start", DeploymentPlan.VOCES_DEL_PLATA, false, ColdStartMeasurement::run),
+            new TrafficMeasurement(
+                    "data-center-out", DeploymentPlan.VOCES_DEL_PLATA, false, DataCentreOutMeasurement::run),
+            new TrafficMeasurement("at-most-once", DeploymentPlan.VOCES_DEL_PLATA, false, AtMostOnceMeasurement::run));
 
     private Measurements() {}
 
