Ask for the load of targets before a request whose views are stale

Cause: at a few requests a second per entry daemon the views of a pool's targets were older than the moments in which a target is slow, so it was chosen as if it were not. Ruled out: random choice (worse) and more hedging (its share is small). Change: a request to an undivided pool asks up to four targets' supervisors if fewer than four views are younger than 20 ms, and waits at most 5 ms.

--- a/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ScheduledExecutorService;
@@ -120,8 +121,12 @@
         if (request.result().isDone()) {
             return;
         }
+        guarded(request, () -> attemptNow(request, lastRefusal));
+    }
+
+    private void guarded(RoutedRequest request, Runnable step) {
         try {
-            attemptNow(request, lastRefusal);
+            step.run();
         } catch (RuntimeException e) {
             // The caller must get an outcome also after a fault of the router itself.
             metrics.count("entry.faults");
@@ -139,6 +144,27 @@
             finish(request, Either.left(lastRefusal.orElseGet(() -> noDestination(request))));
             return;
         }
+        if (request.slice().isPresent()) {
+            sendToDestination(request, remaining);
+            return;
+        }
+        String pool = request.route().pool();
+        FleetConfiguration configuration = records.configuration().orElseThrow().configuration();
+        if (!configuration.pools().containsKey(pool)) {
+            park(request);
+            return;
+        }
+        CompletableFuture<Void> views = board.refresh(configuration, pool);
+        if (views.isDone()) {
+            sendToDestination(request, remaining);
+        } else {
+            views.whenComplete((ignored, failure) -> guarded(
+                    request,
+                    () -> sendToDestination(request, Math.max(1, request.deadlineMillis() - clock.nowMillis()))));
+        }
+    }
+
+    private void sendToDestination(RoutedRequest request, long remaining) {
         Optional<Destination> destination = destination(request);
         if (destination.isEmpty()) {
             park(request);
--- a/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
@@ -1,12 +1,15 @@
 package org.snipewind.daemon.entry;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.fleet.Member;
@@ -31,6 +34,11 @@
     private static final long PROBE_TIMEOUT_MILLIS = 200;
     // A view older than this says little about a target that serves a request in some milliseconds.
     private static final long PROBE_INTERVAL_MILLIS = 5;
+    // A request waits for fresh views of this many targets, since a stale view does not show that a target became slow.
+    private static final int VIEWS_BEFORE_CHOICE = 4;
+    private static final long CURRENT_MILLIS = 20;
+    // Several round trips between data centres; a supervisor that does not answer by then is not worth the wait.
+    private static final long LONGEST_REFRESH_MILLIS = 5;
     private static final long NEVER_MILLIS = 60_000;
     // Crossing to another data centre costs about a millisecond each way in the deployments that the router serves.
     private static final long OTHER_DATA_CENTRE_MICROS = 1_500;
@@ -43,7 +51,7 @@
     private final PeerConnections peers;
     private final DaemonMetrics metrics;
     private final Map<String, View> views = new ConcurrentHashMap<>();
-    private final Set<String> probing = ConcurrentHashMap.newKeySet();
+    private final Map<String, CompletableFuture<Void>> probing = new ConcurrentHashMap<>();
 
     /** The newest answer about a target and the requests that this daemon has sent it since. */
     private record View(LoadAnswer answer, long atMillis, AtomicInteger sentSince) {}
@@ -65,8 +73,36 @@
         this.metrics = metrics;
     }
 
+    /** Asks for views of some targets if too few are current; completes when they came or the wait is over. */
+    CompletableFuture<Void> refresh(FleetConfiguration configuration, String poolName) {
+        List<Candidate> candidates = candidates(configuration, poolName);
+        Collections.shuffle(candidates, ThreadLocalRandom.current());
+        List<Candidate> stale = candidates.stream()
+                .filter(candidate -> candidate.ageMillis() > CURRENT_MILLIS)
+                .toList();
+        int missing = Math.min(VIEWS_BEFORE_CHOICE, candidates.size()) - (candidates.size() - stale.size());
+        if (!settings.policy().loadAwareChoice() || candidates.size() < 2 || missing <= 0) {
+            return CompletableFuture.completedFuture(null);
+        }
+        CompletableFuture<?>[] probes = stale.stream()
+                .limit(missing)
+                .map(candidate -> probe(candidate.target()))
+                .toArray(CompletableFuture<?>[]::new);
+        return CompletableFuture.allOf(probes).completeOnTimeout(null, LONGEST_REFRESH_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Chooses a target of an undivided pool. */
     Optional<Destination> choose(FleetConfiguration configuration, String poolName, Set<String> excluded) {
+        List<Candidate> candidates = candidates(configuration, poolName);
+        probe(candidates);
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        Optional<String> chosen = settings.policy().loadAwareChoice()
+                ? TargetSelector.choose(candidates, excluded, random)
+                : TargetSelector.chooseRandom(candidates, excluded, random);
+        return chosen.flatMap(this::destination);
+    }
+
+    private List<Candidate> candidates(FleetConfiguration configuration, String poolName) {
         PoolSettings pool = configuration.pools().get(poolName);
         List<Candidate> candidates = new ArrayList<>();
         pool.targets().forEach((target, targetSettings) -> {
@@ -75,12 +111,7 @@
                 candidates.add(candidate(target, targetSettings, pool));
             }
         });
-        probe(candidates);
-        ThreadLocalRandom random = ThreadLocalRandom.current();
-        Optional<String> chosen = settings.policy().loadAwareChoice()
-                ? TargetSelector.choose(candidates, excluded, random)
-                : TargetSelector.chooseRandom(candidates, excluded, random);
-        return chosen.flatMap(this::destination);
+        return candidates;
     }
 
     private Optional<Destination> destination(String target) {
@@ -129,18 +160,25 @@
         }
     }
 
-    private void probe(String target) {
+    private CompletableFuture<Void> probe(String target) {
         Optional<Member> holder = records.fleet().holder(RoleNames.target(target));
-        if (holder.isEmpty() || holder.get().id().equals(memberId) || !probing.add(target)) {
-            return;
+        if (holder.isEmpty() || holder.get().id().equals(memberId)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        CompletableFuture<Void> running = probing.putIfAbsent(target, started);
+        if (running != null) {
+            return running;
         }
         metrics.count("entry.load-probes");
         peers.call(holder.get().peerAddress(), new LoadProbe(target), PROBE_TIMEOUT_MILLIS)
                 .whenComplete((answer, failure) -> {
-                    probing.remove(target);
                     LoadAnswer load =
                             answer instanceof LoadAnswer found ? found : new LoadAnswer(target, false, 0, 0, 1, 0);
                     views.put(target, new View(load, clock.nowMillis(), new AtomicInteger()));
+                    probing.remove(target);
+                    started.complete(null);
                 });
+        return started;
     }
 }
--- a/standins/src/main/java/org/snipewind/standins/measure/Measurements.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/Measurements.java
@@ -17,6 +17,7 @@
             new RecoveryMeasurement(),
             new ExclusiveMeasurement(),
             new BalanceMeasurement(),
+            new RecordsMeasurement(),
             new TrafficMeasurement("stragglers", DeploymentPlan.VOCES_DEL_PLATA, false, StragglersMeasurement::run),
             new TrafficMeasurement("fairness", DeploymentPlan.JALSETU, true, FairnessMeasurement::run),
             new TrafficMeasurement("limits", DeploymentPlan.VOCES_DEL_PLATA, false, LimitsMeasurement::run),
