--- a/standins/src/main/java/org/snipewind/standins/process/ChildProcess.java
+++ b/standins/src/main/java/org/snipewind/standins/process/ChildProcess.java
@@ -1,12 +1,19 @@
 package org.snipewind.standins.process;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A process started by a {@link ProcessLauncher}; all signals go to its id. */
 public final class ChildProcess {
 
+    private static final long LONGEST_PAUSE_NANOS = 5_000_000_000L;
+
     private final Process process;
     private final String readyLine;
 
@@ -52,9 +59,37 @@
         process.destroyForcibly();
     }
 
-    /** Freezes the process (SIGSTOP). */
+    /** Freezes the process (SIGSTOP) and returns once all its threads have stopped. */
     public void pause() {
         signal("STOP");
+        // The signal is delivered to the threads one by one; a thread that still runs could answer one more request.
+        long end = System.nanoTime() + LONGEST_PAUSE_NANOS;
+        while (!hasStopped()) {
+            if (System.nanoTime() > end) {
+                throw new IllegalStateException("process " + id() + " did not stop");
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    private boolean hasStopped() {
+        try (Stream<Path> threads = Files.list(Path.of("/proc", String.valueOf(id()), "task"))) {
+            return threads.allMatch(ChildProcess::isThreadStopped);
+        } catch (IOException | UncheckedIOException e) {
+            return !isAlive();
+        }
+    }
+
+    private static boolean isThreadStopped(Path thread) {
+        try {
+            String status = Files.readString(thread.resolve("stat"));
+            // The state follows the command name, which stands in parentheses and may hold any character.
+            return status.charAt(status.lastIndexOf(')') + 2) == 'T';
+        } catch (NoSuchFileException e) {
+            return true;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     /** Lets a frozen process go on (SIGCONT). */
