--- a/command/src/main/java/org/snipewind/command/Command.java
+++ b/command/src/main/java/org/snipewind/command/Command.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Optional;
@@ -58,7 +59,7 @@
         } catch (HelpScreenException help) {
             return ExitCode.DONE;
         } catch (ArgumentParserException failure) {
-            parser.handleError(failure, new java.io.PrintWriter(errors, true, StandardCharsets.UTF_8));
+            parser.handleError(failure, new PrintWriter(errors, true, StandardCharsets.UTF_8));
             return ExitCode.USAGE;
         } catch (StoreException | UnsupportedOperationException failure) {
             LOGGER.log(System.Logger.Level.DEBUG, "the store failed", failure);
--- a/command/src/main/java/org/snipewind/command/FolderCommands.java
+++ b/command/src/main/java/org/snipewind/command/FolderCommands.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.snipewind.platform.configuration.AcceptFailure;
 import org.snipewind.platform.configuration.ConfigurationChange;
@@ -21,8 +22,7 @@
     /** File of a folder that holds the number of the revision on which the folder is based. */
     static final String REVISION_FILE = ".snipewind-revision";
 
-    private static final FleetConfiguration NOTHING =
-            new FleetConfiguration(java.util.Map.of(), java.util.Map.of(), java.util.Map.of(), java.util.Map.of());
+    private static final FleetConfiguration NOTHING = new FleetConfiguration(Map.of(), Map.of(), Map.of(), Map.of());
 
     private FolderCommands() {}
 
@@ -31,7 +31,7 @@
         List<ConfigurationProblem> problems = result.isLeft() ? result.getLeft() : List.of();
         if (json) {
             output.json(problems.stream()
-                    .map(problem -> java.util.Map.of(
+                    .map(problem -> Map.of(
                             "file", problem.file(),
                             "line", problem.line(),
                             "field", problem.field(),
@@ -55,7 +55,7 @@
         Output output = new Output(context.output());
         if (json) {
             output.json(changes.stream()
-                    .map(change -> java.util.Map.of(
+                    .map(change -> Map.of(
                             "path", change.path(),
                             "before", change.before().orElse(""),
                             "after", change.after().orElse("")))
--- a/command/src/main/java/org/snipewind/command/HttpPlatform.java
+++ b/command/src/main/java/org/snipewind/command/HttpPlatform.java
@@ -7,6 +7,7 @@
 import io.vavr.Lazy;
 import io.vavr.control.Either;
 import io.vavr.control.Try;
+import java.io.IOException;
 import java.net.URI;
 import java.net.URL;
 import java.time.Duration;
@@ -56,7 +57,7 @@
             URI address = URI.create("http://" + operatorAddress + "/-/status");
             byte[] body = client.get().toBlocking().retrieve(HttpRequest.GET(address), byte[].class);
             return Either.right(ObjectMapper.getDefault().readValue(body, DaemonStatus.class));
-        } catch (java.io.IOException | RuntimeException failure) {
+        } catch (IOException | RuntimeException failure) {
             return Either.left(String.valueOf(failure.getMessage()));
         }
     }
--- a/command/src/main/java/org/snipewind/command/InForceWait.java
+++ b/command/src/main/java/org/snipewind/command/InForceWait.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -26,7 +27,7 @@
     /** Returns the exit code, after printing which daemons are missing if there are any. */
     int waitFor(long revision, long seconds) {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
-        Set<String> done = new java.util.HashSet<>();
+        Set<String> done = new HashSet<>();
         Map<String, String> missing = new TreeMap<>();
         while (true) {
             missing.clear();
--- a/command/src/main/java/org/snipewind/command/replay/ReplayEngine.java
+++ b/command/src/main/java/org/snipewind/command/replay/ReplayEngine.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -116,11 +117,7 @@
 
     private static String reasonOf(Throwable failure) {
         return cause(failure) instanceof HttpExchangeException exchange
-                ? "caller-"
-                        + exchange.stage()
-                                .name()
-                                .toLowerCase(java.util.Locale.ROOT)
-                                .replace('_', '-')
+                ? "caller-" + exchange.stage().name().toLowerCase(Locale.ROOT).replace('_', '-')
                 : "caller-" + cause(failure).getClass().getSimpleName();
     }
 
--- a/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
@@ -1,6 +1,7 @@
 package org.snipewind.daemon;
 
 import java.nio.charset.StandardCharsets;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -51,6 +52,7 @@
 import org.snipewind.platform.target.TargetEndpoint;
 import org.snipewind.protocol.NettyPeerConnections;
 import org.snipewind.protocol.PeerConnections;
+import org.snipewind.protocol.PeerEvent;
 import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.PeerServer;
 import org.snipewind.protocol.PeerSettings;
@@ -327,9 +329,8 @@
     }
 
     static PeerSettings peerSettings(String memberId, DaemonSettings settings, DaemonMetrics metrics) {
-        Map<org.snipewind.protocol.PeerEvent, String> names =
-                new java.util.EnumMap<>(org.snipewind.protocol.PeerEvent.class);
-        for (org.snipewind.protocol.PeerEvent event : org.snipewind.protocol.PeerEvent.values()) {
+        Map<PeerEvent, String> names = new EnumMap<>(PeerEvent.class);
+        for (PeerEvent event : PeerEvent.values()) {
             names.put(event, "peer." + event.wireName());
         }
         return PeerSettings.of(
--- a/daemon/src/main/java/org/snipewind/daemon/PeerDispatcher.java
+++ b/daemon/src/main/java/org/snipewind/daemon/PeerDispatcher.java
@@ -1,6 +1,7 @@
 package org.snipewind.daemon;
 
 import io.vavr.control.Either;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -107,6 +108,6 @@
         Refusal told = refusal.kind() == ErrorKind.INTERNAL
                 ? Refusal.of(ErrorKind.INTERNAL, "the supervisor failed")
                 : refusal;
-        return new ForwardAnswer(request.requestId(), Optional.of(told), 0, java.util.Map.of(), new byte[0]);
+        return new ForwardAnswer(request.requestId(), Optional.of(told), 0, Map.of(), new byte[0]);
     }
 }
--- a/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -121,7 +122,7 @@
         }
         return records.fleet()
                 .holder(RoleNames.target(target))
-                .map(member -> new Destination(target, member, java.util.OptionalInt.empty(), 0));
+                .map(member -> new Destination(target, member, OptionalInt.empty(), 0));
     }
 
     private Candidate candidate(String target, TargetSettings targetSettings, PoolSettings pool) {
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
@@ -1,11 +1,13 @@
 package org.snipewind.daemon.supervisor;
 
 import io.vavr.control.Either;
+import java.net.ConnectException;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
@@ -390,7 +392,7 @@
 
     private static boolean isConnectionRefused(Throwable failure) {
         for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
-            if (cause instanceof java.net.ConnectException) {
+            if (cause instanceof ConnectException) {
                 return true;
             }
         }
@@ -398,6 +400,6 @@
     }
 
     private static Set<Integer> intersection(Set<Integer> left, Set<Integer> right) {
-        return left.stream().filter(right::contains).collect(java.util.stream.Collectors.toUnmodifiableSet());
+        return left.stream().filter(right::contains).collect(Collectors.toUnmodifiableSet());
     }
 }
--- a/standins/src/main/java/org/snipewind/standins/measure/AtMostOnceMeasurement.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/AtMostOnceMeasurement.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.snipewind.command.replay.OutcomeKind;
 import org.snipewind.command.replay.ReplayResult;
@@ -77,7 +78,7 @@
         }
     }
 
-    private static long count(TrafficRun run, java.util.function.Predicate<ReplayResult> predicate) {
+    private static long count(TrafficRun run, Predicate<ReplayResult> predicate) {
         return run.results().stream().filter(predicate).count();
     }
 
--- a/standins/src/main/java/org/snipewind/standins/measure/BalanceRun.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/BalanceRun.java
@@ -7,9 +7,11 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.snipewind.coordination.ownership.AssignmentPlanner;
 import org.snipewind.coordination.ownership.KeyHasher;
 import org.snipewind.coordination.ownership.PlannerLimits;
+import org.snipewind.coordination.ownership.SliceOwnership;
 import org.snipewind.coordination.ownership.SliceTable;
 import org.snipewind.coordination.ownership.TargetStanding;
 import org.snipewind.coordination.ownership.TargetView;
@@ -135,8 +137,8 @@
                 "pool",
                 1,
                 "measure",
-                java.util.stream.IntStream.range(0, empty.slices().size())
-                        .mapToObj(slice -> new org.snipewind.coordination.ownership.SliceOwnership(
+                IntStream.range(0, empty.slices().size())
+                        .mapToObj(slice -> new SliceOwnership(
                                 Optional.of(Optional.ofNullable(points.ceilingEntry(KeyHasher.hash("slice-" + slice)))
                                         .orElse(points.firstEntry())
                                         .getValue()),
--- a/standins/src/main/java/org/snipewind/standins/measure/RoutedLoad.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/RoutedLoad.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
+import org.snipewind.platform.configuration.ColdStartSettings;
 import org.snipewind.platform.configuration.FleetConfiguration;
 import org.snipewind.platform.configuration.PoolSettings;
 import org.snipewind.platform.configuration.RouteSettings;
@@ -60,7 +61,7 @@
                         false,
                         SLOTS,
                         pool.longestDeadlineMillis(),
-                        new org.snipewind.platform.configuration.ColdStartSettings(SLOTS, 1),
+                        new ColdStartSettings(SLOTS, 1),
                         pool.targets()));
         return DeploymentPlan.of(SampleConfiguration.withRates(open, RATE_FACTOR))
                 .withDaemons(daemons)
