Share the look into failure causes, and drop dead state and repeated checks

Cause: a read-through of the whole change. Three classes walked the causes of a failure by themselves; StoreContact kept an own contact that nothing read; the attempts checked twice that a pool exists, and the baseline of random choice built and shuffled candidates that it did not use. Change: FailureCauses serves the three classes; the unread state is gone; the board of loads itself treats an unknown pool as one without candidates and looks at the policy first.

--- a/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
@@ -148,13 +148,8 @@
             sendToDestination(request, remaining);
             return;
         }
-        String pool = request.route().pool();
-        FleetConfiguration configuration = records.configuration().orElseThrow().configuration();
-        if (!configuration.pools().containsKey(pool)) {
-            park(request);
-            return;
-        }
-        CompletableFuture<Void> views = board.refresh(configuration, pool);
+        CompletableFuture<Void> views =
+                board.refresh(configuration(), request.route().pool());
         if (views.isDone()) {
             sendToDestination(request, remaining);
         } else {
@@ -181,7 +176,7 @@
     }
 
     private Optional<Destination> destination(RoutedRequest request) {
-        FleetConfiguration configuration = records.configuration().orElseThrow().configuration();
+        FleetConfiguration configuration = configuration();
         String pool = request.route().pool();
         if (!configuration.pools().containsKey(pool)) {
             return Optional.empty();
@@ -201,6 +196,10 @@
                         .map(member -> new Destination(target, member, request.slice(), table.version())));
     }
 
+    private FleetConfiguration configuration() {
+        return records.configuration().orElseThrow().configuration();
+    }
+
     private void park(RoutedRequest request) {
         metrics.count("entry.parked-requests");
         parked.add(new Parked(request, Math.min(request.deadlineMillis(), clock.nowMillis() + PARK_MILLIS)));
@@ -290,7 +289,7 @@
                 || remaining <= 0) {
             return;
         }
-        FleetConfiguration configuration = records.configuration().orElseThrow().configuration();
+        FleetConfiguration configuration = configuration();
         Optional<Destination> other =
                 board.choose(configuration, request.route().pool(), request.triedTargets());
         if (other.isPresent() && hedges(request).tryHedge()) {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
@@ -76,13 +76,16 @@
 
     /** Asks for views of some targets if too few are current; completes when they came or the wait is over. */
     CompletableFuture<Void> refresh(FleetConfiguration configuration, String poolName) {
+        if (!settings.policy().loadAwareChoice()) {
+            return CompletableFuture.completedFuture(null);
+        }
         List<Candidate> candidates = candidates(configuration, poolName);
         Collections.shuffle(candidates, ThreadLocalRandom.current());
         List<Candidate> stale = candidates.stream()
                 .filter(candidate -> candidate.ageMillis() > CURRENT_MILLIS)
                 .toList();
         int missing = Math.min(VIEWS_BEFORE_CHOICE, candidates.size()) - (candidates.size() - stale.size());
-        if (!settings.policy().loadAwareChoice() || candidates.size() < 2 || missing <= 0) {
+        if (candidates.size() < 2 || missing <= 0) {
             return CompletableFuture.completedFuture(null);
         }
         CompletableFuture<?>[] probes = stale.stream()
@@ -106,6 +109,9 @@
     private List<Candidate> candidates(FleetConfiguration configuration, String poolName) {
         PoolSettings pool = configuration.pools().get(poolName);
         List<Candidate> candidates = new ArrayList<>();
+        if (pool == null) {
+            return candidates;
+        }
         pool.targets().forEach((target, targetSettings) -> {
             if (configuration.isInService(targetSettings)
                     && records.fleet().holder(RoleNames.target(target)).isPresent()) {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/SupervisorClient.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/SupervisorClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeoutException;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
+import org.snipewind.daemon.FailureCauses;
 import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.supervisor.SupervisorTable;
 import org.snipewind.platform.target.TargetAnswer;
@@ -86,7 +87,7 @@
         if (cause instanceof PeerException peer && !peer.wasSent()) {
             return Refusal.of(ErrorKind.OWNER_UNREACHABLE, "the supervisor can't be reached");
         }
-        if (cause instanceof TimeoutException || cause.getCause() instanceof TimeoutException) {
+        if (FailureCauses.contain(failure, TimeoutException.class)) {
             peers.send(address, new CancelRequest(request.requestId()));
             return Refusal.of(ErrorKind.DEADLINE_AFTER_SEND, "no answer before the deadline");
         }
--- a/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import org.snipewind.daemon.FailureCauses;
 import org.snipewind.platform.store.ConditionalWriter;
 import org.snipewind.platform.store.KeyValueStore;
 import org.snipewind.platform.store.VersionedValue;
@@ -63,12 +64,7 @@
      * @return true if the effect of its write is not known
      */
     public static boolean isUncertain(Throwable failure) {
-        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
-            if (cause instanceof UncertainWriteException) {
-                return true;
-            }
-        }
-        return false;
+        return FailureCauses.contain(failure, UncertainWriteException.class);
     }
 
     /**
--- a/daemon/src/main/java/org/snipewind/daemon/record/StoreContact.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/StoreContact.java
@@ -7,7 +7,6 @@
 public final class StoreContact {
 
     private final MillisClock clock;
-    private final AtomicLong ownMillis;
     private final AtomicLong newestMillis;
 
     /**
@@ -17,9 +16,7 @@
      */
     public StoreContact(MillisClock clock) {
         this.clock = clock;
-        long never = clock.nowMillis() - Integer.MAX_VALUE;
-        this.ownMillis = new AtomicLong(never);
-        this.newestMillis = new AtomicLong(never);
+        this.newestMillis = new AtomicLong(clock.nowMillis() - Integer.MAX_VALUE);
     }
 
     /**
@@ -40,8 +37,7 @@
      * @param begunMillis what {@link #begin} gave before the call
      */
     public void contacted(long begunMillis) {
-        ownMillis.accumulateAndGet(begunMillis, Math::max);
-        newestMillis.accumulateAndGet(begunMillis, Math::max);
+        heard(0, begunMillis);
     }
 
     /**
@@ -62,13 +58,4 @@
     public long ageMillis() {
         return clock.nowMillis() - newestMillis.get();
     }
-
-    /**
-     * Gives the age of this daemon's own newest contact.
-     *
-     * @return age in milliseconds
-     */
-    public long ownAgeMillis() {
-        return clock.nowMillis() - ownMillis.get();
-    }
 }
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
@@ -14,6 +14,7 @@
 import org.snipewind.coordination.fleet.RoleNames;
 import org.snipewind.coordination.ownership.SliceTable;
 import org.snipewind.coordination.ownership.TargetGrant;
+import org.snipewind.daemon.FailureCauses;
 import org.snipewind.daemon.entry.OrganisationDirectory;
 import org.snipewind.daemon.fleet.FleetTimes;
 import org.snipewind.daemon.fleet.RoleRights;
@@ -282,7 +283,7 @@
                 acknowledged(order, sentAt, answer);
             } else {
                 metrics.count("supervisor.grant-failures");
-                if (isConnectionRefused(failure)) {
+                if (FailureCauses.contain(failure, ConnectException.class)) {
                     suspect();
                 }
             }
@@ -390,15 +391,6 @@
         }
     }
 
-    private static boolean isConnectionRefused(Throwable failure) {
-        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
-            if (cause instanceof ConnectException) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private static Set<Integer> intersection(Set<Integer> left, Set<Integer> right) {
         return left.stream().filter(right::contains).collect(Collectors.toUnmodifiableSet());
     }
