--- a/platform/src/main/java/org/snipewind/platform/configuration/ConfigurationCodec.java
+++ b/clients/src/main/java/org/snipewind/clients/configuration/ConfigurationCodec.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.configuration;
+package org.snipewind.clients.configuration;
 
 import io.micronaut.serde.ObjectMapper;
 import io.vavr.control.Either;
--- a/platform/src/main/java/org/snipewind/platform/configuration/ConfigurationDifference.java
+++ b/clients/src/main/java/org/snipewind/clients/configuration/ConfigurationDifference.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.configuration;
+package org.snipewind.clients.configuration;
 
 import java.util.List;
 import java.util.Map;
--- a/platform/src/main/java/org/snipewind/platform/configuration/ConfigurationProblem.java
+++ b/clients/src/main/java/org/snipewind/clients/configuration/ConfigurationProblem.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.configuration;
+package org.snipewind.clients.configuration;
 
 /**
  * A mistake in a configuration folder.
--- a/platform/src/main/java/org/snipewind/platform/configuration/ConfigurationStore.java
+++ b/clients/src/main/java/org/snipewind/clients/configuration/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.configuration;
+package org.snipewind.clients.configuration;
 
 import io.vavr.control.Either;
 import java.time.Instant;
@@ -11,10 +11,10 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.StoreException;
-import org.snipewind.platform.store.SwapResult;
-import org.snipewind.platform.store.VersionedValue;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.StoreException;
+import org.snipewind.clients.store.SwapResult;
+import org.snipewind.clients.store.VersionedValue;
 
 /**
  * The accepted revisions of the configuration in the store.
--- a/platform/src/main/java/org/snipewind/platform/configuration/OrganisationSettings.java
+++ b/clients/src/main/java/org/snipewind/clients/configuration/OrganisationSettings.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.configuration;
+package org.snipewind.clients.configuration;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import io.micronaut.serde.annotation.Serdeable;
--- a/platform/src/main/java/org/snipewind/platform/configuration/package-info.java
+++ b/clients/src/main/java/org/snipewind/clients/configuration/package-info.java
@@ -1,2 +1,2 @@
 /** The model of the operators' configuration, its merge and its checks. */
-package org.snipewind.platform.configuration;
+package org.snipewind.clients.configuration;
--- a/platform/src/main/java/org/snipewind/platform/instances/HttpInstanceList.java
+++ b/clients/src/main/java/org/snipewind/clients/instances/HttpInstanceList.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.instances;
+package org.snipewind.clients.instances;
 
 import io.micronaut.core.type.Argument;
 import java.net.URI;
@@ -6,10 +6,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import org.snipewind.platform.transport.HttpAnswer;
-import org.snipewind.platform.transport.HttpTransport;
-import org.snipewind.platform.transport.HttpTransportSettings;
-import org.snipewind.platform.transport.JsonCodec;
+import org.snipewind.clients.transport.HttpAnswer;
+import org.snipewind.clients.transport.HttpTransport;
+import org.snipewind.clients.transport.HttpTransportSettings;
+import org.snipewind.clients.transport.JsonCodec;
 
 /** Reads the platform's list of instances over HTTP: a JSON object of states by instance name. */
 public final class HttpInstanceList implements InstanceList, AutoCloseable {
--- a/platform/src/main/java/org/snipewind/platform/instances/InstanceList.java
+++ b/clients/src/main/java/org/snipewind/clients/instances/InstanceList.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.instances;
+package org.snipewind.clients.instances;
 
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/org/snipewind/platform/instances/InstanceState.java
+++ b/clients/src/main/java/org/snipewind/clients/instances/InstanceState.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.instances;
+package org.snipewind.clients.instances;
 
 /** State of an instance in the platform's list. */
 public enum InstanceState {
--- a/platform/src/main/java/org/snipewind/platform/package-info.java
+++ b/clients/src/main/java/org/snipewind/clients/package-info.java
@@ -1,2 +1,2 @@
 /** Clients of the platform and of the targets. */
-package org.snipewind.platform;
+package org.snipewind.clients;
--- a/platform/src/main/java/org/snipewind/platform/status/DaemonStatus.java
+++ b/clients/src/main/java/org/snipewind/clients/status/DaemonStatus.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.status;
+package org.snipewind.clients.status;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import io.micronaut.serde.annotation.Serdeable;
--- a/platform/src/main/java/org/snipewind/platform/status/package-info.java
+++ b/clients/src/main/java/org/snipewind/clients/status/package-info.java
@@ -1,2 +1,2 @@
 /** The status that a daemon reports to operators. */
-package org.snipewind.platform.status;
+package org.snipewind.clients.status;
--- a/platform/src/main/java/org/snipewind/platform/store/CompactSliceTable.java
+++ b/clients/src/main/java/org/snipewind/clients/store/CompactSliceTable.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 import io.micronaut.serde.annotation.Serdeable;
 import java.util.ArrayList;
--- a/platform/src/main/java/org/snipewind/platform/store/HttpKeyValueStore.java
+++ b/clients/src/main/java/org/snipewind/clients/store/HttpKeyValueStore.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 import java.net.URI;
 import java.net.URLEncoder;
@@ -9,11 +9,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
-import org.snipewind.platform.store.StoreCallObserver.Kind;
-import org.snipewind.platform.store.StoreCallObserver.Outcome;
-import org.snipewind.platform.transport.HttpAnswer;
-import org.snipewind.platform.transport.HttpTransport;
-import org.snipewind.platform.transport.HttpTransportSettings;
+import org.snipewind.clients.store.StoreCallObserver.Kind;
+import org.snipewind.clients.store.StoreCallObserver.Outcome;
+import org.snipewind.clients.transport.HttpAnswer;
+import org.snipewind.clients.transport.HttpTransport;
+import org.snipewind.clients.transport.HttpTransportSettings;
 
 /**
  * Reaches the store over HTTP.
--- a/platform/src/main/java/org/snipewind/platform/store/RecordCodec.java
+++ b/clients/src/main/java/org/snipewind/clients/store/RecordCodec.java
@@ -1,11 +1,11 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 import io.micronaut.serde.annotation.SerdeImport;
+import org.snipewind.clients.transport.JsonCodec;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.fleet.Member;
 import org.snipewind.coordination.fleet.RoleAssignment;
 import org.snipewind.coordination.ownership.SliceTable;
-import org.snipewind.platform.transport.JsonCodec;
 
 /** Encodes the records of the store as JSON. */
 @SerdeImport(FleetRecord.class)
--- a/platform/src/main/java/org/snipewind/platform/store/StoreCallObserver.java
+++ b/clients/src/main/java/org/snipewind/clients/store/StoreCallObserver.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 /** Receives one report for each call to the store. */
 @FunctionalInterface
--- a/platform/src/main/java/org/snipewind/platform/store/StoreException.java
+++ b/clients/src/main/java/org/snipewind/clients/store/StoreException.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 /** Reports that the store did not answer, so that the effect of a call is not known. */
 public final class StoreException extends RuntimeException {
--- a/platform/src/main/java/org/snipewind/platform/store/SwapResult.java
+++ b/clients/src/main/java/org/snipewind/clients/store/SwapResult.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 /**
  * The certain result of a compare-and-swap; an uncertain one fails its future instead.
--- a/platform/src/main/java/org/snipewind/platform/store/VersionedValue.java
+++ b/clients/src/main/java/org/snipewind/clients/store/VersionedValue.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 /**
  * A value of the store.
--- a/platform/src/main/java/org/snipewind/platform/store/WriteOutcome.java
+++ b/clients/src/main/java/org/snipewind/clients/store/WriteOutcome.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 import java.util.Optional;
 
--- a/platform/src/main/java/org/snipewind/platform/target/GrantAcknowledgement.java
+++ b/clients/src/main/java/org/snipewind/clients/target/GrantAcknowledgement.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.target;
+package org.snipewind.clients.target;
 
 /**
  * A target's answer to a grant order.
--- a/platform/src/main/java/org/snipewind/platform/target/GrantCodec.java
+++ b/clients/src/main/java/org/snipewind/clients/target/GrantCodec.java
@@ -1,7 +1,7 @@
-package org.snipewind.platform.target;
+package org.snipewind.clients.target;
 
 import io.micronaut.serde.annotation.SerdeImport;
-import org.snipewind.platform.transport.JsonCodec;
+import org.snipewind.clients.transport.JsonCodec;
 
 /** Encodes grant orders and their acknowledgements as JSON. */
 @SerdeImport(GrantOrder.class)
--- a/platform/src/main/java/org/snipewind/platform/target/HopByHopHeaders.java
+++ b/clients/src/main/java/org/snipewind/clients/target/HopByHopHeaders.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.target;
+package org.snipewind.clients.target;
 
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/platform/src/main/java/org/snipewind/platform/target/HttpTargetEndpoint.java
+++ b/clients/src/main/java/org/snipewind/clients/target/HttpTargetEndpoint.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.target;
+package org.snipewind.clients.target;
 
 import io.vavr.control.Either;
 import java.net.URI;
@@ -11,12 +11,12 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.snipewind.clients.transport.HttpAnswer;
+import org.snipewind.clients.transport.HttpExchangeException;
+import org.snipewind.clients.transport.HttpTransport;
+import org.snipewind.clients.transport.HttpTransportSettings;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.platform.transport.HttpAnswer;
-import org.snipewind.platform.transport.HttpExchangeException;
-import org.snipewind.platform.transport.HttpTransport;
-import org.snipewind.platform.transport.HttpTransportSettings;
 
 /** Reaches a target over HTTP. */
 public final class HttpTargetEndpoint implements TargetEndpoint {
--- a/platform/src/main/java/org/snipewind/platform/target/TargetEndpoint.java
+++ b/clients/src/main/java/org/snipewind/clients/target/TargetEndpoint.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.target;
+package org.snipewind.clients.target;
 
 import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
--- a/platform/src/main/java/org/snipewind/platform/target/TargetHeaders.java
+++ b/clients/src/main/java/org/snipewind/clients/target/TargetHeaders.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.target;
+package org.snipewind.clients.target;
 
 /** Names and values of the headers between supervisors and targets. */
 public final class TargetHeaders {
--- a/platform/src/main/java/org/snipewind/platform/target/package-info.java
+++ b/clients/src/main/java/org/snipewind/clients/target/package-info.java
@@ -1,2 +1,2 @@
 /** The client of a target: grants, requests, health and cancellation. */
-package org.snipewind.platform.target;
+package org.snipewind.clients.target;
--- a/platform/src/main/java/org/snipewind/platform/transport/HttpAnswer.java
+++ b/clients/src/main/java/org/snipewind/clients/transport/HttpAnswer.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.transport;
+package org.snipewind.clients.transport;
 
 import java.util.List;
 import java.util.Map;
--- a/platform/src/main/java/org/snipewind/platform/transport/HttpTransport.java
+++ b/clients/src/main/java/org/snipewind/clients/transport/HttpTransport.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.transport;
+package org.snipewind.clients.transport;
 
 import io.micronaut.buffer.netty.NettyByteBufferFactory;
 import io.micronaut.http.ByteBodyHttpResponse;
@@ -26,7 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import org.snipewind.platform.transport.HttpExchangeException.Stage;
+import org.snipewind.clients.transport.HttpExchangeException.Stage;
 import reactor.core.publisher.Mono;
 
 /**
--- a/platform/src/main/java/org/snipewind/platform/transport/HttpTransportSettings.java
+++ b/clients/src/main/java/org/snipewind/clients/transport/HttpTransportSettings.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.transport;
+package org.snipewind.clients.transport;
 
 /**
  * Limits of an HTTP transport.
--- a/platform/src/main/java/org/snipewind/platform/transport/JsonCodec.java
+++ b/clients/src/main/java/org/snipewind/clients/transport/JsonCodec.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.transport;
+package org.snipewind.clients.transport;
 
 import io.micronaut.core.type.Argument;
 import io.micronaut.serde.ObjectMapper;
--- a/platform/src/main/java/org/snipewind/platform/transport/package-info.java
+++ b/clients/src/main/java/org/snipewind/clients/transport/package-info.java
@@ -1,2 +1,2 @@
 /** Exchanges of whole HTTP messages over Micronaut's client. */
-package org.snipewind.platform.transport;
+package org.snipewind.clients.transport;
--- a/platform/src/test/java/org/snipewind/platform/configuration/ConfigurationStoreTest.java
+++ b/clients/src/test/java/org/snipewind/clients/configuration/ConfigurationStoreTest.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.configuration;
+package org.snipewind.clients.configuration;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/platform/src/test/java/org/snipewind/platform/configuration/MemoryStore.java
+++ b/clients/src/test/java/org/snipewind/clients/configuration/MemoryStore.java
@@ -1,13 +1,13 @@
-package org.snipewind.platform.configuration;
+package org.snipewind.clients.configuration;
 
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.StoreException;
-import org.snipewind.platform.store.SwapResult;
-import org.snipewind.platform.store.VersionedValue;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.StoreException;
+import org.snipewind.clients.store.SwapResult;
+import org.snipewind.clients.store.VersionedValue;
 
 /** A store in memory whose answers can be lost after the call took effect. */
 final class MemoryStore implements KeyValueStore {
--- a/platform/src/test/java/org/snipewind/platform/store/ConditionalWriterTest.java
+++ b/clients/src/test/java/org/snipewind/clients/store/ConditionalWriterTest.java
@@ -1,10 +1,10 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
-import org.snipewind.platform.store.WriteOutcome.Kind;
+import org.snipewind.clients.store.WriteOutcome.Kind;
 
 /** Guards writes that are taken for lost or applied without proof. */
 final class ConditionalWriterTest {
--- a/platform/src/test/java/org/snipewind/platform/store/RecordCodecTest.java
+++ b/clients/src/test/java/org/snipewind/clients/store/RecordCodecTest.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.store;
+package org.snipewind.clients.store;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/platform/src/test/java/org/snipewind/platform/target/HttpTargetEndpointTest.java
+++ b/clients/src/test/java/org/snipewind/clients/target/HttpTargetEndpointTest.java
@@ -1,4 +1,4 @@
-package org.snipewind.platform.target;
+package org.snipewind.clients.target;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
--- a/command/src/main/java/org/snipewind/command/Command.java
+++ b/command/src/main/java/org/snipewind/command/Command.java
@@ -12,12 +12,12 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.snipewind.clients.configuration.AcceptFailure;
+import org.snipewind.clients.configuration.ConfigurationRevision;
+import org.snipewind.clients.configuration.ConfigurationStore;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.StoreException;
 import org.snipewind.command.replay.ReplayOptions;
-import org.snipewind.platform.configuration.AcceptFailure;
-import org.snipewind.platform.configuration.ConfigurationRevision;
-import org.snipewind.platform.configuration.ConfigurationStore;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.StoreException;
 
 /** The operators' command {@code snipewind}. */
 public final class Command {
--- a/command/src/main/java/org/snipewind/command/CommandContext.java
+++ b/command/src/main/java/org/snipewind/command/CommandContext.java
@@ -7,12 +7,12 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.snipewind.clients.configuration.AcceptFailure;
+import org.snipewind.clients.configuration.ConfigurationStore;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.StoreException;
+import org.snipewind.clients.store.VersionedValue;
 import org.snipewind.coordination.fleet.FleetRecord;
-import org.snipewind.platform.configuration.AcceptFailure;
-import org.snipewind.platform.configuration.ConfigurationStore;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.StoreException;
-import org.snipewind.platform.store.VersionedValue;
 
 /**
  * The surroundings of one run of the command.
--- a/command/src/main/java/org/snipewind/command/ConfigurationEdit.java
+++ b/command/src/main/java/org/snipewind/command/ConfigurationEdit.java
@@ -2,7 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.function.Function;
-import org.snipewind.platform.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.FleetConfiguration;
 
 /**
  * A change of one field.
--- a/command/src/main/java/org/snipewind/command/ConfigurationEditor.java
+++ b/command/src/main/java/org/snipewind/command/ConfigurationEditor.java
@@ -2,11 +2,11 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
-import org.snipewind.platform.configuration.AcceptFailure;
-import org.snipewind.platform.configuration.ConfigurationDifference;
-import org.snipewind.platform.configuration.ConfigurationRevision;
-import org.snipewind.platform.configuration.ConfigurationStore;
-import org.snipewind.platform.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.AcceptFailure;
+import org.snipewind.clients.configuration.ConfigurationDifference;
+import org.snipewind.clients.configuration.ConfigurationRevision;
+import org.snipewind.clients.configuration.ConfigurationStore;
+import org.snipewind.clients.configuration.FleetConfiguration;
 
 /** Makes a change of one field, again if another operator changed other fields at the same time. */
 final class ConfigurationEditor {
--- a/command/src/main/java/org/snipewind/command/Edits.java
+++ b/command/src/main/java/org/snipewind/command/Edits.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.snipewind.platform.configuration.DataCentreSettings;
-import org.snipewind.platform.configuration.FleetConfiguration;
-import org.snipewind.platform.configuration.OrganisationSettings;
-import org.snipewind.platform.configuration.PoolSettings;
-import org.snipewind.platform.configuration.TargetSettings;
+import org.snipewind.clients.configuration.DataCentreSettings;
+import org.snipewind.clients.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.OrganisationSettings;
+import org.snipewind.clients.configuration.PoolSettings;
+import org.snipewind.clients.configuration.TargetSettings;
 
 /** The changes of one field that have a subcommand of their own. */
 final class Edits {
--- a/command/src/main/java/org/snipewind/command/FleetStatus.java
+++ b/command/src/main/java/org/snipewind/command/FleetStatus.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.snipewind.clients.status.DaemonStatus;
 import org.snipewind.coordination.fleet.Member;
-import org.snipewind.platform.status.DaemonStatus;
 
 /** Asks daemons for their status, several at a time. */
 final class FleetStatus {
--- a/command/src/main/java/org/snipewind/command/FolderCommands.java
+++ b/command/src/main/java/org/snipewind/command/FolderCommands.java
@@ -7,14 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.snipewind.platform.configuration.AcceptFailure;
-import org.snipewind.platform.configuration.ConfigurationChange;
-import org.snipewind.platform.configuration.ConfigurationDifference;
-import org.snipewind.platform.configuration.ConfigurationFolder;
-import org.snipewind.platform.configuration.ConfigurationProblem;
-import org.snipewind.platform.configuration.ConfigurationRevision;
-import org.snipewind.platform.configuration.ConfigurationStore;
-import org.snipewind.platform.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.AcceptFailure;
+import org.snipewind.clients.configuration.ConfigurationChange;
+import org.snipewind.clients.configuration.ConfigurationDifference;
+import org.snipewind.clients.configuration.ConfigurationFolder;
+import org.snipewind.clients.configuration.ConfigurationProblem;
+import org.snipewind.clients.configuration.ConfigurationRevision;
+import org.snipewind.clients.configuration.ConfigurationStore;
+import org.snipewind.clients.configuration.FleetConfiguration;
 
 /** The subcommands that work on a folder: check, diff, apply and pull. */
 final class FolderCommands {
--- a/command/src/main/java/org/snipewind/command/HttpPlatform.java
+++ b/command/src/main/java/org/snipewind/command/HttpPlatform.java
@@ -13,12 +13,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Function;
+import org.snipewind.clients.status.DaemonStatus;
+import org.snipewind.clients.store.HttpKeyValueStore;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.RecordCodec;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.ownership.SliceTable;
-import org.snipewind.platform.status.DaemonStatus;
-import org.snipewind.platform.store.HttpKeyValueStore;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.RecordCodec;
 
 /** Reaches the store and the daemons over HTTP. */
 final class HttpPlatform implements Platform, AutoCloseable {
--- a/command/src/main/java/org/snipewind/command/InForceWait.java
+++ b/command/src/main/java/org/snipewind/command/InForceWait.java
@@ -9,9 +9,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.snipewind.clients.status.DaemonStatus;
+import org.snipewind.clients.store.StoreException;
 import org.snipewind.coordination.fleet.Member;
-import org.snipewind.platform.status.DaemonStatus;
-import org.snipewind.platform.store.StoreException;
 
 /** Waits until a revision is in force on all daemons of the fleet record. */
 final class InForceWait {
--- a/command/src/main/java/org/snipewind/command/Platform.java
+++ b/command/src/main/java/org/snipewind/command/Platform.java
@@ -1,10 +1,10 @@
 package org.snipewind.command;
 
 import io.vavr.control.Either;
+import org.snipewind.clients.status.DaemonStatus;
+import org.snipewind.clients.store.KeyValueStore;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.ownership.SliceTable;
-import org.snipewind.platform.status.DaemonStatus;
-import org.snipewind.platform.store.KeyValueStore;
 
 /** What the command needs from the platform and from the daemons. */
 interface Platform {
--- a/command/src/main/java/org/snipewind/command/ReadCommands.java
+++ b/command/src/main/java/org/snipewind/command/ReadCommands.java
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.snipewind.clients.configuration.ConfigurationRevision;
+import org.snipewind.clients.status.DaemonStatus;
+import org.snipewind.clients.store.StoreException;
+import org.snipewind.clients.store.VersionedValue;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.ownership.SliceOwnership;
 import org.snipewind.coordination.ownership.SliceTable;
-import org.snipewind.platform.configuration.ConfigurationRevision;
-import org.snipewind.platform.status.DaemonStatus;
-import org.snipewind.platform.store.StoreException;
-import org.snipewind.platform.store.VersionedValue;
 
 /** The subcommands that change nothing in the store: status, history and assignments. */
 final class ReadCommands {
--- a/command/src/main/java/org/snipewind/command/StatusReport.java
+++ b/command/src/main/java/org/snipewind/command/StatusReport.java
@@ -6,14 +6,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.snipewind.clients.configuration.ConfigurationRevision;
+import org.snipewind.clients.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.PoolSettings;
+import org.snipewind.clients.configuration.TargetSettings;
+import org.snipewind.clients.status.DaemonStatus;
+import org.snipewind.clients.status.OrganisationStatus;
+import org.snipewind.clients.status.TargetStatus;
 import org.snipewind.coordination.fleet.FleetRecord;
-import org.snipewind.platform.configuration.ConfigurationRevision;
-import org.snipewind.platform.configuration.FleetConfiguration;
-import org.snipewind.platform.configuration.PoolSettings;
-import org.snipewind.platform.configuration.TargetSettings;
-import org.snipewind.platform.status.DaemonStatus;
-import org.snipewind.platform.status.OrganisationStatus;
-import org.snipewind.platform.status.TargetStatus;
 
 /** The state of the fleet as lines of at most 80 columns, troubles first. */
 final class StatusReport {
--- a/command/src/main/java/org/snipewind/command/replay/ReplayEngine.java
+++ b/command/src/main/java/org/snipewind/command/replay/ReplayEngine.java
@@ -11,11 +11,11 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.snipewind.clients.transport.HttpAnswer;
+import org.snipewind.clients.transport.HttpExchangeException;
+import org.snipewind.clients.transport.HttpTransport;
+import org.snipewind.clients.transport.HttpTransportSettings;
 import org.snipewind.coordination.error.Execution;
-import org.snipewind.platform.transport.HttpAnswer;
-import org.snipewind.platform.transport.HttpExchangeException;
-import org.snipewind.platform.transport.HttpTransport;
-import org.snipewind.platform.transport.HttpTransportSettings;
 
 /** Sends the requests of a trace at their intended times, whether or not earlier ones have been answered. */
 public final class ReplayEngine implements AutoCloseable {
--- a/command/src/main/java/org/snipewind/command/replay/ReplayResult.java
+++ b/command/src/main/java/org/snipewind/command/replay/ReplayResult.java
@@ -1,7 +1,7 @@
 package org.snipewind.command.replay;
 
 import java.util.Optional;
-import org.snipewind.platform.transport.HttpAnswer;
+import org.snipewind.clients.transport.HttpAnswer;
 
 /**
  * What became of one request of a replay; times are microseconds from the start of the replay.
--- a/command/src/main/java/org/snipewind/command/replay/TraceFile.java
+++ b/command/src/main/java/org/snipewind/command/replay/TraceFile.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import org.snipewind.platform.transport.JsonCodec;
+import org.snipewind.clients.transport.JsonCodec;
 
 /** Reads and writes traces as JSON lines. */
 public final class TraceFile {
--- a/command/src/test/java/org/snipewind/command/CommandTest.java
+++ b/command/src/test/java/org/snipewind/command/CommandTest.java
@@ -11,9 +11,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.snipewind.platform.configuration.ConfigurationFolder;
-import org.snipewind.platform.configuration.ConfigurationStore;
-import org.snipewind.platform.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.ConfigurationFolder;
+import org.snipewind.clients.configuration.ConfigurationStore;
+import org.snipewind.clients.configuration.FleetConfiguration;
 
 class CommandTest {
 
--- a/command/src/test/java/org/snipewind/command/HttpPlatformTest.java
+++ b/command/src/test/java/org/snipewind/command/HttpPlatformTest.java
@@ -9,9 +9,9 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.snipewind.platform.status.DaemonStatus;
-import org.snipewind.platform.status.OrganisationStatus;
-import org.snipewind.platform.status.TargetStatus;
+import org.snipewind.clients.status.DaemonStatus;
+import org.snipewind.clients.status.OrganisationStatus;
+import org.snipewind.clients.status.TargetStatus;
 
 class HttpPlatformTest {
 
--- a/command/src/test/java/org/snipewind/command/MemoryPlatform.java
+++ b/command/src/test/java/org/snipewind/command/MemoryPlatform.java
@@ -6,13 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.snipewind.clients.status.DaemonStatus;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.SwapResult;
+import org.snipewind.clients.store.VersionedValue;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.fleet.Member;
 import org.snipewind.coordination.ownership.SliceTable;
-import org.snipewind.platform.status.DaemonStatus;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.SwapResult;
-import org.snipewind.platform.store.VersionedValue;
 
 /** A platform in memory with one daemon, which puts every revision up to a limit in force. */
 final class MemoryPlatform implements Platform, KeyValueStore {
--- a/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
@@ -10,6 +10,10 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
+import org.snipewind.clients.configuration.TargetSettings;
+import org.snipewind.clients.instances.InstanceList;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.target.TargetEndpoint;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.daemon.http.CallerGate;
@@ -19,10 +23,6 @@
 import org.snipewind.daemon.log.LogEvent;
 import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.settings.DaemonSettings;
-import org.snipewind.platform.configuration.TargetSettings;
-import org.snipewind.platform.instances.InstanceList;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.target.TargetEndpoint;
 import org.snipewind.protocol.PeerSettings;
 
 /**
--- a/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.snipewind.clients.configuration.FleetConfiguration;
+import org.snipewind.clients.target.TargetAnswer;
 import org.snipewind.coordination.admission.LatencyTracker;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.error.ErrorKind;
@@ -30,8 +32,6 @@
 import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.settings.PolicySettings;
-import org.snipewind.platform.configuration.FleetConfiguration;
-import org.snipewind.platform.target.TargetAnswer;
 import org.snipewind.protocol.ForwardRequest;
 
 /** Runs the attempts of a request: chooses a destination, sends, hedges, and retries what may be retried. */
--- a/daemon/src/main/java/org/snipewind/daemon/entry/BudgetKeepers.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/BudgetKeepers.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import org.snipewind.clients.configuration.BudgetSettings;
+import org.snipewind.clients.configuration.FleetConfiguration;
 import org.snipewind.coordination.budget.BudgetDecision;
 import org.snipewind.coordination.budget.BudgetKeeper;
 import org.snipewind.coordination.budget.BudgetRules;
@@ -10,8 +12,6 @@
 import org.snipewind.coordination.fleet.RoleNames;
 import org.snipewind.daemon.fleet.RoleRights;
 import org.snipewind.daemon.record.SharedRecords;
-import org.snipewind.platform.configuration.BudgetSettings;
-import org.snipewind.platform.configuration.FleetConfiguration;
 import org.snipewind.protocol.BudgetGrant;
 import org.snipewind.protocol.BudgetRequest;
 
--- a/daemon/src/main/java/org/snipewind/daemon/entry/OrganisationDirectory.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/OrganisationDirectory.java
@@ -7,9 +7,9 @@
 import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
+import org.snipewind.clients.configuration.ConfigurationRevision;
+import org.snipewind.clients.configuration.OrganisationSettings;
 import org.snipewind.daemon.record.SharedRecords;
-import org.snipewind.platform.configuration.ConfigurationRevision;
-import org.snipewind.platform.configuration.OrganisationSettings;
 
 /** Finds organisations by their keys in the configuration in force. */
 public final class OrganisationDirectory {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/Readiness.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/Readiness.java
@@ -1,14 +1,14 @@
 package org.snipewind.daemon.entry;
 
 import java.util.Optional;
+import org.snipewind.clients.configuration.DataCentreSettings;
+import org.snipewind.clients.configuration.FleetConfiguration;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.coordination.lease.MemberLease;
 import org.snipewind.daemon.fleet.FleetTimes;
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.record.StoreContact;
-import org.snipewind.platform.configuration.DataCentreSettings;
-import org.snipewind.platform.configuration.FleetConfiguration;
 
 /** Tells whether this daemon may serve callers. */
 public final class Readiness {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/RequestRouter.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RequestRouter.java
@@ -6,16 +6,16 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
+import org.snipewind.clients.configuration.BudgetSettings;
+import org.snipewind.clients.configuration.ConfigurationRevision;
+import org.snipewind.clients.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.RouteSettings;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.coordination.ownership.KeyHasher;
 import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.SharedRecords;
-import org.snipewind.platform.configuration.BudgetSettings;
-import org.snipewind.platform.configuration.ConfigurationRevision;
-import org.snipewind.platform.configuration.FleetConfiguration;
-import org.snipewind.platform.configuration.RouteSettings;
 
 /** Takes callers' requests: finds route, organisation and key, obtains a token and hands over to the attempts. */
 public final class RequestRouter {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/RouteTable.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RouteTable.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.snipewind.platform.configuration.FleetConfiguration;
-import org.snipewind.platform.configuration.KeySource;
-import org.snipewind.platform.configuration.RouteSettings;
+import org.snipewind.clients.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.KeySource;
+import org.snipewind.clients.configuration.RouteSettings;
 
 /** Finds routes and the keys of requests. */
 final class RouteTable {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/RoutedOutcome.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RoutedOutcome.java
@@ -2,8 +2,8 @@
 
 import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
+import org.snipewind.clients.target.TargetAnswer;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.platform.target.TargetAnswer;
 
 /**
  * The outcome of a request to come.
--- a/daemon/src/main/java/org/snipewind/daemon/entry/RoutedRequest.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RoutedRequest.java
@@ -9,9 +9,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.snipewind.clients.configuration.RouteSettings;
+import org.snipewind.clients.target.TargetAnswer;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.platform.configuration.RouteSettings;
-import org.snipewind.platform.target.TargetAnswer;
 import org.snipewind.protocol.ForwardRequest;
 
 /** A caller's request on its way: what is fixed about it, and the attempts made so far. */
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/InstanceView.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/InstanceView.java
@@ -2,8 +2,8 @@
 
 import java.util.Map;
 import java.util.Optional;
-import org.snipewind.platform.instances.InstanceList;
-import org.snipewind.platform.instances.InstanceState;
+import org.snipewind.clients.instances.InstanceList;
+import org.snipewind.clients.instances.InstanceState;
 
 /** The newest reading of the platform's list of instances, which lags; it may hasten a decision but never makes one. */
 public final class InstanceView {
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/RoleRequirements.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/RoleRequirements.java
@@ -3,14 +3,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.snipewind.clients.configuration.DataCentreSettings;
+import org.snipewind.clients.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.PoolSettings;
+import org.snipewind.clients.configuration.TargetSettings;
 import org.snipewind.coordination.fleet.RoleNames;
 import org.snipewind.coordination.fleet.RoleRequirement;
 import org.snipewind.daemon.entry.BudgetNames;
 import org.snipewind.daemon.record.SharedRecords;
-import org.snipewind.platform.configuration.DataCentreSettings;
-import org.snipewind.platform.configuration.FleetConfiguration;
-import org.snipewind.platform.configuration.PoolSettings;
-import org.snipewind.platform.configuration.TargetSettings;
 
 /** The roles that the configuration in force asks for. */
 public final class RoleRequirements {
--- a/daemon/src/main/java/org/snipewind/daemon/fleet/StoreWatcher.java
+++ b/daemon/src/main/java/org/snipewind/daemon/fleet/StoreWatcher.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.VersionedValue;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.fleet.RoleNames;
 import org.snipewind.daemon.log.EventLog;
@@ -15,8 +17,6 @@
 import org.snipewind.daemon.record.RecordUpdater;
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.record.StoreContact;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.VersionedValue;
 
 /**
  * Follows the records in the store: the holder of the watch role of a data centre waits for changes and tells its data
--- a/daemon/src/main/java/org/snipewind/daemon/http/CallerController.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/CallerController.java
@@ -26,11 +26,11 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.reactivestreams.Publisher;
+import org.snipewind.clients.target.HopByHopHeaders;
+import org.snipewind.clients.target.TargetAnswer;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.daemon.entry.CallerRequest;
 import org.snipewind.daemon.entry.RoutedOutcome;
-import org.snipewind.platform.target.HopByHopHeaders;
-import org.snipewind.platform.target.TargetAnswer;
 import reactor.core.publisher.Mono;
 
 /** Takes callers' requests on every path. */
--- a/daemon/src/main/java/org/snipewind/daemon/http/CallerGate.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/CallerGate.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.snipewind.clients.target.TargetAnswer;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.daemon.DaemonCore;
@@ -13,7 +14,6 @@
 import org.snipewind.daemon.entry.RoutedOutcome;
 import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.settings.RequestLimits;
-import org.snipewind.platform.target.TargetAnswer;
 
 /** Lets callers' requests in within the limits on requests and bytes, and counts their outcomes. */
 public final class CallerGate {
--- a/daemon/src/main/java/org/snipewind/daemon/http/OperatorController.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/OperatorController.java
@@ -9,10 +9,10 @@
 import io.micronaut.http.annotation.Produces;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.snipewind.clients.status.DaemonStatus;
 import org.snipewind.daemon.DaemonCore;
 import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.metrics.PrometheusText;
-import org.snipewind.platform.status.DaemonStatus;
 
 /** Serves operators and the balancer: readiness, liveness, status and metrics. */
 @Controller("/-")
--- a/daemon/src/main/java/org/snipewind/daemon/record/RecordType.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordType.java
@@ -1,9 +1,9 @@
 package org.snipewind.daemon.record;
 
 import java.util.function.Function;
+import org.snipewind.clients.store.RecordCodec;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.ownership.SliceTable;
-import org.snipewind.platform.store.RecordCodec;
 
 /**
  * A type of record that daemons write.
--- a/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/RecordUpdater.java
@@ -10,11 +10,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import org.snipewind.clients.store.ConditionalWriter;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.VersionedValue;
+import org.snipewind.clients.store.WriteOutcome;
 import org.snipewind.daemon.FailureCauses;
-import org.snipewind.platform.store.ConditionalWriter;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.VersionedValue;
-import org.snipewind.platform.store.WriteOutcome;
 
 /** Reads and writes records in the store; a write is reported only once its effect is known. */
 public final class RecordUpdater {
--- a/daemon/src/main/java/org/snipewind/daemon/record/SharedRecords.java
+++ b/daemon/src/main/java/org/snipewind/daemon/record/SharedRecords.java
@@ -6,14 +6,14 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.snipewind.clients.configuration.ConfigurationCodec;
+import org.snipewind.clients.configuration.ConfigurationRevision;
+import org.snipewind.clients.store.RecordCodec;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.ownership.SliceTable;
 import org.snipewind.daemon.log.EventLog;
 import org.snipewind.daemon.log.LogEvent;
-import org.snipewind.platform.configuration.ConfigurationCodec;
-import org.snipewind.platform.configuration.ConfigurationRevision;
-import org.snipewind.platform.store.RecordCodec;
 import org.snipewind.protocol.RecordVersions;
 
 /** The newest copies of the store's records that this daemon knows of; a lower version never replaces a higher one. */
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/AdmittedRequest.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/AdmittedRequest.java
@@ -2,8 +2,8 @@
 
 import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
+import org.snipewind.clients.target.TargetAnswer;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.platform.target.TargetAnswer;
 import org.snipewind.protocol.ForwardRequest;
 
 /**
--- a/daemon/src/test/java/org/snipewind/daemon/DaemonFaultTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonFaultTest.java
@@ -5,12 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.snipewind.clients.store.RecordCodec;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.fleet.FleetTransitions;
 import org.snipewind.coordination.fleet.RoleNames;
 import org.snipewind.coordination.ownership.SliceTable;
 import org.snipewind.daemon.record.RecordNames;
-import org.snipewind.platform.store.RecordCodec;
 
 /** Faults of daemons and of the network between them. */
 class DaemonFaultTest {
--- a/daemon/src/test/java/org/snipewind/daemon/DaemonRuntimeTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonRuntimeTest.java
@@ -21,10 +21,10 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.slf4j.LoggerFactory;
+import org.snipewind.clients.target.TargetAnswer;
+import org.snipewind.clients.target.TargetRequest;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.platform.target.TargetAnswer;
-import org.snipewind.platform.target.TargetRequest;
 
 class DaemonRuntimeTest {
 
--- a/daemon/src/test/java/org/snipewind/daemon/DaemonShutdownTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonShutdownTest.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.snipewind.clients.target.TargetAnswer;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.platform.target.TargetAnswer;
 
 class DaemonShutdownTest {
 
--- a/daemon/src/test/java/org/snipewind/daemon/FakeTarget.java
+++ b/daemon/src/test/java/org/snipewind/daemon/FakeTarget.java
@@ -7,12 +7,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Function;
+import org.snipewind.clients.target.GrantAcknowledgement;
+import org.snipewind.clients.target.GrantOrder;
+import org.snipewind.clients.target.TargetAnswer;
+import org.snipewind.clients.target.TargetEndpoint;
+import org.snipewind.clients.target.TargetRequest;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.platform.target.GrantAcknowledgement;
-import org.snipewind.platform.target.GrantOrder;
-import org.snipewind.platform.target.TargetAnswer;
-import org.snipewind.platform.target.TargetEndpoint;
-import org.snipewind.platform.target.TargetRequest;
 
 /** A target that accepts every grant and answers as the test says. */
 final class FakeTarget implements TargetEndpoint {
--- a/daemon/src/test/java/org/snipewind/daemon/MemoryStore.java
+++ b/daemon/src/test/java/org/snipewind/daemon/MemoryStore.java
@@ -5,9 +5,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.SwapResult;
-import org.snipewind.platform.store.VersionedValue;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.SwapResult;
+import org.snipewind.clients.store.VersionedValue;
 
 /** A store in memory that always answers. */
 final class MemoryStore implements KeyValueStore {
--- a/daemon/src/test/java/org/snipewind/daemon/Runtimes.java
+++ b/daemon/src/test/java/org/snipewind/daemon/Runtimes.java
@@ -13,6 +13,16 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
+import org.snipewind.clients.configuration.BudgetSettings;
+import org.snipewind.clients.configuration.ColdStartSettings;
+import org.snipewind.clients.configuration.ConfigurationCodec;
+import org.snipewind.clients.configuration.ConfigurationRevision;
+import org.snipewind.clients.configuration.DataCentreSettings;
+import org.snipewind.clients.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.OrganisationSettings;
+import org.snipewind.clients.configuration.PoolSettings;
+import org.snipewind.clients.configuration.RouteSettings;
+import org.snipewind.clients.configuration.TargetSettings;
 import org.snipewind.daemon.entry.OrganisationDirectory;
 import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.RecordNames;
@@ -20,16 +30,6 @@
 import org.snipewind.daemon.settings.Endpoint;
 import org.snipewind.daemon.settings.PolicySettings;
 import org.snipewind.daemon.settings.RequestLimits;
-import org.snipewind.platform.configuration.BudgetSettings;
-import org.snipewind.platform.configuration.ColdStartSettings;
-import org.snipewind.platform.configuration.ConfigurationCodec;
-import org.snipewind.platform.configuration.ConfigurationRevision;
-import org.snipewind.platform.configuration.DataCentreSettings;
-import org.snipewind.platform.configuration.FleetConfiguration;
-import org.snipewind.platform.configuration.OrganisationSettings;
-import org.snipewind.platform.configuration.PoolSettings;
-import org.snipewind.platform.configuration.RouteSettings;
-import org.snipewind.platform.configuration.TargetSettings;
 
 /** One daemon alone with one target, and its settings and configuration. */
 final class Runtimes implements AutoCloseable {
--- a/daemon/src/test/java/org/snipewind/daemon/SimulatedStore.java
+++ b/daemon/src/test/java/org/snipewind/daemon/SimulatedStore.java
@@ -8,11 +8,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.StoreException;
+import org.snipewind.clients.store.SwapResult;
+import org.snipewind.clients.store.VersionedValue;
 import org.snipewind.coordination.clock.MillisClock;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.StoreException;
-import org.snipewind.platform.store.SwapResult;
-import org.snipewind.platform.store.VersionedValue;
 
 /** A store that can be down for all or for some callers, lose the answers of writes, and hold writes back. */
 final class SimulatedStore {
--- a/daemon/src/test/java/org/snipewind/daemon/SimulatedTarget.java
+++ b/daemon/src/test/java/org/snipewind/daemon/SimulatedTarget.java
@@ -11,16 +11,16 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.snipewind.clients.target.GrantAcknowledgement;
+import org.snipewind.clients.target.GrantOrder;
+import org.snipewind.clients.target.TargetAnswer;
+import org.snipewind.clients.target.TargetEndpoint;
+import org.snipewind.clients.target.TargetRequest;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.coordination.ownership.GrantRegister;
 import org.snipewind.coordination.ownership.SliceTable;
-import org.snipewind.platform.target.GrantAcknowledgement;
-import org.snipewind.platform.target.GrantOrder;
-import org.snipewind.platform.target.TargetAnswer;
-import org.snipewind.platform.target.TargetEndpoint;
-import org.snipewind.platform.target.TargetRequest;
 
 /** A target with the real grant register that can die, freeze, restart and answer no grants. */
 final class SimulatedTarget {
--- a/daemon/src/test/java/org/snipewind/daemon/TargetFaultTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/TargetFaultTest.java
@@ -7,11 +7,11 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.snipewind.clients.target.TargetAnswer;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.coordination.fleet.RoleNames;
 import org.snipewind.coordination.ownership.SliceTable;
-import org.snipewind.platform.target.TargetAnswer;
 import org.snipewind.protocol.ForwardRequest;
 
 /** Faults of targets and of what is waiting for them. */
--- a/daemon/src/test/java/org/snipewind/daemon/UncheckedTokenFaultTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/UncheckedTokenFaultTest.java
@@ -7,11 +7,11 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.snipewind.clients.target.TargetAnswer;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Execution;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.coordination.fleet.RoleNames;
-import org.snipewind.platform.target.TargetAnswer;
 
 /** Faults in a pool whose targets do not check tokens, so that only the daemons keep requests away from them. */
 class UncheckedTokenFaultTest {
--- a/standins/src/main/java/org/snipewind/standins/deployment/DaemonGroup.java
+++ b/standins/src/main/java/org/snipewind/standins/deployment/DaemonGroup.java
@@ -5,20 +5,20 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.UnaryOperator;
+import org.snipewind.clients.instances.HttpInstanceList;
+import org.snipewind.clients.instances.InstanceList;
+import org.snipewind.clients.store.DelayedTasks;
+import org.snipewind.clients.store.HttpKeyValueStore;
+import org.snipewind.clients.store.KeyValueStore;
+import org.snipewind.clients.store.StoreBudget;
+import org.snipewind.clients.store.ThrottledKeyValueStore;
+import org.snipewind.clients.target.HttpTargetEndpoint;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.daemon.DaemonRuntime;
 import org.snipewind.daemon.fleet.FleetTimes;
 import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.settings.DaemonSettings;
 import org.snipewind.daemon.settings.SettingsFile;
-import org.snipewind.platform.instances.HttpInstanceList;
-import org.snipewind.platform.instances.InstanceList;
-import org.snipewind.platform.store.DelayedTasks;
-import org.snipewind.platform.store.HttpKeyValueStore;
-import org.snipewind.platform.store.KeyValueStore;
-import org.snipewind.platform.store.StoreBudget;
-import org.snipewind.platform.store.ThrottledKeyValueStore;
-import org.snipewind.platform.target.HttpTargetEndpoint;
 import org.snipewind.standins.Standins;
 
 /** Runs several daemons in one process; their frames still cross loopback sockets. */
--- a/standins/src/main/java/org/snipewind/standins/deployment/DeploymentLayout.java
+++ b/standins/src/main/java/org/snipewind/standins/deployment/DeploymentLayout.java
@@ -6,7 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.snipewind.platform.transport.HttpTransport;
+import org.snipewind.clients.transport.HttpTransport;
 import org.snipewind.standins.target.TargetOptions;
 
 /** Gives names, ports and settings to the targets and daemons of a plan. */
--- a/standins/src/main/java/org/snipewind/standins/deployment/DeploymentPlan.java
+++ b/standins/src/main/java/org/snipewind/standins/deployment/DeploymentPlan.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Set;
+import org.snipewind.clients.configuration.FleetConfiguration;
 import org.snipewind.daemon.settings.PolicySettings;
-import org.snipewind.platform.configuration.FleetConfiguration;
 
 /**
  * What a deployment consists of.
--- a/standins/src/main/java/org/snipewind/standins/deployment/SampleConfiguration.java
+++ b/standins/src/main/java/org/snipewind/standins/deployment/SampleConfiguration.java
@@ -13,12 +13,12 @@
 import java.util.TreeMap;
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
-import org.snipewind.platform.configuration.BudgetSettings;
-import org.snipewind.platform.configuration.ConfigurationFolder;
-import org.snipewind.platform.configuration.FleetConfiguration;
-import org.snipewind.platform.configuration.OrganisationSettings;
-import org.snipewind.platform.configuration.PoolSettings;
-import org.snipewind.platform.configuration.TargetSettings;
+import org.snipewind.clients.configuration.BudgetSettings;
+import org.snipewind.clients.configuration.ConfigurationFolder;
+import org.snipewind.clients.configuration.FleetConfiguration;
+import org.snipewind.clients.configuration.OrganisationSettings;
+import org.snipewind.clients.configuration.PoolSettings;
+import org.snipewind.clients.configuration.TargetSettings;
 
 /** The configurations of the folder samples, and changes of them. */
 public final class SampleConfiguration {
--- a/standins/src/main/java/org/snipewind/standins/load/LoadGenerator.java
+++ b/standins/src/main/java/org/snipewind/standins/load/LoadGenerator.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.LockSupport;
-import org.snipewind.platform.transport.HttpAnswer;
-import org.snipewind.platform.transport.HttpTransport;
-import org.snipewind.platform.transport.HttpTransportSettings;
+import org.snipewind.clients.transport.HttpAnswer;
+import org.snipewind.clients.transport.HttpTransport;
+import org.snipewind.clients.transport.HttpTransportSettings;
 import org.snipewind.standins.deployment.SampleConfiguration;
 
 /** Sends requests at their intended times, whatever the answers do. */
--- a/standins/src/main/java/org/snipewind/standins/measure/MeasurementResult.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/MeasurementResult.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.snipewind.platform.transport.JsonCodec;
+import org.snipewind.clients.transport.JsonCodec;
 
 /**
  * One measured figure.
--- a/standins/src/main/java/org/snipewind/standins/measure/RecordsMeasurement.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/RecordsMeasurement.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.snipewind.clients.store.RecordCodec;
 import org.snipewind.coordination.fleet.FleetRecord;
 import org.snipewind.coordination.fleet.FleetTransitions;
 import org.snipewind.coordination.fleet.Member;
@@ -16,7 +17,6 @@
 import org.snipewind.coordination.ownership.SliceTable;
 import org.snipewind.coordination.ownership.TargetStanding;
 import org.snipewind.coordination.ownership.TargetView;
-import org.snipewind.platform.store.RecordCodec;
 
 /** Measures size and processor time of the records of the store against the size of the fleet. */
 final class RecordsMeasurement implements Measurement {
--- a/standins/src/main/java/org/snipewind/standins/server/StandInAnswer.java
+++ b/standins/src/main/java/org/snipewind/standins/server/StandInAnswer.java
@@ -2,7 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import org.snipewind.platform.transport.JsonCodec;
+import org.snipewind.clients.transport.JsonCodec;
 
 /**
  * An answer of a stand-in.
--- a/standins/src/main/java/org/snipewind/standins/target/Recorder.java
+++ b/standins/src/main/java/org/snipewind/standins/target/Recorder.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.snipewind.platform.transport.JsonCodec;
+import org.snipewind.clients.transport.JsonCodec;
 
 /** Keeps all executions and all times during which slices were held. */
 final class Recorder {
--- a/standins/src/main/java/org/snipewind/standins/target/TargetEngine.java
+++ b/standins/src/main/java/org/snipewind/standins/target/TargetEngine.java
@@ -11,11 +11,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.snipewind.clients.target.GrantAcknowledgement;
+import org.snipewind.clients.target.GrantOrder;
+import org.snipewind.clients.target.TargetHeaders;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.ownership.GrantRegister;
-import org.snipewind.platform.target.GrantAcknowledgement;
-import org.snipewind.platform.target.GrantOrder;
-import org.snipewind.platform.target.TargetHeaders;
 import org.snipewind.standins.server.StandInAnswer;
 import org.snipewind.standins.server.StandInRequest;
 
--- a/standins/src/main/java/org/snipewind/standins/target/Work.java
+++ b/standins/src/main/java/org/snipewind/standins/target/Work.java
@@ -2,7 +2,7 @@
 
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
-import org.snipewind.platform.target.TargetHeaders;
+import org.snipewind.clients.target.TargetHeaders;
 import org.snipewind.standins.server.StandInAnswer;
 import org.snipewind.standins.server.StandInRequest;
 
--- a/standins/src/test/java/org/snipewind/standins/instances/InstanceListStandInTest.java
+++ b/standins/src/test/java/org/snipewind/standins/instances/InstanceListStandInTest.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.snipewind.clients.instances.HttpInstanceList;
+import org.snipewind.clients.instances.InstanceState;
 import org.snipewind.coordination.clock.ManualMillisClock;
-import org.snipewind.platform.instances.HttpInstanceList;
-import org.snipewind.platform.instances.InstanceState;
 import org.snipewind.standins.server.StandInServer;
 
 /** Guards a list that shows changes before its lag has passed or loses them. */
--- a/standins/src/test/java/org/snipewind/standins/process/ProcessLauncherTest.java
+++ b/standins/src/test/java/org/snipewind/standins/process/ProcessLauncherTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import org.snipewind.platform.store.HttpKeyValueStore;
+import org.snipewind.clients.store.HttpKeyValueStore;
 import org.snipewind.standins.Standins;
 
 /** Guards processes that stay behind, or that a pause does not stop. */
--- a/standins/src/test/java/org/snipewind/standins/store/StoreStandInTest.java
+++ b/standins/src/test/java/org/snipewind/standins/store/StoreStandInTest.java
@@ -13,11 +13,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.snipewind.platform.store.ConditionalWriter;
-import org.snipewind.platform.store.HttpKeyValueStore;
-import org.snipewind.platform.store.StoreException;
-import org.snipewind.platform.store.SwapResult;
-import org.snipewind.platform.store.WriteOutcome;
+import org.snipewind.clients.store.ConditionalWriter;
+import org.snipewind.clients.store.HttpKeyValueStore;
+import org.snipewind.clients.store.StoreException;
+import org.snipewind.clients.store.SwapResult;
+import org.snipewind.clients.store.WriteOutcome;
 import org.snipewind.standins.server.StandInServer;
 
 /** Guards a store client or stand-in that loses updates or reports an outcome it does not know. */
--- a/standins/src/test/java/org/snipewind/standins/target/TargetStandInTest.java
+++ b/standins/src/test/java/org/snipewind/standins/target/TargetStandInTest.java
@@ -13,13 +13,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.snipewind.clients.target.GrantAcknowledgement;
+import org.snipewind.clients.target.GrantOrder;
+import org.snipewind.clients.target.HttpTargetEndpoint;
+import org.snipewind.clients.target.TargetAnswer;
+import org.snipewind.clients.target.TargetRequest;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.platform.target.GrantAcknowledgement;
-import org.snipewind.platform.target.GrantOrder;
-import org.snipewind.platform.target.HttpTargetEndpoint;
-import org.snipewind.platform.target.TargetAnswer;
-import org.snipewind.platform.target.TargetRequest;
 import org.snipewind.standins.server.StandInServer;
 
 /** Guards a target stand-in that hides the faults which the measurements look for. */
