--- a/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
+++ b/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
@@ -16,6 +16,10 @@
     REQUEST_KEY_MISSING(400, Execution.NOT_RUN, false),
     /** The request body exceeds the limit. */
     REQUEST_TOO_LARGE(413, Execution.NOT_RUN, false),
+    /** The request line or the headers exceed the limit. */
+    HEADERS_TOO_LARGE(431, Execution.NOT_RUN, false),
+    /** The request was not sent completely in time. */
+    REQUEST_TIMEOUT(408, Execution.NOT_RUN, false),
     /** The organisation's rate and burst leave no token within the deadline. */
     RATE_EXCEEDED(429, Execution.NOT_RUN, false),
     /** The budget keeper can't be reached within the deadline. */
@@ -52,6 +56,8 @@
     TARGET_SHED(503, Execution.NOT_RUN, true),
     /** The connection to the target was lost after the request was sent. */
     TARGET_LOST(502, Execution.UNKNOWN, true),
+    /** The target reported a failure of its own and no other target gave an answer. */
+    TARGET_ERROR(502, Execution.UNKNOWN, true),
     /** The target's answer was cut short. */
     ANSWER_INCOMPLETE(502, Execution.UNKNOWN, true),
     /** The target's answer exceeds the limit. */
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyTable.java
@@ -0,0 +1,114 @@
+package org.snipewind.coordination.keyspace;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The holders of all keys of a pool, in the order of the keys; immutable.
+ *
+ * @param assignments ranges that do not overlap, sorted; keys in no range have no holder
+ */
+public record KeyTable(List<KeyAssignment> assignments) {
+
+    /** The largest key. */
+    public static final int LAST_KEY = 65_535;
+
+    /** A table in which no key has a holder. */
+    public static final KeyTable EMPTY = new KeyTable(List.of());
+
+    /** Copies and checks the ranges. */
+    public KeyTable {
+        assignments = List.copyOf(assignments);
+        int next = 0;
+        for (KeyAssignment each : assignments) {
+            if (each.from() < next || each.to() < each.from() || each.to() > LAST_KEY) {
+                throw new IllegalArgumentException("ranges overlap or are out of order at key " + each.from());
+            }
+            next = each.to() + 1;
+        }
+    }
+
+    /**
+     * Finds the range that contains a key.
+     *
+     * @param key the key
+     * @return the range, or empty if the key has no holder
+     */
+    public Optional<KeyAssignment> find(int key) {
+        int low = 0;
+        int high = assignments.size() - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            KeyAssignment candidate = assignments.get(middle);
+            if (key < candidate.from()) {
+                high = middle - 1;
+            } else if (key > candidate.to()) {
+                low = middle + 1;
+            } else {
+                return Optional.of(candidate);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Gives the highest epoch in the table.
+     *
+     * @return the epoch, 0 for an empty table
+     */
+    public long highestEpoch() {
+        return assignments.stream().mapToLong(KeyAssignment::epoch).max().orElse(0);
+    }
+
+    /**
+     * Replaces whatever the table says of a range.
+     *
+     * @param replacement the new assignment of the range
+     * @return the changed table
+     */
+    public KeyTable with(KeyAssignment replacement) {
+        List<KeyAssignment> changed = new ArrayList<>();
+        for (KeyAssignment each : assignments) {
+            if (each.to() < replacement.from() || each.from() > replacement.to()) {
+                changed.add(each);
+                continue;
+            }
+            if (each.from() < replacement.from()) {
+                changed.add(each.part(each.from(), replacement.from() - 1));
+            }
+            if (each.to() > replacement.to()) {
+                changed.add(each.part(replacement.to() + 1, each.to()));
+            }
+        }
+        changed.add(replacement);
+        changed.sort(Comparator.comparingInt(KeyAssignment::from));
+        return new KeyTable(changed);
+    }
+
+    /**
+     * Joins neighbouring ranges of one holder and epoch.
+     *
+     * @return the table with the fewest ranges that say the same
+     */
+    public KeyTable compacted() {
+        List<KeyAssignment> joined = new ArrayList<>();
+        for (KeyAssignment each : assignments) {
+            int last = joined.size() - 1;
+            if (last >= 0 && isContinued(joined.get(last), each)) {
+                joined.set(last, each.part(joined.get(last).from(), each.to()));
+            } else {
+                joined.add(each);
+            }
+        }
+        return new KeyTable(joined);
+    }
+
+    private static boolean isContinued(KeyAssignment first, KeyAssignment second) {
+        return first.to() + 1 == second.from()
+                && first.epoch() == second.epoch()
+                && first.holder().equals(second.holder())
+                && first.previous().equals(second.previous());
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/routing/RoutingConfiguration.java
@@ -0,0 +1,132 @@
+package org.snipewind.coordination.routing;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/** One version of the operators' configuration, indexed for lookups. */
+public final class RoutingConfiguration {
+
+    private final long version;
+    private final Map<String, List<Route>> routesByHost;
+    private final Map<String, Pool> pools;
+    private final Map<String, Organisation> organisations;
+    private final Map<String, Organisation> organisationsByKey = new HashMap<>();
+    private final CallerLimits limits;
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version number of the version
+     * @param routes all routes
+     * @param pools all pools
+     * @param organisations all organisations; none means that requests need no key
+     * @param limits limits on callers
+     */
+    public RoutingConfiguration(
+            long version,
+            Collection<Route> routes,
+            Collection<Pool> pools,
+            Collection<Organisation> organisations,
+            CallerLimits limits) {
+        this.version = version;
+        // The longest prefix comes first, so that the first match is the route.
+        this.routesByHost = routes.stream()
+                .sorted(Comparator.comparingInt((Route route) -> route.prefix().length())
+                        .reversed())
+                .collect(Collectors.groupingBy(route -> route.host().toLowerCase(Locale.ROOT)));
+        this.pools = pools.stream().collect(Collectors.toMap(Pool::name, pool -> pool));
+        this.organisations = organisations.stream().collect(Collectors.toMap(Organisation::name, each -> each));
+        organisations.forEach(each -> each.keys().forEach(key -> organisationsByKey.put(key, each)));
+        this.limits = limits;
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host host header of the request, with or without a port
+     * @param path path of the request without its query
+     * @return the route with the longest matching prefix, or empty
+     */
+    public Optional<Route> route(String host, String path) {
+        int colon = host.indexOf(':');
+        String name = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+        for (Route route : routesByHost.getOrDefault(name, List.of())) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Finds the organisation that holds a key.
+     *
+     * @param key key as the caller sent it
+     * @return the organisation, or empty if no organisation holds the key
+     */
+    public Optional<Organisation> organisationOf(String key) {
+        return Optional.ofNullable(organisationsByKey.get(key));
+    }
+
+    /**
+     * Finds an organisation.
+     *
+     * @param name name of the organisation
+     * @return the organisation, or empty
+     */
+    public Optional<Organisation> organisation(String name) {
+        return Optional.ofNullable(organisations.get(name));
+    }
+
+    /**
+     * Finds a pool.
+     *
+     * @param name name of the pool
+     * @return the pool, or empty
+     */
+    public Optional<Pool> pool(String name) {
+        return Optional.ofNullable(pools.get(name));
+    }
+
+    /**
+     * Lists the pools.
+     *
+     * @return all pools
+     */
+    public Collection<Pool> pools() {
+        return pools.values();
+    }
+
+    /**
+     * Lists the organisations.
+     *
+     * @return all organisations
+     */
+    public Collection<Organisation> organisations() {
+        return organisations.values();
+    }
+
+    /**
+     * Gives the number of this version.
+     *
+     * @return the version
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Gives the limits on callers.
+     *
+     * @return the limits
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/routing/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' configuration as the router uses it: routes, pools, organisations and limits. */
+package org.snipewind.coordination.routing;
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
@@ -0,0 +1,203 @@
+package org.snipewind.coordination.target;
+
+/** The state of one life of a target at this instance; all methods are synchronized. */
+public final class TargetState {
+
+    /** Weight of the newest sample in the averages of service time and of failures. */
+    private static final double SAMPLE_WEIGHT = 0.15;
+
+    /** A load report says nothing of a queue that is many service times old. */
+    private static final long REPORT_VALID_MILLIS = 250;
+
+    /** A target that fails is tried again after this time, doubled with each further failure in a row. */
+    private static final long FIRST_PAUSE_MILLIS = 200;
+
+    private static final long LONGEST_PAUSE_MILLIS = 2_000;
+    private static final int FAILURES_BEFORE_PAUSE = 2;
+    private static final double FIRST_ESTIMATE_MILLIS = 50;
+
+    private TargetEntry entry;
+    private double serviceMillis = FIRST_ESTIMATE_MILLIS;
+    private boolean sampled;
+    private double failureShare;
+    private int inFlight;
+    private int failuresInRow;
+    private long pausedUntilMillis;
+    private LoadReport report = new LoadReport(0, 0, 1, 1);
+    private int inFlightAtReport;
+    private long reportedAtMillis = Long.MIN_VALUE / 2;
+    private long coldUntilMillis;
+
+    /**
+     * Creates the state of a target that was just learned.
+     *
+     * @param entry what the target says of itself
+     * @param nowMillis present time
+     */
+    public TargetState(TargetEntry entry, long nowMillis) {
+        this.entry = entry;
+        this.coldUntilMillis = nowMillis + entry.coldMillis();
+    }
+
+    /**
+     * Gives the newest entry of the target.
+     *
+     * @return the entry
+     */
+    public synchronized TargetEntry entry() {
+        return entry;
+    }
+
+    /**
+     * Takes a newer entry of the same life.
+     *
+     * @param newer what the target says of itself now
+     * @param nowMillis present time
+     */
+    public synchronized void update(TargetEntry newer, long nowMillis) {
+        entry = newer;
+        if (newer.coldMillis() > 0) {
+            coldUntilMillis = Math.max(coldUntilMillis, nowMillis + newer.coldMillis());
+        }
+    }
+
+    /** Counts a request that is about to be sent. */
+    public synchronized void started() {
+        inFlight++;
+    }
+
+    /** Counts the end of a request, whatever its outcome. */
+    public synchronized void ended() {
+        inFlight--;
+    }
+
+    /**
+     * Takes the time of an answer into the average.
+     *
+     * @param millis time from sending to the whole answer
+     */
+    public synchronized void answered(double millis) {
+        failuresInRow = 0;
+        failureShare *= 1 - SAMPLE_WEIGHT;
+        // The average starts at the first sample, so that a fast target is not hidden behind the first estimate.
+        serviceMillis = sampled ? serviceMillis + SAMPLE_WEIGHT * (millis - serviceMillis) : millis;
+        sampled = true;
+    }
+
+    /**
+     * Counts a request that the target refused or failed.
+     *
+     * @param nowMillis present time
+     * @param unreachable whether the connection failed, which pauses the target at once
+     */
+    public synchronized void failed(long nowMillis, boolean unreachable) {
+        failuresInRow++;
+        failureShare += SAMPLE_WEIGHT * (1 - failureShare);
+        if (unreachable || failuresInRow >= FAILURES_BEFORE_PAUSE) {
+            int doublings = Math.min(failuresInRow - 1, 4);
+            pausedUntilMillis = nowMillis + Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << doublings);
+        }
+    }
+
+    /**
+     * Takes a load report.
+     *
+     * @param newReport load that came with an answer
+     * @param nowMillis present time
+     */
+    public synchronized void reported(LoadReport newReport, long nowMillis) {
+        report = newReport;
+        inFlightAtReport = inFlight;
+        reportedAtMillis = nowMillis;
+    }
+
+    /**
+     * Takes word that the target is in cold start.
+     *
+     * @param remainingMillis how much longer, 0 if it is not
+     * @param nowMillis present time
+     */
+    public synchronized void coldFor(long remainingMillis, long nowMillis) {
+        coldUntilMillis = nowMillis + remainingMillis;
+    }
+
+    /**
+     * Tells whether the target is in cold start.
+     *
+     * @param nowMillis present time
+     * @return true while the target bears only few requests
+     */
+    public synchronized boolean isCold(long nowMillis) {
+        return nowMillis < coldUntilMillis;
+    }
+
+    /**
+     * Tells whether requests should go elsewhere for a moment.
+     *
+     * @param nowMillis present time
+     * @return true while the target is paused after failures
+     */
+    public synchronized boolean isPaused(long nowMillis) {
+        return nowMillis < pausedUntilMillis;
+    }
+
+    /**
+     * Gives the number of own requests at the target.
+     *
+     * @return requests that were sent and have not ended
+     */
+    public synchronized int inFlight() {
+        return inFlight;
+    }
+
+    /**
+     * Gives the average time of an answer.
+     *
+     * @return milliseconds
+     */
+    public synchronized double serviceMillis() {
+        return serviceMillis;
+    }
+
+    /**
+     * Estimates how long a request sent now would take, counting failures as lost time.
+     *
+     * @param nowMillis present time
+     * @return milliseconds
+     */
+    public synchronized double expectedMillis(long nowMillis) {
+        double load = inFlight;
+        double slowdown = 1;
+        if (nowMillis - reportedAtMillis <= REPORT_VALID_MILLIS) {
+            // Work of other instances at the time of the report, plus the change of the own work since then.
+            load = Math.max(inFlight, report.running() + report.waiting() + inFlight - inFlightAtReport);
+            slowdown = Math.max(1, report.slowdown());
+        }
+        double queued = Math.max(1, (load + 1) / Math.max(1, entry.slots()));
+        return serviceMillis * queued * slowdown / Math.max(0.05, 1 - failureShare);
+    }
+
+    /**
+     * Gives the share of recent requests that failed.
+     *
+     * @return a number from 0 to 1
+     */
+    public synchronized double failureShare() {
+        return failureShare;
+    }
+
+    /**
+     * Tells whether own requests and the newest report fill the target's queue.
+     *
+     * @param nowMillis present time
+     * @param queueFactor waiting requests for each slot up to which the target is used
+     * @return true if one more request would wait too long or be refused
+     */
+    public synchronized boolean isFull(long nowMillis, double queueFactor) {
+        double load = inFlight;
+        if (nowMillis - reportedAtMillis <= REPORT_VALID_MILLIS) {
+            load = Math.max(inFlight, report.running() + report.waiting() + inFlight - inFlightAtReport);
+        }
+        return load >= entry.slots() * (1 + queueFactor);
+    }
+}
--- a/daemon/src/main/java/org/snipewind/daemon/Daemon.java
+++ b/daemon/src/main/java/org/snipewind/daemon/Daemon.java
@@ -20,11 +20,11 @@
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.daemon.fleet.FleetTimes;
 import org.snipewind.daemon.log.LogFormat;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.settings.DaemonSettings;
 import org.snipewind.daemon.settings.SettingsException;
 import org.snipewind.daemon.settings.SettingsFile;
 import org.snipewind.protocol.PeerSettings;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** The program snipewindd. */
 public final class Daemon {
--- a/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
@@ -42,7 +42,6 @@
 import org.snipewind.daemon.fleet.StoreWatcher;
 import org.snipewind.daemon.log.EventLog;
 import org.snipewind.daemon.log.LogEvent;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.RecordDistributor;
 import org.snipewind.daemon.record.RecordNames;
 import org.snipewind.daemon.record.RecordUpdater;
@@ -58,6 +57,7 @@
 import org.snipewind.protocol.PeerSettings;
 import org.snipewind.protocol.TargetReport;
 import org.snipewind.protocol.TargetReportAnswer;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /**
  * One incarnation of a daemon: its state, its control loops and its connections to peers. Lock order: fleet record,
--- a/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
@@ -21,9 +21,9 @@
 import org.snipewind.daemon.http.OperatorSources;
 import org.snipewind.daemon.log.EventLog;
 import org.snipewind.daemon.log.LogEvent;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.settings.DaemonSettings;
 import org.snipewind.protocol.PeerSettings;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /**
  * A running daemon: its HTTP listeners, and the core of its present incarnation. A core that was removed from the fleet
--- a/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/AttemptRunner.java
@@ -29,10 +29,10 @@
 import org.snipewind.coordination.retry.RetryPlan;
 import org.snipewind.coordination.retry.RetryPolicy;
 import org.snipewind.coordination.selection.HedgePolicy;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.settings.PolicySettings;
 import org.snipewind.protocol.ForwardRequest;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** Runs the attempts of a request: chooses a destination, sends, hedges, and retries what may be retried. */
 final class AttemptRunner {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/BudgetClient.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/BudgetClient.java
@@ -18,13 +18,13 @@
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.coordination.fleet.Member;
 import org.snipewind.coordination.fleet.RoleNames;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.settings.PolicySettings;
 import org.snipewind.protocol.BudgetGrant;
 import org.snipewind.protocol.BudgetRequest;
 import org.snipewind.protocol.PeerConnections;
 import org.snipewind.protocol.PeerMessage;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** Obtains a token for each request of this entry daemon from the keeper of its budget. */
 public final class BudgetClient {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/EntryPath.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/EntryPath.java
@@ -2,11 +2,11 @@
 
 import java.util.concurrent.ScheduledExecutorService;
 import org.snipewind.coordination.clock.MillisClock;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.settings.DaemonSettings;
 import org.snipewind.daemon.supervisor.SupervisorTable;
 import org.snipewind.protocol.PeerConnections;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** The parts that a caller's request passes on its entry daemon. */
 public final class EntryPath {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/LoadBoard.java
@@ -20,13 +20,13 @@
 import org.snipewind.coordination.fleet.RoleNames;
 import org.snipewind.coordination.selection.Candidate;
 import org.snipewind.coordination.selection.TargetSelector;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.settings.DaemonSettings;
 import org.snipewind.daemon.supervisor.SupervisorTable;
 import org.snipewind.protocol.LoadAnswer;
 import org.snipewind.protocol.LoadProbe;
 import org.snipewind.protocol.PeerConnections;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** The supervisors' views of the targets of undivided pools, refreshed by probes that accompany the traffic. */
 final class LoadBoard {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/RequestRouter.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RequestRouter.java
@@ -14,8 +14,8 @@
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.coordination.ownership.KeyHasher;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.SharedRecords;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** Takes callers' requests: finds route, organisation and key, obtains a token and hands over to the attempts. */
 public final class RequestRouter {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/SupervisorClient.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/SupervisorClient.java
@@ -8,7 +8,6 @@
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.daemon.FailureCauses;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.supervisor.SupervisorTable;
 import org.snipewind.protocol.CancelRequest;
 import org.snipewind.protocol.ForwardAnswer;
@@ -16,6 +15,7 @@
 import org.snipewind.protocol.PeerConnections;
 import org.snipewind.protocol.PeerException;
 import org.snipewind.protocol.PeerMessage;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** Sends requests to the supervisors of their targets, in this process or over a frame. */
 final class SupervisorClient {
--- a/daemon/src/main/java/org/snipewind/daemon/http/CallerGate.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/CallerGate.java
@@ -12,8 +12,8 @@
 import org.snipewind.daemon.DaemonCore;
 import org.snipewind.daemon.entry.CallerRequest;
 import org.snipewind.daemon.entry.RoutedOutcome;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.settings.RequestLimits;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** Lets callers' requests in within the limits on requests and bytes, and counts their outcomes. */
 public final class CallerGate {
--- a/daemon/src/main/java/org/snipewind/daemon/http/ConnectionLimit.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/ConnectionLimit.java
@@ -10,7 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.snipewind.coordination.error.ErrorKind;
-import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** Counts the open connections of callers and refuses those above the limit. */
 public final class ConnectionLimit {
--- a/daemon/src/main/java/org/snipewind/daemon/http/OperatorController.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/OperatorController.java
@@ -11,8 +11,8 @@
 import java.util.function.Supplier;
 import org.snipewind.clients.status.DaemonStatus;
 import org.snipewind.daemon.DaemonCore;
-import org.snipewind.daemon.metrics.DaemonMetrics;
-import org.snipewind.daemon.metrics.PrometheusText;
+import org.snipewind.router.metrics.DaemonMetrics;
+import org.snipewind.router.metrics.PrometheusText;
 
 /** Serves operators and the balancer: readiness, liveness, status and metrics. */
 @Controller("/-")
--- a/daemon/src/main/java/org/snipewind/daemon/http/OperatorSources.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/OperatorSources.java
@@ -3,7 +3,7 @@
 import java.util.function.Supplier;
 import org.snipewind.daemon.DaemonCore;
 import org.snipewind.daemon.log.EventLog;
-import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /**
  * What the operators' endpoints show.
--- a/daemon/src/main/java/org/snipewind/daemon/http/RefusalResponses.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/RefusalResponses.java
@@ -10,7 +10,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.daemon.metrics.DaemonMetrics;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** Writes refusals as HTTP answers, all in the same form. */
 @Singleton
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/SupervisorTable.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/SupervisorTable.java
@@ -23,7 +23,6 @@
 import org.snipewind.daemon.entry.OrganisationDirectory;
 import org.snipewind.daemon.fleet.RoleRights;
 import org.snipewind.daemon.log.EventLog;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.RecordNames;
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.settings.DaemonSettings;
@@ -31,6 +30,7 @@
 import org.snipewind.protocol.LoadAnswer;
 import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.TargetReport;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** The supervisors of the targets whose supervisor role this daemon holds. */
 public final class SupervisorTable implements AutoCloseable {
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetGate.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetGate.java
@@ -21,11 +21,11 @@
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.settings.PolicySettings;
 import org.snipewind.daemon.settings.RequestLimits;
 import org.snipewind.protocol.ForwardRequest;
 import org.snipewind.protocol.LoadAnswer;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /**
  * Admits requests to one target: it holds them in a fair queue, keeps the number in flight within the target's slots
--- a/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
+++ b/daemon/src/main/java/org/snipewind/daemon/supervisor/TargetSupervisor.java
@@ -25,7 +25,6 @@
 import org.snipewind.daemon.fleet.RoleRights;
 import org.snipewind.daemon.log.EventLog;
 import org.snipewind.daemon.log.LogEvent;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.SharedRecords;
 import org.snipewind.daemon.settings.DaemonSettings;
 import org.snipewind.protocol.ForwardRequest;
@@ -34,6 +33,7 @@
 import org.snipewind.protocol.TargetCondition;
 import org.snipewind.protocol.TargetReport;
 import org.snipewind.protocol.TargetReportAnswer;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** Supervises one target: renews its grant, judges its condition and admits its requests. */
 final class TargetSupervisor implements AutoCloseable {
--- a/daemon/src/test/java/org/snipewind/daemon/Runtimes.java
+++ b/daemon/src/test/java/org/snipewind/daemon/Runtimes.java
@@ -24,12 +24,12 @@
 import org.snipewind.clients.configuration.RouteSettings;
 import org.snipewind.clients.configuration.TargetSettings;
 import org.snipewind.daemon.entry.OrganisationDirectory;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.RecordNames;
 import org.snipewind.daemon.settings.DaemonSettings;
 import org.snipewind.daemon.settings.Endpoint;
 import org.snipewind.daemon.settings.PolicySettings;
 import org.snipewind.daemon.settings.RequestLimits;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** One daemon alone with one target, and its settings and configuration. */
 final class Runtimes implements AutoCloseable {
--- a/daemon/src/test/java/org/snipewind/daemon/SimulatedDaemon.java
+++ b/daemon/src/test/java/org/snipewind/daemon/SimulatedDaemon.java
@@ -29,7 +29,6 @@
 import org.snipewind.daemon.fleet.RoleRights;
 import org.snipewind.daemon.fleet.StoreWatcher;
 import org.snipewind.daemon.log.EventLog;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.record.RecordDistributor;
 import org.snipewind.daemon.record.RecordUpdater;
 import org.snipewind.daemon.record.SharedRecords;
@@ -45,6 +44,7 @@
 import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.TargetReport;
 import org.snipewind.protocol.TargetReportAnswer;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** The control classes of one daemon, run by a manual clock; what arrives during a pause waits for its end. */
 final class SimulatedDaemon {
--- a/protocol/src/main/java/org/snipewind/protocol/FieldReader.java
+++ b/protocol/src/main/java/org/snipewind/protocol/FieldReader.java
@@ -55,6 +55,10 @@
         return value(field, ValueType.INTEGER, unpacker::unpackInt);
     }
 
+    double real(String field) {
+        return value(field, ValueType.FLOAT, unpacker::unpackDouble);
+    }
+
     boolean flag(String field) {
         return value(field, ValueType.BOOLEAN, unpacker::unpackBoolean);
     }
--- a/protocol/src/main/java/org/snipewind/protocol/FieldWriter.java
+++ b/protocol/src/main/java/org/snipewind/protocol/FieldWriter.java
@@ -27,6 +27,10 @@
         return guarded(() -> packer.packLong(value));
     }
 
+    FieldWriter real(double value) {
+        return guarded(() -> packer.packDouble(value));
+    }
+
     FieldWriter flag(boolean value) {
         return guarded(() -> packer.packBoolean(value));
     }
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -136,7 +136,66 @@
                     CancelRequest.class,
                     1,
                     (out, message) -> out.text(message.requestId()),
-                    in -> new CancelRequest(in.text("requestId"))));
+                    in -> new CancelRequest(in.text("requestId"))),
+            new MessageLayout<>(
+                    17,
+                    DemandReport.class,
+                    3,
+                    (out, message) -> out.list(
+                                    message.rates(),
+                                    rate -> out.arrayHeader(3)
+                                            .text(rate.organisation())
+                                            .real(rate.demandPerSecond())
+                                            .real(rate.lentPerSecond()))
+                            .list(
+                                    message.keys(),
+                                    key -> out.arrayHeader(3)
+                                            .text(key.pool())
+                                            .number(key.key())
+                                            .number(key.requests()))
+                            .list(
+                                    message.timings(),
+                                    timing -> out.arrayHeader(3)
+                                            .text(timing.life())
+                                            .number(timing.answers())
+                                            .real(timing.meanMillis())),
+                    in -> new DemandReport(
+                            in.list("rates", () -> readDemand(in)),
+                            in.list("keys", () -> readKeyCount(in)),
+                            in.list("timings", () -> readTiming(in)))),
+            new MessageLayout<>(
+                    18,
+                    LoanAnswer.class,
+                    2,
+                    (out, message) -> out.flag(message.accepted()).map(message.lentPerSecond(), out::text, out::real),
+                    in -> new LoanAnswer(
+                            in.flag("accepted"),
+                            in.map("lentPerSecond", () -> in.text("organisation"), () -> in.real("perSecond")))),
+            new MessageLayout<>(
+                    19,
+                    MirrorRequest.class,
+                    1,
+                    (out, message) -> out.number(message.knownRevision()),
+                    in -> new MirrorRequest(in.number("knownRevision"))),
+            new MessageLayout<>(
+                    20,
+                    MirrorAnswer.class,
+                    4,
+                    (out, message) -> out.number(message.revision())
+                            .number(message.storeAgeMillis())
+                            .number(message.leaderAgeMillis())
+                            .list(
+                                    message.items(),
+                                    item -> out.arrayHeader(4)
+                                            .text(item.key())
+                                            .number(item.revision())
+                                            .number(item.lease())
+                                            .bytes(item.value())),
+                    in -> new MirrorAnswer(
+                            in.number("revision"),
+                            in.number("storeAgeMillis"),
+                            in.number("leaderAgeMillis"),
+                            in.list("items", () -> readItem(in)))));
 
     private MessageLayouts() {}
 
@@ -216,4 +275,31 @@
                 in.text("refusal.detail"),
                 in.optional("refusal.retryAfterMillis", () -> in.number("refusal.retryAfterMillis")));
     }
+
+    private static DemandReport.RateDemand readDemand(FieldReader in) {
+        requireFields(in, "rate", 3);
+        return new DemandReport.RateDemand(
+                in.text("organisation"), in.real("demandPerSecond"), in.real("lentPerSecond"));
+    }
+
+    private static DemandReport.KeyCount readKeyCount(FieldReader in) {
+        requireFields(in, "key", 3);
+        return new DemandReport.KeyCount(in.text("pool"), in.integer("key"), in.integer("requests"));
+    }
+
+    private static DemandReport.TargetTiming readTiming(FieldReader in) {
+        requireFields(in, "timing", 3);
+        return new DemandReport.TargetTiming(in.text("life"), in.integer("answers"), in.real("meanMillis"));
+    }
+
+    private static MirrorAnswer.Item readItem(FieldReader in) {
+        requireFields(in, "item", 4);
+        return new MirrorAnswer.Item(in.text("key"), in.number("revision"), in.number("lease"), in.bytes("value"));
+    }
+
+    private static void requireFields(FieldReader in, String name, int count) {
+        if (in.arrayHeader(name) != count) {
+            throw in.failure(name, "does not have " + count + " fields");
+        }
+    }
 }
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -0,0 +1,216 @@
+package org.snipewind.router;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.clock.SystemMillisClock;
+import org.snipewind.router.http.HttpCaller;
+import org.snipewind.router.lead.LeaderDuties;
+import org.snipewind.router.lead.Leadership;
+import org.snipewind.router.log.DecisionLog;
+import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.metrics.DaemonMetrics;
+import org.snipewind.router.metrics.PrometheusText;
+import org.snipewind.router.path.CallerServer;
+import org.snipewind.router.path.PathContext;
+import org.snipewind.router.path.SharedTables;
+import org.snipewind.router.peer.FleetReporter;
+import org.snipewind.router.peer.PeerNetwork;
+import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.DocumentReader;
+import org.snipewind.router.port.KeyOrders;
+import org.snipewind.router.port.RequestDialect;
+import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.FleetView;
+import org.snipewind.router.state.MemberRecord;
+import org.snipewind.router.state.Membership;
+import org.snipewind.router.state.StoreMirror;
+
+/** One running instance: puts its parts together, starts them and ends them in order. */
+public final class Router {
+
+    private static final long TICK_MILLIS = 50;
+
+    /** The balancer takes an instance out after two missed checks a second apart; then idle connections may close. */
+    private static final long OUT_OF_ROTATION_MILLIS = 2_300;
+
+    /** The process ends this long before it would be killed. */
+    private static final long EXIT_MARGIN_MILLIS = 500;
+
+    private static final long STOP_CHECK_MILLIS = 20;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final RouterSettings settings;
+    private final MillisClock clock = new SystemMillisClock();
+    private final DecisionLog log;
+    private final DaemonMetrics metrics = new DaemonMetrics();
+    private final MultiThreadIoEventLoopGroup controlGroup = group("snipewind-control", 1);
+    private final EventLoop control = controlGroup.next();
+    private final MultiThreadIoEventLoopGroup workerGroup;
+    private final FleetTracker tracker;
+    private final StoreMirror mirror;
+    private final Membership membership;
+    private final Leadership leadership;
+    private final LeaderDuties duties;
+    private final PeerNetwork network;
+    private final FleetReporter reporter;
+    private final SharedTables tables;
+    private final CallerServer callers;
+    private volatile boolean stopping;
+    private boolean wasReady;
+
+    /**
+     * Creates an instance that does nothing yet.
+     *
+     * @param settings its settings
+     * @param storeFactory makes the client of the store on the caller of the control loop
+     * @param ordersFactory makes the client for orders to targets
+     * @param documents reads the operators' and targets' items
+     * @param dialect headers of requests and answers
+     */
+    public Router(
+            RouterSettings settings,
+            Function<HttpCaller, CoordinationStore> storeFactory,
+            Function<HttpCaller, KeyOrders> ordersFactory,
+            DocumentReader documents,
+            RequestDialect dialect) {
+        this.settings = settings;
+        this.log = new DecisionLog(settings.name(), clock);
+        this.workerGroup = group("snipewind-worker", settings.workers());
+        HttpCaller caller = new HttpCaller(control);
+        CoordinationStore store = storeFactory.apply(caller);
+        MemberRecord self = new MemberRecord(
+                settings.name(), UUID.randomUUID().toString(), address(settings.peers()), settings.dataCentre());
+        tracker = new FleetTracker(documents, clock, log);
+        mirror = new StoreMirror(store, control, clock, log, tracker);
+        tracker.observeStore(mirror::regainedAgeMillis);
+        membership = new Membership(store, mirror, control, log, self);
+        duties = new LeaderDuties(store, mirror, tracker, ordersFactory.apply(caller), clock, log);
+        leadership = new Leadership(store, mirror, tracker, control, clock, log, self, duties::begin, duties::end);
+        duties.attach(leadership);
+        network = new PeerNetwork(
+                store,
+                mirror,
+                duties,
+                control,
+                controlGroup,
+                log,
+                self,
+                settings.peers().getPort());
+        tables = new SharedTables(tracker, clock, settings.limits(), settings.name());
+        reporter = new FleetReporter(network, tracker, mirror, leadership, duties, tables, control, clock, log, self);
+        tracker.observe(tables::viewChanged);
+        callers = new CallerServer(
+                controlGroup,
+                workerGroup,
+                new PathContext(tracker, tables, dialect, clock, metrics, log, settings.dataCentre()));
+        registerGauges();
+    }
+
+    private static MultiThreadIoEventLoopGroup group(String name, int threads) {
+        return new MultiThreadIoEventLoopGroup(
+                threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+    }
+
+    private static String address(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private void registerGauges() {
+        metrics.gauge("callers.connections", callers::connections);
+        metrics.gauge(
+                "configuration.version",
+                () -> tracker.view()
+                        .configuration()
+                        .map(configuration -> configuration.version())
+                        .orElse(0L));
+        metrics.gauge("fleet.members", () -> tracker.view().members().size());
+        metrics.gauge("fleet.targets", () -> tracker.view().known().size());
+        metrics.gauge("store.contact-age-millis", mirror::contactAgeMillis);
+        metrics.gauge("leader", () -> leadership.isLeading() ? 1 : 0);
+    }
+
+    /** Starts all parts; must not be called on a network thread. */
+    public void start() {
+        mirror.start();
+        membership.start();
+        network.start();
+        leadership.start();
+        reporter.start();
+        control.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        new TextServer(controlGroup, uri -> readiness()).start(settings.readiness());
+        new TextServer(controlGroup, uri -> new TextServer.Text(OK, PrometheusText.write(metrics.registry())))
+                .start(settings.metrics());
+        callers.start(settings.callers());
+        log.write(
+                RouterEvent.STARTED,
+                () -> "callers=" + settings.callers() + " peers=" + settings.peers() + " data-centre="
+                        + settings.dataCentre());
+    }
+
+    private void tick() {
+        tracker.removeLapsed();
+        duties.tick();
+        boolean ready = isReady();
+        if (ready != wasReady) {
+            wasReady = ready;
+            FleetView view = tracker.view();
+            log.write(
+                    ready ? RouterEvent.READY : RouterEvent.NOT_READY,
+                    () -> "configuration=" + view.configuration().isPresent() + " targets="
+                            + view.known().size() + " copy-age=" + mirror.ageMillis() + "ms stopping=" + stopping);
+        }
+    }
+
+    private boolean isReady() {
+        FleetView view = tracker.view();
+        return !stopping && view.configuration().isPresent() && !view.known().isEmpty();
+    }
+
+    private TextServer.Text readiness() {
+        return isReady() ? new TextServer.Text(OK, "ready\n") : new TextServer.Text(UNAVAILABLE, "not ready\n");
+    }
+
+    /**
+     * Ends the instance: reports not ready, gives the leadership away, lets requests in progress end and returns before
+     * the grace period is over.
+     */
+    public void stop() {
+        long end = clock.nowMillis() + settings.graceMillis() - EXIT_MARGIN_MILLIS;
+        long outOfRotation = clock.nowMillis() + OUT_OF_ROTATION_MILLIS;
+        stopping = true;
+        log.write(
+                RouterEvent.STOPPING,
+                () -> "grace=" + settings.graceMillis() + "ms connections=" + callers.connections());
+        control.execute(leadership::stop);
+        callers.drain();
+        while (clock.nowMillis() < end) {
+            boolean rotated = clock.nowMillis() >= outOfRotation;
+            if (rotated) {
+                callers.closeIdle();
+            }
+            if (rotated && !callers.isBusy() && callers.connections() == 0) {
+                break;
+            }
+            pause();
+        }
+        control.execute(membership::leave);
+        pause();
+        log.write(RouterEvent.STOPPED, () -> "busy=" + callers.isBusy() + " connections=" + callers.connections());
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/lead/HolderSession.java
@@ -0,0 +1,90 @@
+package org.snipewind.router.lead;
+
+import java.util.Optional;
+import org.snipewind.coordination.target.TargetEntry;
+
+/** What the leader knows of one life of a target that holds or held keys; belongs to the control loop. */
+final class HolderSession {
+
+    /** A target that answers no order for this time gets its keys taken away. */
+    private static final long SILENT_MILLIS = 1_000;
+
+    /** A silent target without keys is taken into account again after this time. */
+    private static final long FORGET_MILLIS = 3_000;
+
+    private final String life;
+    private Optional<TargetEntry> entry = Optional.empty();
+    private long heldUntilMillis;
+    private long failingSinceMillis = -1;
+    private long nextRenewalMillis;
+    private int grantsInFlight;
+
+    HolderSession(String life, long heldUntilMillis) {
+        this.life = life;
+        this.heldUntilMillis = heldUntilMillis;
+    }
+
+    String life() {
+        return life;
+    }
+
+    Optional<TargetEntry> entry() {
+        return entry;
+    }
+
+    void update(TargetEntry newest) {
+        entry = Optional.of(newest);
+    }
+
+    /** Tells whether a grant is on its way, which could arrive after a release and undo it. */
+    boolean isBusy() {
+        return grantsInFlight > 0;
+    }
+
+    boolean isRenewalDue(long now) {
+        return grantsInFlight == 0 && now >= nextRenewalMillis;
+    }
+
+    void grantSent() {
+        grantsInFlight++;
+    }
+
+    void scheduleRenewal(long atMillis) {
+        nextRenewalMillis = atMillis;
+    }
+
+    /** A grant has certainly arrived or will never arrive; until it ends the target holds the keys. */
+    void granted(long now, boolean answered) {
+        grantsInFlight--;
+        heldUntilMillis = Math.max(heldUntilMillis, now + LeaderTimes.longestHoldMillis());
+        if (answered) {
+            failingSinceMillis = -1;
+        } else if (failingSinceMillis < 0) {
+            failingSinceMillis = now;
+        }
+    }
+
+    /** The target acknowledged an epoch of this leader for all its keys, so grants of former leaders are refused from now on. */
+    void acknowledged(long now) {
+        heldUntilMillis = now + LeaderTimes.longestHoldMillis();
+    }
+
+    /** Gives the time at which no grant sent so far is in force any more. */
+    long freeAtMillis(long now) {
+        return grantsInFlight > 0
+                ? Math.max(heldUntilMillis, now + LeaderTimes.ORDER_MILLIS + LeaderTimes.longestHoldMillis())
+                : heldUntilMillis;
+    }
+
+    boolean isSilent(long now) {
+        long failing = failingSinceMillis < 0 ? 0 : now - failingSinceMillis;
+        return failing > SILENT_MILLIS;
+    }
+
+    /** Ends the memory of failures of a target that holds nothing, so that it may get keys again. */
+    void forgetFailures(long now) {
+        if (failingSinceMillis >= 0 && now - failingSinceMillis > SILENT_MILLIS + FORGET_MILLIS) {
+            failingSinceMillis = -1;
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -0,0 +1,313 @@
+package org.snipewind.router.lead;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.keyspace.HolderView;
+import org.snipewind.coordination.keyspace.KeyAssignment;
+import org.snipewind.coordination.keyspace.KeyLoads;
+import org.snipewind.coordination.keyspace.KeyMove;
+import org.snipewind.coordination.keyspace.KeyPlanner;
+import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.coordination.target.TargetEntry;
+import org.snipewind.coordination.target.TargetState;
+import org.snipewind.router.log.DecisionLog;
+import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.KeyOrders;
+import org.snipewind.router.port.StoreException;
+import org.snipewind.router.state.FleetView;
+import org.snipewind.router.state.StoreKeys;
+import org.snipewind.router.state.StoreMirror;
+
+/**
+ * Assigns the keys of one pool while this instance leads. A range changes its holder in three steps: the table with the
+ * new and the previous holder is written to the store; the previous holder releases the keys, or its hold runs out; the
+ * new holder gets them under a higher epoch. A successor finds each unfinished move in the table. Belongs to the control
+ * loop.
+ */
+final class KeyGrantor {
+
+    private static final long PLAN_MILLIS = 250;
+
+    /** The first table waits until the list of targets has not changed for this time. */
+    private static final long SETTLE_MILLIS = 1_500;
+
+    private static final long RETRY_MILLIS = 250;
+
+    /** Targets without measured answers are taken to need this time for a request. */
+    private static final double DEFAULT_SERVICE_MILLIS = 60;
+
+    private static final double TIMING_WEIGHT = 0.3;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final String pool;
+    private final StoreMirror mirror;
+    private final MillisClock clock;
+    private final DecisionLog log;
+    private final OrderDesk orders;
+    private final TableWriter writer;
+    private final KeyLoads loads;
+    private final Map<String, Double> serviceMillis = new HashMap<>();
+    private final Map<String, HolderSession> sessions = new HashMap<>();
+    private final List<MoveTask> tasks = new ArrayList<>();
+    private final BooleanSupplier leading;
+    private final long openedAtMillis;
+    private KeyTable table = KeyTable.EMPTY;
+    private long tableRevision;
+    private long epoch;
+    private boolean opened;
+    private boolean writing;
+    private boolean fenced;
+    private long retryAtMillis;
+    private long plannedAtMillis;
+    private Set<String> lastTargets = Set.of();
+    private long targetsSinceMillis;
+
+    KeyGrantor(
+            String pool,
+            CoordinationStore store,
+            StoreMirror mirror,
+            KeyOrders keyOrders,
+            MillisClock clock,
+            DecisionLog log,
+            BooleanSupplier leading) {
+        this.pool = pool;
+        this.mirror = mirror;
+        this.clock = clock;
+        this.log = log;
+        this.leading = leading;
+        this.orders = new OrderDesk(pool, keyOrders, clock, log, leading, () -> fenced = true);
+        this.writer = new TableWriter(store, mirror, StoreKeys.TABLES + pool);
+        this.loads = new KeyLoads(clock);
+        this.openedAtMillis = clock.nowMillis();
+        this.targetsSinceMillis = openedAtMillis;
+    }
+
+    /** Counts requests for a key. */
+    void count(int key, int requests) {
+        loads.add(key, requests);
+    }
+
+    /** Takes a measured answer time into account. */
+    void timing(String life, double meanMillis) {
+        serviceMillis.merge(life, meanMillis, (known, newest) -> known + TIMING_WEIGHT * (newest - known));
+    }
+
+    /** Does what is due. */
+    void tick(FleetView view) {
+        long now = clock.nowMillis();
+        if (!leading.getAsBoolean()) {
+            return;
+        }
+        if (!opened) {
+            if (!writing && now >= retryAtMillis) {
+                open(view);
+            }
+            return;
+        }
+        updateSessions(view, now);
+        orders.renew(table, tasks, sessions, now);
+        tasks.forEach(task -> orders.advance(task, sessions, now));
+        if (!writing && now >= retryAtMillis) {
+            writeChanges(view, now);
+        }
+    }
+
+    /** Takes over the table of the former leader under an epoch that fences its orders off. */
+    private void open(FleetView view) {
+        String key = StoreKeys.TABLES + pool;
+        KeyTable found = view.tables().getOrDefault(pool, KeyTable.EMPTY);
+        long revision = mirror.item(key).map(item -> item.revision()).orElse(0L);
+        epoch = Math.max(found.highestEpoch(), mirror.revision()) + 1;
+        if (found.assignments().isEmpty()) {
+            opened = true;
+            tableRevision = revision;
+            return;
+        }
+        write(withEpoch(found, epoch), revision, () -> {
+            opened = true;
+            for (KeyAssignment each : table.assignments()) {
+                if (each.isMoving()) {
+                    addTask(each);
+                }
+            }
+        });
+    }
+
+    private static KeyTable withEpoch(KeyTable source, long newEpoch) {
+        return new KeyTable(source.assignments().stream()
+                .map(each -> new KeyAssignment(each.from(), each.to(), each.holder(), newEpoch, each.previous()))
+                .toList());
+    }
+
+    private void updateSessions(FleetView view, long now) {
+        for (TargetState state : view.known().values()) {
+            TargetEntry entry = state.entry();
+            if (entry.pool().equals(pool)) {
+                session(entry.life()).update(entry);
+            }
+        }
+        sessions.values().forEach(session -> session.forgetFailures(now));
+        Set<String> targets = new TreeSet<>();
+        view.inService()
+                .getOrDefault(pool, List.of())
+                .forEach(state -> targets.add(state.entry().life()));
+        if (!targets.equals(lastTargets)) {
+            lastTargets = targets;
+            targetsSinceMillis = now;
+        }
+    }
+
+    private HolderSession session(String life) {
+        // A life that the former leader may have served is free only after that leader's grants have ended.
+        return sessions.computeIfAbsent(
+                life, key -> new HolderSession(key, openedAtMillis + LeaderTimes.formerLeaderMillis()));
+    }
+
+    private void writeChanges(FleetView view, long now) {
+        KeyTable changed = table;
+        List<MoveTask> finished = tasks.stream().filter(MoveTask::isGranted).toList();
+        for (MoveTask task : finished) {
+            KeyAssignment done = task.assignment();
+            changed = changed.with(new KeyAssignment(done.from(), done.to(), done.holder(), done.epoch(), List.of()));
+        }
+        List<KeyAssignment> moves = List.of();
+        if (now - plannedAtMillis >= PLAN_MILLIS) {
+            plannedAtMillis = now;
+            moves = plan(changed, view, now);
+            for (KeyAssignment move : moves) {
+                changed = changed.with(move);
+            }
+        }
+        boolean refenced = fenced;
+        if (fenced) {
+            epoch = Math.max(epoch, mirror.revision()) + 1;
+            changed = withEpoch(changed, epoch);
+            fenced = false;
+        }
+        if (finished.isEmpty() && moves.isEmpty() && !refenced) {
+            return;
+        }
+        List<KeyAssignment> planned = moves;
+        write(changed.compacted(), tableRevision, () -> written(finished, planned, refenced));
+    }
+
+    private void written(List<MoveTask> finished, List<KeyAssignment> moves, boolean refenced) {
+        tasks.removeAll(finished);
+        finished.forEach(task -> log.write(
+                RouterEvent.KEYS_MOVED,
+                () -> "pool=" + pool + " from=" + task.assignment().from() + " to="
+                        + task.assignment().to() + " holder="
+                        + task.assignment().holder() + " epoch="
+                        + task.assignment().epoch() + " handover="
+                        + task.handover().isPresent()));
+        for (KeyAssignment move : moves) {
+            tasks.stream().filter(task -> task.overlaps(move)).forEach(MoveTask::drop);
+        }
+        tasks.removeIf(MoveTask::isDropped);
+        if (refenced) {
+            // The tasks carry the refused epoch; the table has the same moves under the new one.
+            tasks.forEach(MoveTask::drop);
+            tasks.clear();
+            table.assignments().stream().filter(KeyAssignment::isMoving).forEach(this::addTask);
+        } else {
+            moves.forEach(this::addTask);
+        }
+    }
+
+    private void addTask(KeyAssignment moving) {
+        long now = clock.nowMillis();
+        MoveTask task = new MoveTask(moving);
+        for (String life : moving.previous()) {
+            task.freeAt(life, isReplaced(life) ? now : session(life).freeAtMillis(now));
+        }
+        tasks.add(task);
+        orders.advance(task, sessions, now);
+    }
+
+    /** A process that was started later under the same id or address shows that the earlier one has ended. */
+    private boolean isReplaced(String life) {
+        Optional<TargetEntry> old = session(life).entry();
+        return old.isPresent()
+                && sessions.values().stream()
+                        .flatMap(other -> other.entry().stream())
+                        .anyMatch(entry -> entry.startedAtMillis() > old.get().startedAtMillis()
+                                && (entry.id().equals(old.get().id())
+                                        || entry.host().equals(old.get().host())
+                                                && entry.port() == old.get().port()));
+    }
+
+    private List<KeyAssignment> plan(KeyTable base, FleetView view, long now) {
+        if (base.assignments().isEmpty() && now - targetsSinceMillis < SETTLE_MILLIS) {
+            return List.of();
+        }
+        List<HolderView> usable = new ArrayList<>();
+        for (TargetState state : view.inService().getOrDefault(pool, List.of())) {
+            String life = state.entry().life();
+            if (!session(life).isSilent(now)) {
+                usable.add(new HolderView(life, capacity(state), state.isCold(now)));
+            }
+        }
+        List<KeyMove> moves = KeyPlanner.plan(base, usable, loads.rates());
+        if (moves.isEmpty()) {
+            return List.of();
+        }
+        epoch++;
+        log.write(
+                RouterEvent.KEYS_PLANNED,
+                () -> "pool=" + pool + " epoch=" + epoch + " moves=" + moves.size() + " usable=" + usable.size()
+                        + " ranges=" + base.assignments().size() + " first=" + moves.get(0));
+        return moves.stream()
+                .map(move -> new KeyAssignment(
+                        move.from(), move.to(), move.destination(), epoch, possibleHolders(move, now)))
+                .toList();
+    }
+
+    private double capacity(TargetState state) {
+        double service = serviceMillis.getOrDefault(state.entry().life(), DEFAULT_SERVICE_MILLIS);
+        return Math.max(1, state.entry().slots()) * MILLIS_PER_SECOND / service;
+    }
+
+    private List<String> possibleHolders(KeyMove move, long now) {
+        KeyAssignment range = new KeyAssignment(move.from(), move.to(), move.destination(), epoch, List.of());
+        return tasks.stream()
+                .filter(task -> task.overlaps(range))
+                .findFirst()
+                .map(task -> task.possibleHolders(now))
+                .orElseGet(() -> move.source().stream().toList())
+                .stream()
+                .filter(life -> !life.equals(move.destination()))
+                .toList();
+    }
+
+    private void write(KeyTable changed, long expectedRevision, Runnable onWritten) {
+        writing = true;
+        writer.write(changed, expectedRevision).whenComplete((revision, failure) -> {
+            writing = false;
+            if (failure == null) {
+                table = changed;
+                tableRevision = revision;
+                onWritten.run();
+                return;
+            }
+            retryAtMillis = clock.nowMillis() + RETRY_MILLIS;
+            log.write(
+                    RouterEvent.STORE_CALL_FAILED,
+                    () -> "call=write of the table pool=" + pool + " revision=" + expectedRevision + " cause="
+                            + failure.getMessage());
+            if (opened && StoreMirror.kindOf(failure) == StoreException.Kind.CONFLICT) {
+                // Another leader wrote; its table counts, under a new epoch if this instance still leads.
+                opened = false;
+                tasks.forEach(MoveTask::drop);
+                tasks.clear();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/lead/TableWriter.java
@@ -0,0 +1,67 @@
+package org.snipewind.router.lead;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.StoreException;
+import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.port.StoreWrite;
+import org.snipewind.router.state.RecordCodec;
+import org.snipewind.router.state.StoreMirror;
+
+/** Writes the table of a pool under the condition that nobody else did; finds out about writes without an answer. */
+final class TableWriter {
+
+    private final CoordinationStore store;
+    private final StoreMirror mirror;
+    private final String key;
+
+    TableWriter(CoordinationStore store, StoreMirror mirror, String key) {
+        this.store = store;
+        this.mirror = mirror;
+        this.key = key;
+    }
+
+    /** Writes a table in place of the one with the expected revision; gives its own revision. */
+    CompletableFuture<Long> write(KeyTable table, long expectedRevision) {
+        byte[] value = RecordCodec.encode(table);
+        return store.commit(List.of(new StoreWrite(key, expectedRevision, value, 0)))
+                .handle((revision, failure) -> {
+                    if (failure == null) {
+                        return CompletableFuture.completedFuture(revision);
+                    }
+                    // A write that was answered by nothing may have taken effect, and a repeat of it then conflicts.
+                    return isRefused(failure)
+                            ? CompletableFuture.<Long>failedFuture(failure)
+                            : readBack(value, expectedRevision);
+                })
+                .thenCompose(result -> result)
+                .thenApply(revision -> {
+                    mirror.noteContact();
+                    mirror.noteWritten(new StoreItem(key, value, revision, 0));
+                    return revision;
+                });
+    }
+
+    private static boolean isRefused(Throwable failure) {
+        return StoreMirror.kindOf(failure) == StoreException.Kind.REFUSED;
+    }
+
+    private CompletableFuture<Long> readBack(byte[] value, long expectedRevision) {
+        return store.range(key, Optional.empty()).thenApply(page -> {
+            Optional<StoreItem> current =
+                    page.items().stream().filter(item -> item.key().equals(key)).findFirst();
+            long revision = current.map(StoreItem::revision).orElse(0L);
+            if (revision != expectedRevision
+                    && current.map(item -> Arrays.equals(item.value(), value)).orElse(false)) {
+                return revision;
+            }
+            throw new StoreException(
+                    revision == expectedRevision ? StoreException.Kind.UNKNOWN : StoreException.Kind.CONFLICT,
+                    "write of " + key + " on revision " + expectedRevision + " has no effect at revision " + revision);
+        });
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/log/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events with a bounded volume. */
+package org.snipewind.router.log;
--- a/daemon/src/main/java/org/snipewind/daemon/metrics/DaemonMetrics.java
+++ b/router/src/main/java/org/snipewind/router/metrics/DaemonMetrics.java
@@ -1,4 +1,4 @@
-package org.snipewind.daemon.metrics;
+package org.snipewind.router.metrics;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
--- a/daemon/src/main/java/org/snipewind/daemon/metrics/package-info.java
+++ b/router/src/main/java/org/snipewind/router/metrics/package-info.java
@@ -1,2 +1,2 @@
 /** Counters of the daemon and their text forms. */
-package org.snipewind.daemon.metrics;
+package org.snipewind.router.metrics;
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -0,0 +1,163 @@
+package org.snipewind.router.path;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.target.TargetState;
+import org.snipewind.router.http.ExchangeException;
+import org.snipewind.router.http.ExchangeListener;
+import org.snipewind.router.http.HttpAnswer;
+import org.snipewind.router.http.HttpConnection;
+import org.snipewind.router.port.AnswerHeaders;
+
+/** One sending of a request to one target; belongs to the worker's loop. */
+final class Attempt implements ExchangeListener {
+
+    private static final int SERVER_ERROR = 500;
+    private static final int SUCCESS = 200;
+    private static final int REDIRECTION = 300;
+
+    private final RoutedRequest owner;
+    private final PathContext context;
+    private final TargetState target;
+    private final long startedMillis;
+    private HttpConnection connection;
+    private boolean ended;
+
+    Attempt(RoutedRequest owner, TargetState target) {
+        this.owner = owner;
+        this.context = owner.worker().context();
+        this.target = target;
+        this.startedMillis = context.clock().nowMillis();
+    }
+
+    TargetState target() {
+        return target;
+    }
+
+    long elapsedMillis() {
+        return context.clock().nowMillis() - startedMillis;
+    }
+
+    boolean isSent() {
+        return connection != null;
+    }
+
+    void start() {
+        target.started();
+        owner.worker().connections().acquire(target.entry(), !owner.isIdempotent(), this::use, this::notConnected);
+    }
+
+    private void use(HttpConnection opened) {
+        if (ended) {
+            owner.worker().connections().giveBack(target.entry(), opened);
+            return;
+        }
+        connection = opened;
+        opened.exchange(message(), this::belongs, this);
+    }
+
+    private void notConnected(Throwable cause) {
+        if (!ended) {
+            target.failed(context.clock().nowMillis(), true);
+            end();
+            owner.failed(this, ErrorKind.TARGET_UNREACHABLE, false, describe("connect: " + cause.getMessage()));
+        }
+    }
+
+    private FullHttpRequest message() {
+        CallerRequest request = owner.request();
+        HttpHeaders headers = request.headers().copy();
+        ConnectionHeaders.remove(headers);
+        context.dialect()
+                .writeForTarget(
+                        headers, target.entry().id(), owner.organisationName(), Math.max(1, owner.remainingMillis()));
+        boolean hasBody = request.body().length > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        if (hasBody) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+        }
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                Unpooled.wrappedBuffer(request.body()),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
+    }
+
+    /** An answer without an id is only a refusal that was sent before the request was read. */
+    private boolean belongs(int status, HttpHeaders headers) {
+        AnswerHeaders answer = context.dialect().readAnswer(status, headers);
+        return answer.requestId().isPresent()
+                ? answer.requestId().equals(owner.requestId())
+                : answer.notExecuted()
+                        || answer.misdirected()
+                        || owner.requestId().isEmpty();
+    }
+
+    @Override
+    public void answered(HttpAnswer answer) {
+        if (ended) {
+            return;
+        }
+        long now = context.clock().nowMillis();
+        AnswerHeaders headers = context.dialect().readAnswer(answer.status(), answer.headers());
+        headers.load().ifPresent(load -> target.reported(load, now));
+        headers.coldMillis().ifPresent(millis -> target.coldFor(millis, now));
+        double elapsed = elapsedMillis();
+        end();
+        owner.worker().connections().giveBack(target.entry(), connection);
+        boolean success = answer.status() >= SUCCESS && answer.status() < REDIRECTION;
+        if (headers.misdirected()) {
+            owner.failed(this, ErrorKind.FENCED, true, describe("status=" + answer.status()));
+        } else if (headers.notExecuted()) {
+            target.failed(now, false);
+            owner.failed(this, ErrorKind.TARGET_SHED, true, describe("status=" + answer.status()));
+        } else if (success && !headers.signed()) {
+            target.failed(now, false);
+            owner.failed(this, ErrorKind.ANSWER_INCOMPLETE, true, describe("answer without signature"));
+        } else if (answer.status() >= SERVER_ERROR && owner.isIdempotent() && owner.mayRepeat()) {
+            target.failed(now, false);
+            owner.failed(this, ErrorKind.TARGET_ERROR, true, describe("status=" + answer.status()));
+        } else {
+            target.answered(elapsed);
+            owner.answered(this, answer);
+        }
+    }
+
+    @Override
+    public void failed(ExchangeException cause) {
+        if (ended) {
+            return;
+        }
+        target.failed(context.clock().nowMillis(), false);
+        end();
+        ErrorKind kind = cause.isSent() ? ErrorKind.TARGET_LOST : ErrorKind.TARGET_UNREACHABLE;
+        owner.failed(this, kind, cause.isSent(), describe(cause.getMessage()));
+    }
+
+    /** Ends the attempt and its connection, at which most targets drop the work. */
+    void abort() {
+        if (!ended) {
+            end();
+            if (connection != null) {
+                connection.abort();
+            }
+        }
+    }
+
+    private void end() {
+        ended = true;
+        target.ended();
+    }
+
+    private String describe(String outcome) {
+        return "target=" + target.entry().life() + " elapsed=" + elapsedMillis() + "ms " + outcome;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/path/ConnectionHeaders.java
@@ -0,0 +1,34 @@
+package org.snipewind.router.path;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+
+/** The headers that concern only one connection and are not passed on (RFC 9110, section 7.6.1). */
+final class ConnectionHeaders {
+
+    private static final List<CharSequence> NAMES = List.of(
+            HttpHeaderNames.CONNECTION,
+            "Keep-Alive",
+            HttpHeaderNames.PROXY_CONNECTION,
+            HttpHeaderNames.PROXY_AUTHENTICATE,
+            HttpHeaderNames.PROXY_AUTHORIZATION,
+            HttpHeaderNames.TE,
+            HttpHeaderNames.TRAILER,
+            HttpHeaderNames.TRANSFER_ENCODING,
+            HttpHeaderNames.UPGRADE,
+            HttpHeaderNames.EXPECT);
+
+    private ConnectionHeaders() {}
+
+    static void remove(HttpHeaders headers) {
+        for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : value.split(",")) {
+                if (!name.isBlank()) {
+                    headers.remove(name.trim());
+                }
+            }
+        }
+        NAMES.forEach(headers::remove);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/path/Responder.java
@@ -0,0 +1,15 @@
+package org.snipewind.router.path;
+
+import java.util.Optional;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.router.http.HttpAnswer;
+
+/** Takes the one answer to a request, on the loop of the caller's connection. */
+interface Responder {
+
+    /** Passes the answer of a target on. */
+    void deliver(HttpAnswer answer);
+
+    /** Answers for the router itself. */
+    void refuse(ErrorKind kind, Optional<String> requestId, long retryAfterMillis);
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -0,0 +1,411 @@
+package org.snipewind.router.path;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.error.Execution;
+import org.snipewind.coordination.keyspace.KeyAssignment;
+import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.coordination.quota.RateShare;
+import org.snipewind.coordination.routing.Organisation;
+import org.snipewind.coordination.routing.Pool;
+import org.snipewind.coordination.routing.Route;
+import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.coordination.target.TargetState;
+import org.snipewind.router.http.HttpAnswer;
+import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.port.CallerHeaders;
+import org.snipewind.router.state.FleetView;
+
+/**
+ * A request on its way: checked against the configuration and the limits, sent to one target or, where it may be
+ * repeated, to a further one, and answered exactly once. Belongs to its worker's loop.
+ */
+final class RoutedRequest {
+
+    /** Longest wait for keys that are on their way to a new holder; moves mostly take less than half of it. */
+    private static final long OWNER_WAIT_MILLIS = 400;
+
+    /** A caller is told to come back after this time if keys have no holder. */
+    private static final long OWNER_RETRY_MILLIS = 500;
+
+    private static final long POOL_RETRY_MILLIS = 200;
+    private static final long START_RETRY_MILLIS = 500;
+
+    /** A target that refused a keyed request is asked again after this time, as no other target may run it. */
+    private static final long SAME_TARGET_MILLIS = 15;
+
+    /** Waiting requests for each slot of a target that are accepted; longer queues only grow old. */
+    private static final double QUEUE_FACTOR = 2.5;
+
+    /** Part of the latency objective after which an idempotent request is also sent to a second target. */
+    private static final double HEDGE_PART = 0.6;
+
+    /** Part of a target's connections that requests use, so that other uses and uneven shares do not exceed it. */
+    private static final double CONNECTION_PART = 0.8;
+
+    private static final int MIN_CONNECTIONS = 2;
+
+    private final Worker worker;
+    private final PathContext context;
+    private final CallerRequest request;
+    private final Responder responder;
+    private final long arrivedMillis;
+    private final List<Attempt> active = new ArrayList<>();
+    private final Set<String> tried = new HashSet<>();
+    private final List<Future<?>> timers = new ArrayList<>();
+    private CallerHeaders headers;
+    private Route route;
+    private Pool pool;
+    private Optional<Organisation> organisation = Optional.empty();
+    private long finalMillis;
+    private long ownerWaitUntilMillis = -1;
+    private int attempts;
+    private boolean mayHaveRun;
+    private boolean done;
+
+    RoutedRequest(Worker worker, CallerRequest request, Responder responder) {
+        this.worker = worker;
+        this.context = worker.context();
+        this.request = request;
+        this.responder = responder;
+        this.arrivedMillis = context.clock().nowMillis();
+    }
+
+    Worker worker() {
+        return worker;
+    }
+
+    CallerRequest request() {
+        return request;
+    }
+
+    boolean isIdempotent() {
+        return route.idempotent();
+    }
+
+    Optional<String> organisationName() {
+        return organisation.map(Organisation::name);
+    }
+
+    Optional<String> requestId() {
+        return headers.requestId();
+    }
+
+    long remainingMillis() {
+        return finalMillis - context.clock().nowMillis();
+    }
+
+    /** Tells whether a further attempt is allowed, apart from the budget. */
+    boolean mayRepeat() {
+        return attempts < route.maxAttempts() && remainingMillis() > 0;
+    }
+
+    void start() {
+        headers = context.dialect().readCaller(request.headers());
+        FleetView view = context.tracker().view();
+        if (view.configuration().isEmpty()) {
+            refuse(ErrorKind.NOT_READY, START_RETRY_MILLIS, "no configuration");
+            return;
+        }
+        RoutingConfiguration configuration = view.configuration().get();
+        Optional<Route> found = configuration.route(request.headers().get("Host", ""), request.path());
+        if (found.isEmpty()) {
+            refuse(ErrorKind.ROUTE_UNKNOWN, 0, "version=" + configuration.version());
+            return;
+        }
+        route = found.get();
+        if (!admit(configuration)) {
+            return;
+        }
+        pool = configuration
+                .pool(route.poolFor(ThreadLocalRandom.current().nextDouble()))
+                .orElse(null);
+        if (pool == null) {
+            refuse(ErrorKind.POOL_UNAVAILABLE, POOL_RETRY_MILLIS, "pool is not configured");
+            return;
+        }
+        if (pool.keyed() && headers.shardKey().isEmpty()) {
+            refuse(ErrorKind.REQUEST_KEY_MISSING, 0, "pool=" + pool.name());
+            return;
+        }
+        long allowed = Math.min(route.timeoutMillis(), headers.remainingMillis().orElse(Long.MAX_VALUE));
+        finalMillis = arrivedMillis + allowed;
+        schedule(this::expire, allowed);
+        if (pool.keyed()) {
+            context.tables().countKey(pool.name(), headers.shardKey().getAsInt());
+        }
+        route();
+    }
+
+    /** Checks the organisation's key and limit. */
+    private boolean admit(RoutingConfiguration configuration) {
+        organisation = headers.organisationKey().flatMap(configuration::organisationOf);
+        boolean keyNeeded = !route.anonymous() && !configuration.organisations().isEmpty();
+        if (keyNeeded && organisation.isEmpty()) {
+            refuse(ErrorKind.KEY_REJECTED, 0, "version=" + configuration.version());
+            return false;
+        }
+        Optional<RateShare> share = organisation.filter(Organisation::isLimited).map(context.tables()::rate);
+        if (share.isPresent() && !share.get().tryTake()) {
+            refuse(
+                    ErrorKind.RATE_EXCEEDED,
+                    share.get().millisUntilToken(),
+                    "organisation=" + organisation.get().name() + " demand="
+                            + Math.round(share.get().demand()) + "/s lent="
+                            + Math.round(share.get().lentPerSecond()) + "/s");
+            return false;
+        }
+        return true;
+    }
+
+    /** Chooses where to send the request next. */
+    void route() {
+        if (done) {
+            return;
+        }
+        if (pool.keyed()) {
+            routeToOwner();
+        } else {
+            routeToPool();
+        }
+    }
+
+    private void routeToPool() {
+        FleetView view = context.tracker().view();
+        long now = context.clock().nowMillis();
+        List<TargetState> targets = view.inService().getOrDefault(pool.name(), List.of());
+        int limit = connectionLimit(view);
+        Optional<TargetState> chosen = worker.chooser().choose(targets, now, target -> canTake(target, now, limit));
+        if (chosen.isEmpty()) {
+            endWithout(
+                    targets.isEmpty() ? ErrorKind.POOL_UNAVAILABLE : ErrorKind.OVERLOADED,
+                    POOL_RETRY_MILLIS,
+                    "targets=" + targets.size() + " tried=" + tried.size());
+            return;
+        }
+        if (chosen.get().isCold(now)
+                && !context.tables().pace(pool, chosen.get()).tryTake()) {
+            endWithout(
+                    ErrorKind.OVERLOADED,
+                    POOL_RETRY_MILLIS,
+                    "cold target=" + chosen.get().entry().id());
+            return;
+        }
+        send(chosen.get());
+    }
+
+    private boolean canTake(TargetState target, long now, int limit) {
+        return !tried.contains(target.entry().life())
+                && !target.isFull(now, QUEUE_FACTOR)
+                && worker.connections().hasRoom(target.entry(), limit)
+                && (!target.isCold(now) || context.tables().pace(pool, target).hasRoom());
+    }
+
+    private int connectionLimit(FleetView view) {
+        return Math.max(MIN_CONNECTIONS, (int) (pool.maxConnections() * CONNECTION_PART / view.fleetSize()));
+    }
+
+    private void routeToOwner() {
+        FleetView view = context.tracker().view();
+        long now = context.clock().nowMillis();
+        int key = headers.shardKey().getAsInt();
+        Optional<KeyAssignment> assignment =
+                view.tables().getOrDefault(pool.name(), KeyTable.EMPTY).find(key);
+        if (assignment.isEmpty() || assignment.get().isMoving()) {
+            waitForOwner(now, "key=" + key + " moving=" + assignment.isPresent());
+            return;
+        }
+        KeyAssignment owner = assignment.get();
+        Optional<TargetState> target = view.serving(owner.holder());
+        if (target.isEmpty()) {
+            waitForOwner(now, "key=" + key + " holder=" + owner.holder() + " is not in service");
+            return;
+        }
+        TargetState state = target.get();
+        String inputs = "key=" + key + " holder=" + owner.holder() + " epoch=" + owner.epoch() + " in-flight="
+                + state.inFlight() + " expected=" + Math.round(state.expectedMillis(now)) + "ms";
+        if (state.isPaused(now)) {
+            endWithout(ErrorKind.TARGET_UNREACHABLE, OWNER_RETRY_MILLIS, inputs);
+        } else if (state.isFull(now, QUEUE_FACTOR)
+                || !worker.connections().hasRoom(state.entry(), connectionLimit(view))) {
+            endWithout(ErrorKind.OVERLOADED, (long) state.serviceMillis(), inputs);
+        } else if (state.isCold(now) && !context.tables().pace(pool, state).tryTake()) {
+            endWithout(ErrorKind.OVERLOADED, POOL_RETRY_MILLIS, inputs + " cold=true");
+        } else {
+            send(state);
+        }
+    }
+
+    private void waitForOwner(long now, String inputs) {
+        if (ownerWaitUntilMillis < 0) {
+            // Half of the time is kept for the work itself.
+            ownerWaitUntilMillis = now + Math.min(OWNER_WAIT_MILLIS, remainingMillis() / 2);
+            schedule(this::route, ownerWaitUntilMillis - now);
+        }
+        if (now >= ownerWaitUntilMillis) {
+            endWithout(ErrorKind.OWNER_UNAVAILABLE, OWNER_RETRY_MILLIS, inputs);
+        } else {
+            worker.waitForOwner(this);
+        }
+    }
+
+    private void send(TargetState target) {
+        attempts++;
+        tried.add(target.entry().life());
+        if (attempts == 1) {
+            context.tables().countFirst(pool.name());
+            scheduleHedge();
+        }
+        Attempt attempt = new Attempt(this, target);
+        active.add(attempt);
+        attempt.start();
+    }
+
+    private void scheduleHedge() {
+        long delay = (long) (route.objectiveMillis() * HEDGE_PART);
+        if (route.idempotent() && !pool.keyed() && route.maxAttempts() > 1 && delay < remainingMillis()) {
+            schedule(this::hedge, delay);
+        }
+    }
+
+    private void hedge() {
+        if (!done && active.size() == 1 && attempts < route.maxAttempts() && takeRepeat("hedge")) {
+            routeToPool();
+        }
+    }
+
+    private boolean takeRepeat(String reason) {
+        if (!context.tables().tryRepeat(pool.name())) {
+            context.metrics().count("retries.refused");
+            return false;
+        }
+        context.metrics().countRetry(reason);
+        context.log()
+                .write(
+                        RouterEvent.REQUEST_REPEATED,
+                        () -> identity() + " reason=" + reason + " attempts=" + attempts + " remaining="
+                                + remainingMillis() + "ms");
+        return true;
+    }
+
+    /** Takes an answer that settles the request. */
+    void answered(Attempt attempt, HttpAnswer answer) {
+        if (pool.keyed()) {
+            context.tables().countAnswer(attempt.target().entry().life(), attempt.elapsedMillis());
+        }
+        if (finish()) {
+            context.metrics()
+                    .recordRequest(TimeUnit.MILLISECONDS.toNanos(context.clock().nowMillis() - arrivedMillis));
+            responder.deliver(answer);
+        }
+    }
+
+    /**
+     * Takes the failure of an attempt.
+     *
+     * @param attempt the attempt
+     * @param kind how it failed; tells whether the request may have run
+     * @param arrived whether the request may have reached the target
+     */
+    void failed(Attempt attempt, ErrorKind kind, boolean arrived, String detail) {
+        active.remove(attempt);
+        mayHaveRun |= kind.execution() != Execution.NOT_RUN;
+        if (done || !active.isEmpty()) {
+            return;
+        }
+        boolean repeatable = !mayHaveRun || route.idempotent();
+        if (!arrived) {
+            // A target that was never reached does not count against the limit of attempts.
+            attempts--;
+        }
+        if (!repeatable || !mayRepeat()) {
+            endWithout(kind, POOL_RETRY_MILLIS, detail);
+        } else if (arrived && !takeRepeat(kind.wireName())) {
+            endWithout(kind, POOL_RETRY_MILLIS, detail + " repeat-budget=empty");
+        } else if (pool.keyed()) {
+            schedule(this::route, SAME_TARGET_MILLIS);
+        } else {
+            route();
+        }
+    }
+
+    /** Ends without an answer of a target, unless another attempt is still in progress. */
+    private void endWithout(ErrorKind kind, long retryAfterMillis, String detail) {
+        if (!active.isEmpty()) {
+            return;
+        }
+        boolean promisesNotRun = kind.execution() == Execution.NOT_RUN;
+        refuse(mayHaveRun && promisesNotRun ? ErrorKind.TARGET_LOST : kind, retryAfterMillis, detail);
+    }
+
+    private void expire() {
+        if (done) {
+            return;
+        }
+        mayHaveRun |= active.stream().anyMatch(Attempt::isSent);
+        active.forEach(Attempt::abort);
+        active.clear();
+        refuse(
+                mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : ErrorKind.OVERLOADED,
+                POOL_RETRY_MILLIS,
+                "time is up after " + (context.clock().nowMillis() - arrivedMillis) + "ms attempts=" + attempts);
+    }
+
+    /** Ends the work for a caller that left. */
+    void cancel() {
+        if (done) {
+            return;
+        }
+        context.metrics().count("callers.left");
+        context.log()
+                .write(
+                        RouterEvent.CALLER_LEFT,
+                        () -> identity() + " after=" + (context.clock().nowMillis() - arrivedMillis) + "ms attempts="
+                                + attempts);
+        finish();
+    }
+
+    private void refuse(ErrorKind kind, long retryAfterMillis, String detail) {
+        if (!finish()) {
+            return;
+        }
+        context.metrics().countRefusal(kind);
+        RouterEvent event =
+                kind.execution() == Execution.NOT_RUN ? RouterEvent.REQUEST_REFUSED : RouterEvent.REQUEST_FAILED;
+        context.log()
+                .write(
+                        event,
+                        () -> identity() + " kind=" + kind.wireName() + " status=" + kind.status() + " " + detail);
+        responder.refuse(kind, headers.requestId(), retryAfterMillis);
+    }
+
+    private String identity() {
+        return "request=" + headers.requestId().orElse("none") + " route=" + (route == null ? "none" : route.name())
+                + " pool=" + (pool == null ? "none" : pool.name());
+    }
+
+    /** Ends timers and attempts; tells whether the request was still open. */
+    private boolean finish() {
+        if (done) {
+            return false;
+        }
+        done = true;
+        worker.stopWaiting(this);
+        timers.forEach(timer -> timer.cancel(false));
+        active.forEach(Attempt::abort);
+        active.clear();
+        worker.ended();
+        return true;
+    }
+
+    private void schedule(Runnable task, long delayMillis) {
+        timers.add(worker.loop().schedule(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/path/SharedTables.java
@@ -0,0 +1,182 @@
+package org.snipewind.router.path;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.quota.QuotaRules;
+import org.snipewind.coordination.quota.RateShare;
+import org.snipewind.coordination.routing.Organisation;
+import org.snipewind.coordination.routing.Pool;
+import org.snipewind.coordination.target.ColdPace;
+import org.snipewind.coordination.target.RepeatBudget;
+import org.snipewind.coordination.target.TargetState;
+import org.snipewind.protocol.DemandReport;
+import org.snipewind.protocol.LoanAnswer;
+import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.FleetView;
+
+/**
+ * The tables that all workers share: parts of the rates, repeat budgets, cold paces and what the next report says. Each
+ * entry has its own lock; no lock is taken while another one is held.
+ */
+public final class SharedTables {
+
+    /** Part of the repeat budget that is used, since instances see different parts of a window. */
+    private static final double REPEAT_MARGIN = 0.75;
+
+    /** Reports name at most this many keys; the load of a hot run shows in a part of its requests too. */
+    private static final int MAX_REPORTED_KEYS = 400;
+
+    private final FleetTracker tracker;
+    private final MillisClock clock;
+    private final RouterLimits limits;
+    private final String self;
+    private final Map<String, RateShare> rates = new ConcurrentHashMap<>();
+    private final Map<String, RepeatBudget> repeats = new ConcurrentHashMap<>();
+    private final Map<String, ColdPace> paces = new ConcurrentHashMap<>();
+    private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
+    private final Map<String, double[]> timings = new HashMap<>();
+
+    /**
+     * Creates empty tables.
+     *
+     * @param tracker the view of the fleet
+     * @param clock the clock of the limits
+     * @param limits limits over all instances
+     * @param self name of this instance
+     */
+    public SharedTables(FleetTracker tracker, MillisClock clock, RouterLimits limits, String self) {
+        this.tracker = tracker;
+        this.clock = clock;
+        this.limits = limits;
+        this.self = self;
+    }
+
+    /** Takes a changed view into account; called on the control loop. */
+    public void viewChanged() {
+        FleetView view = tracker.view();
+        view.configuration().ifPresent(configuration -> {
+            rates.keySet()
+                    .removeIf(name -> configuration
+                            .organisation(name)
+                            .filter(Organisation::isLimited)
+                            .isEmpty());
+            for (Organisation each : configuration.organisations()) {
+                if (each.isLimited()) {
+                    rates.computeIfAbsent(
+                                    each.name(),
+                                    name -> new RateShare(clock, each.ratePerSecond(), each.burst(), view.fleetSize()))
+                            .configure(each.ratePerSecond(), each.burst(), view.fleetSize());
+                }
+            }
+        });
+        paces.keySet().removeIf(life -> view.serving(life).filter(this::isCold).isEmpty());
+    }
+
+    private boolean isCold(TargetState state) {
+        return state.isCold(clock.nowMillis());
+    }
+
+    RateShare rate(Organisation organisation) {
+        return rates.computeIfAbsent(
+                organisation.name(),
+                name -> new RateShare(
+                        clock,
+                        organisation.ratePerSecond(),
+                        organisation.burst(),
+                        tracker.view().fleetSize()));
+    }
+
+    void countFirst(String pool) {
+        budget(pool).countFirst();
+    }
+
+    boolean tryRepeat(String pool) {
+        return budget(pool)
+                .tryRepeat(limits.repeatAllowance()
+                        * REPEAT_MARGIN
+                        / tracker.view().fleetSize());
+    }
+
+    private RepeatBudget budget(String pool) {
+        return repeats.computeIfAbsent(
+                pool,
+                name -> new RepeatBudget(clock, limits.repeatWindowMillis(), limits.repeatRatio() * REPEAT_MARGIN));
+    }
+
+    /** Gives this instance's pace for a target in cold start. */
+    ColdPace pace(Pool pool, TargetState target) {
+        return paces.computeIfAbsent(target.entry().life(), life -> {
+            FleetView view = tracker.view();
+            int sharers = (int) ((limits.coldFactor() - 1) * pool.coldPerSecond() + limits.coldAllowance()) - 1;
+            return ColdPace.of(
+                    clock,
+                    pool.coldPerSecond(),
+                    Math.max(1, sharers),
+                    self,
+                    List.copyOf(view.members().keySet()),
+                    target.entry().id(),
+                    view.fleetSize());
+        });
+    }
+
+    void countKey(String pool, int key) {
+        synchronized (keyCounts) {
+            keyCounts.computeIfAbsent(pool, name -> new HashMap<>()).merge(key, 1, Integer::sum);
+        }
+    }
+
+    void countAnswer(String life, double millis) {
+        synchronized (timings) {
+            double[] sum = timings.computeIfAbsent(life, name -> new double[2]);
+            sum[0]++;
+            sum[1] += millis;
+        }
+    }
+
+    /**
+     * Gives what happened since the last report and starts to count anew.
+     *
+     * @return the report
+     */
+    public DemandReport takeReport() {
+        List<DemandReport.RateDemand> demands = new ArrayList<>();
+        rates.forEach(
+                (name, share) -> demands.add(new DemandReport.RateDemand(name, share.demand(), share.lentPerSecond())));
+        List<DemandReport.KeyCount> keys = new ArrayList<>();
+        synchronized (keyCounts) {
+            keyCounts.forEach((pool, counts) -> counts.entrySet().stream()
+                    .limit(MAX_REPORTED_KEYS)
+                    .forEach(entry -> keys.add(new DemandReport.KeyCount(pool, entry.getKey(), entry.getValue()))));
+            keyCounts.clear();
+        }
+        List<DemandReport.TargetTiming> times = new ArrayList<>();
+        synchronized (timings) {
+            timings.forEach(
+                    (life, sum) -> times.add(new DemandReport.TargetTiming(life, (int) sum[0], sum[1] / sum[0])));
+            timings.clear();
+        }
+        return new DemandReport(demands, keys, times);
+    }
+
+    /**
+     * Takes new loans.
+     *
+     * @param answer the leader's answer
+     * @param sentAtMillis time at which the report was sent
+     */
+    public void takeLoans(LoanAnswer answer, long sentAtMillis) {
+        if (!answer.accepted()) {
+            return;
+        }
+        answer.lentPerSecond().forEach((name, perSecond) -> {
+            RateShare share = rates.get(name);
+            if (share != null) {
+                share.lend(perSecond, sentAtMillis + QuotaRules.LOAN_MILLIS);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/path/TargetConnections.java
@@ -0,0 +1,118 @@
+package org.snipewind.router.path;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.target.TargetEntry;
+import org.snipewind.router.http.HttpConnection;
+import org.snipewind.router.http.HttpConnector;
+
+/** Kept connections of one worker to the targets, at most a fixed number to each; belongs to the worker's loop. */
+final class TargetConnections {
+
+    /** In a data centre a connection takes a few milliseconds; a lost packet is not worth its long retransmission. */
+    private static final int CONNECT_MILLIS = 200;
+
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+    /** A connection is used again only if it was idle for less than this part of the target's idle time. */
+    private static final double IDLE_PART = 0.6;
+
+    /** Targets may forget idle connections early; work that must not be repeated is put only on fresh ones. */
+    private static final long IDLE_MILLIS_ONCE_ONLY = 3_000;
+
+    private record Idle(HttpConnection connection, long sinceMillis) {}
+
+    /** The connections to one life of a target. */
+    private static final class Kept {
+        private final Deque<Idle> idle = new ArrayDeque<>();
+        private int open;
+    }
+
+    private final EventLoop loop;
+    private final MillisClock clock;
+    private final Map<String, Kept> byLife = new HashMap<>();
+
+    TargetConnections(EventLoop loop, MillisClock clock) {
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    /** Tells whether a request could be sent to the target now. */
+    boolean hasRoom(TargetEntry target, int limit) {
+        Kept kept = byLife.get(target.life());
+        return kept == null || !kept.idle.isEmpty() || kept.open < limit;
+    }
+
+    /** Gives a connection that is not in use; must be given back or aborted. */
+    void acquire(TargetEntry target, boolean onceOnly, Consumer<HttpConnection> opened, Consumer<Throwable> refused) {
+        Kept kept = byLife.computeIfAbsent(target.life(), life -> new Kept());
+        Optional<HttpConnection> idle = takeIdle(kept, onceOnly);
+        if (idle.isPresent()) {
+            opened.accept(idle.get());
+            return;
+        }
+        kept.open++;
+        HttpConnector.open(
+                loop,
+                new InetSocketAddress(target.host(), target.port()),
+                CONNECT_MILLIS,
+                MAX_ANSWER_BYTES,
+                () -> kept.open--,
+                opened,
+                cause -> {
+                    kept.open--;
+                    refused.accept(cause);
+                });
+    }
+
+    private Optional<HttpConnection> takeIdle(Kept kept, boolean onceOnly) {
+        while (!kept.idle.isEmpty()) {
+            Idle newest = kept.idle.pollLast();
+            long idleMillis = clock.nowMillis() - newest.sinceMillis();
+            double allowed = newest.connection().idleMillis() * IDLE_PART;
+            if (onceOnly) {
+                allowed = Math.min(allowed, IDLE_MILLIS_ONCE_ONLY);
+            }
+            if (newest.connection().isReusable() && idleMillis < allowed) {
+                return Optional.of(newest.connection());
+            }
+            newest.connection().abort();
+        }
+        return Optional.empty();
+    }
+
+    /** Takes a connection back after an exchange. */
+    void giveBack(TargetEntry target, HttpConnection connection) {
+        if (connection.isReusable()) {
+            byLife.computeIfAbsent(target.life(), life -> new Kept())
+                    .idle
+                    .addLast(new Idle(connection, clock.nowMillis()));
+        }
+    }
+
+    /** Closes idle connections that are too old, and those to lives that are not listed any more. */
+    void tidy(Predicate<String> isListed) {
+        long now = clock.nowMillis();
+        byLife.entrySet().removeIf(entry -> {
+            Kept kept = entry.getValue();
+            boolean listed = isListed.test(entry.getKey());
+            kept.idle.removeIf(each -> {
+                boolean old = now - each.sinceMillis() > each.connection().idleMillis() * IDLE_PART;
+                if (!listed || old || !each.connection().isReusable()) {
+                    each.connection().abort();
+                    return true;
+                }
+                return false;
+            });
+            return !listed && kept.open == 0;
+        });
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -0,0 +1,94 @@
+package org.snipewind.router.path;
+
+import io.netty.channel.EventLoop;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.snipewind.coordination.target.TargetChooser;
+
+/** One thread that serves callers, with its own connections to targets; everything in it belongs to its loop. */
+final class Worker {
+
+    /**
+     * Traffic between data centres has a price and a distance, so a target there must be clearly faster than one nearby.
+     */
+    private static final double REMOTE_FACTOR = 1.3;
+
+    private static final double REMOTE_MILLIS = 5;
+
+    private static final long TIDY_MILLIS = 1_000;
+
+    private final EventLoop loop;
+    private final PathContext context;
+    private final TargetConnections connections;
+    private final TargetChooser chooser;
+    private final Set<RoutedRequest> waiting = new LinkedHashSet<>();
+    private final AtomicInteger inProgress = new AtomicInteger();
+
+    Worker(EventLoop loop, PathContext context) {
+        this.loop = loop;
+        this.context = context;
+        this.connections = new TargetConnections(loop, context.clock());
+        this.chooser = new TargetChooser(
+                context.dataCentre(),
+                REMOTE_FACTOR,
+                REMOTE_MILLIS,
+                () -> ThreadLocalRandom.current().nextDouble());
+        loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
+        context.tracker().observe(() -> loop.execute(this::viewChanged));
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    PathContext context() {
+        return context;
+    }
+
+    TargetConnections connections() {
+        return connections;
+    }
+
+    TargetChooser chooser() {
+        return chooser;
+    }
+
+    int inProgress() {
+        return inProgress.get();
+    }
+
+    /** Serves a request; the result can be cancelled until it is answered. */
+    RoutedRequest serve(CallerRequest request, Responder responder) {
+        inProgress.incrementAndGet();
+        RoutedRequest routed = new RoutedRequest(this, request, responder);
+        routed.start();
+        return routed;
+    }
+
+    void ended() {
+        inProgress.decrementAndGet();
+    }
+
+    void waitForOwner(RoutedRequest request) {
+        waiting.add(request);
+    }
+
+    void stopWaiting(RoutedRequest request) {
+        waiting.remove(request);
+    }
+
+    private void viewChanged() {
+        for (RoutedRequest request : List.copyOf(waiting)) {
+            waiting.remove(request);
+            request.route();
+        }
+    }
+
+    private void tidy() {
+        connections.tidy(life -> context.tracker().view().serving(life).isPresent());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -0,0 +1,263 @@
+package org.snipewind.router.state;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.LongSupplier;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.coordination.target.TargetEntry;
+import org.snipewind.coordination.target.TargetState;
+import org.snipewind.router.log.DecisionLog;
+import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.port.DocumentReader;
+import org.snipewind.router.port.StoreItem;
+
+/** Draws the view of the fleet from the copy of the store; written by the control loop, read by all threads. */
+public final class FleetTracker implements MirrorListener {
+
+    /** The fleet counts as large as it was within this time, since instances restart and come back. */
+    private static final long FLEET_MEMORY_MILLIS = 30_000;
+
+    /**
+     * Targets whose entries lapsed while the store was away write them again within two seconds of its return; until then
+     * they stay in service.
+     */
+    private static final long LAPSE_MILLIS = 2_500;
+
+    private final DocumentReader reader;
+    private final MillisClock clock;
+    private final DecisionLog log;
+    private final List<Runnable> observers = new CopyOnWriteArrayList<>();
+    private final Map<String, TargetState> targets = new HashMap<>();
+    private final Set<String> evacuated = new HashSet<>();
+    private final Map<String, MemberRecord> members = new HashMap<>();
+    private final Map<String, Long> lapsedUntilMillis = new HashMap<>();
+    private final Map<String, Long> memberSeenMillis = new HashMap<>();
+    private final Map<String, KeyTable> tables = new HashMap<>();
+    private Optional<RoutingConfiguration> configuration = Optional.empty();
+    private Optional<LeaderRecord> leader = Optional.empty();
+    private LongSupplier storeBackMillis = () -> Long.MAX_VALUE;
+    private volatile FleetView view = FleetView.EMPTY;
+
+    /**
+     * Creates a tracker that knows nothing.
+     *
+     * @param reader reads the operators' and the targets' items
+     * @param clock the clock of the targets' states
+     * @param log the log
+     */
+    public FleetTracker(DocumentReader reader, MillisClock clock, DecisionLog log) {
+        this.reader = reader;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /**
+     * Gives the newest view.
+     *
+     * @return the view
+     */
+    public FleetView view() {
+        return view;
+    }
+
+    /**
+     * Sets what tells how long ago the store came back after an outage.
+     *
+     * @param storeBackMillis milliseconds since its return, very large without an outage
+     */
+    public void observeStore(LongSupplier storeBackMillis) {
+        this.storeBackMillis = storeBackMillis;
+    }
+
+    /** Ends the service of targets whose entries did not come back after an outage of the store. */
+    public void removeLapsed() {
+        long now = clock.nowMillis();
+        List<String> gone = lapsedUntilMillis.entrySet().stream()
+                .filter(entry -> entry.getValue() <= now)
+                .map(Map.Entry::getKey)
+                .toList();
+        gone.forEach(id -> {
+            lapsedUntilMillis.remove(id);
+            removeTarget(id);
+        });
+        if (!gone.isEmpty()) {
+            settled();
+        }
+    }
+
+    /**
+     * Adds an observer that is called on the control loop after each change.
+     *
+     * @param observer the observer
+     */
+    public void observe(Runnable observer) {
+        observers.add(observer);
+    }
+
+    @Override
+    public void changed(StoreItem item) {
+        if (item.key().startsWith(StoreKeys.ROOT)) {
+            changedOwn(item);
+            return;
+        }
+        reader.kindOf(item.key()).ifPresent(kind -> {
+            String subject = reader.subjectOf(item.key());
+            switch (kind) {
+                case CONFIGURATION -> changedConfiguration(item);
+                case TARGET -> changedTarget(subject, item);
+                case EVACUATION -> {
+                    evacuated.add(subject);
+                    log.write(
+                            RouterEvent.EVACUATION_CHANGED,
+                            () -> "data-centre=" + subject + " evacuated=true revision=" + item.revision());
+                }
+                default -> throw new IllegalStateException("unknown kind " + kind);
+            }
+        });
+    }
+
+    private void changedOwn(StoreItem item) {
+        String key = item.key();
+        if (key.startsWith(StoreKeys.MEMBERS)) {
+            RecordCodec.member(item.value()).ifPresentOrElse(this::addMember, () -> unreadable(item, "member record"));
+        } else if (key.equals(StoreKeys.LEADER)) {
+            leader = RecordCodec.member(item.value())
+                    .map(member -> new LeaderRecord(member, item.lease(), item.revision()));
+            leader.ifPresent(now -> log.write(
+                    RouterEvent.LEADER_CHANGED,
+                    () -> "leader=" + now.member().name() + " revision=" + item.revision()));
+        } else if (key.startsWith(StoreKeys.TABLES)) {
+            RecordCodec.table(item.value())
+                    .ifPresentOrElse(
+                            table -> tables.put(key.substring(StoreKeys.TABLES.length()), table),
+                            () -> unreadable(item, "table of holders"));
+        }
+    }
+
+    private void addMember(MemberRecord member) {
+        MemberRecord before = members.put(member.name(), member);
+        if (!member.equals(before)) {
+            log.write(
+                    RouterEvent.MEMBERS_CHANGED,
+                    () -> "joined=" + member.name() + " boot=" + member.boot() + " members=" + members.size());
+        }
+    }
+
+    private void changedConfiguration(StoreItem item) {
+        reader.configuration(item.value())
+                .peek(read -> {
+                    if (configuration.isPresent() && configuration.get().version() > read.version()) {
+                        unreadable(item, "version " + read.version() + " is older than the one in force");
+                        return;
+                    }
+                    configuration = Optional.of(read);
+                    log.write(
+                            RouterEvent.CONFIGURATION_IN_FORCE,
+                            () -> "version=" + read.version() + " revision=" + item.revision() + " pools="
+                                    + read.pools().size());
+                })
+                .peekLeft(problem -> unreadable(item, problem));
+    }
+
+    private void changedTarget(String id, StoreItem item) {
+        reader.target(id, item.value()).peek(this::addTarget).peekLeft(problem -> {
+            unreadable(item, problem);
+            targets.remove(id);
+        });
+    }
+
+    private void addTarget(TargetEntry entry) {
+        long now = clock.nowMillis();
+        lapsedUntilMillis.remove(entry.id());
+        TargetState known = targets.get(entry.id());
+        if (known != null && known.entry().isNewerThan(entry)) {
+            return;
+        }
+        if (known != null && known.entry().life().equals(entry.life())) {
+            known.update(entry, now);
+        } else {
+            targets.put(entry.id(), new TargetState(entry, now));
+        }
+        log.write(
+                RouterEvent.TARGET_CHANGED,
+                () -> "target=" + entry.life() + " pool=" + entry.pool() + " draining=" + entry.draining() + " cold="
+                        + entry.coldMillis() + "ms");
+    }
+
+    private void unreadable(StoreItem item, String problem) {
+        log.write(
+                RouterEvent.ITEM_UNREADABLE,
+                () -> "key=" + item.key() + " revision=" + item.revision() + " problem=" + problem);
+    }
+
+    @Override
+    public void removed(String key) {
+        if (key.startsWith(StoreKeys.MEMBERS)) {
+            String name = key.substring(StoreKeys.MEMBERS.length());
+            members.remove(name);
+            log.write(RouterEvent.MEMBERS_CHANGED, () -> "left=" + name + " members=" + members.size());
+        } else if (key.equals(StoreKeys.LEADER)) {
+            leader = Optional.empty();
+            log.write(RouterEvent.LEADER_CHANGED, () -> "leader=none");
+        } else if (key.startsWith(StoreKeys.TABLES)) {
+            tables.remove(key.substring(StoreKeys.TABLES.length()));
+        } else {
+            removedByOthers(key);
+        }
+    }
+
+    private void removedByOthers(String key) {
+        reader.kindOf(key).ifPresent(kind -> {
+            String subject = reader.subjectOf(key);
+            long back = storeBackMillis.getAsLong();
+            if (kind == DocumentReader.Kind.TARGET && back < LAPSE_MILLIS) {
+                lapsedUntilMillis.put(subject, clock.nowMillis() + LAPSE_MILLIS - back);
+            } else if (kind == DocumentReader.Kind.TARGET) {
+                removeTarget(subject);
+            } else if (kind == DocumentReader.Kind.EVACUATION && evacuated.remove(subject)) {
+                log.write(RouterEvent.EVACUATION_CHANGED, () -> "data-centre=" + subject + " evacuated=false");
+            }
+        });
+    }
+
+    private void removeTarget(String id) {
+        if (targets.remove(id) != null) {
+            log.write(RouterEvent.TARGET_CHANGED, () -> "target=" + id + " gone=true");
+        }
+    }
+
+    @Override
+    public void settled() {
+        long now = clock.nowMillis();
+        members.keySet().forEach(name -> memberSeenMillis.put(name, now));
+        memberSeenMillis.values().removeIf(seen -> now - seen > FLEET_MEMORY_MILLIS);
+        Map<String, List<TargetState>> inService = new HashMap<>();
+        for (String id : new TreeSet<>(targets.keySet())) {
+            TargetState state = targets.get(id);
+            if (!state.entry().draining() && !evacuated.contains(state.entry().dataCentre())) {
+                inService
+                        .computeIfAbsent(state.entry().pool(), pool -> new ArrayList<>())
+                        .add(state);
+            }
+        }
+        view = new FleetView(
+                configuration,
+                Map.copyOf(targets),
+                inService,
+                Set.copyOf(evacuated),
+                Map.copyOf(members),
+                Map.copyOf(tables),
+                leader,
+                Math.max(1, memberSeenMillis.size()));
+        observers.forEach(Runnable::run);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/state/MemberRecord.java
@@ -0,0 +1,11 @@
+package org.snipewind.router.state;
+
+/**
+ * An instance of the router.
+ *
+ * @param name name of the instance
+ * @param boot id of the running process
+ * @param peerAddress address for other instances
+ * @param dataCentre its data centre
+ */
+public record MemberRecord(String name, String boot, String peerAddress, String dataCentre) {}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/state/RecordCodec.java
@@ -0,0 +1,118 @@
+package org.snipewind.router.state;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.snipewind.coordination.keyspace.KeyAssignment;
+import org.snipewind.coordination.keyspace.KeyTable;
+
+/** The router's own items in the store as MessagePack; lives of targets are written once and referred to by number. */
+public final class RecordCodec {
+
+    private RecordCodec() {}
+
+    /**
+     * Encodes an instance.
+     *
+     * @param member the instance
+     * @return bytes for the store
+     */
+    public static byte[] encode(MemberRecord member) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packString(member.name());
+            packer.packString(member.boot());
+            packer.packString(member.peerAddress());
+            packer.packString(member.dataCentre());
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("a member record can't be encoded", e);
+        }
+    }
+
+    /**
+     * Decodes an instance.
+     *
+     * @param bytes bytes from the store
+     * @return the instance, or empty if the bytes are malformed
+     */
+    public static Optional<MemberRecord> member(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            return Optional.of(new MemberRecord(
+                    unpacker.unpackString(),
+                    unpacker.unpackString(),
+                    unpacker.unpackString(),
+                    unpacker.unpackString()));
+        } catch (IOException | MessagePackException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Encodes a table of holders.
+     *
+     * @param table the table
+     * @return bytes for the store
+     */
+    public static byte[] encode(KeyTable table) {
+        List<String> lives = table.assignments().stream()
+                .flatMap(each -> Stream.concat(Stream.of(each.holder()), each.previous().stream()))
+                .distinct()
+                .toList();
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(lives.size());
+            for (String life : lives) {
+                packer.packString(life);
+            }
+            packer.packArrayHeader(table.assignments().size());
+            for (KeyAssignment each : table.assignments()) {
+                packer.packInt(each.from());
+                packer.packInt(each.to());
+                packer.packInt(lives.indexOf(each.holder()));
+                packer.packLong(each.epoch());
+                packer.packArrayHeader(each.previous().size());
+                for (String life : each.previous()) {
+                    packer.packInt(lives.indexOf(life));
+                }
+            }
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("a table of holders can't be encoded", e);
+        }
+    }
+
+    /**
+     * Decodes a table of holders.
+     *
+     * @param bytes bytes from the store
+     * @return the table, or empty if the bytes are malformed
+     */
+    public static Optional<KeyTable> table(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            List<String> lives = new ArrayList<>();
+            for (int rest = unpacker.unpackArrayHeader(); rest > 0; rest--) {
+                lives.add(unpacker.unpackString());
+            }
+            List<KeyAssignment> assignments = new ArrayList<>();
+            for (int rest = unpacker.unpackArrayHeader(); rest > 0; rest--) {
+                int from = unpacker.unpackInt();
+                int to = unpacker.unpackInt();
+                String holder = lives.get(unpacker.unpackInt());
+                long epoch = unpacker.unpackLong();
+                List<String> previous = new ArrayList<>();
+                for (int lost = unpacker.unpackArrayHeader(); lost > 0; lost--) {
+                    previous.add(lives.get(unpacker.unpackInt()));
+                }
+                assignments.add(new KeyAssignment(from, to, holder, epoch, previous));
+            }
+            return Optional.of(new KeyTable(assignments));
+        } catch (IOException | MessagePackException | IndexOutOfBoundsException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/state/StoreMirror.java
@@ -0,0 +1,315 @@
+package org.snipewind.router.state;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.router.log.DecisionLog;
+import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.StoreChanges;
+import org.snipewind.router.port.StoreException;
+import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.port.StorePage;
+
+/**
+ * A copy of the store that only moves forward. It is read once and then kept up by a watch; while the store can't be
+ * reached, newer copies of peers are adopted. All state belongs to the control loop.
+ */
+public final class StoreMirror {
+
+    /** Longest wait of one watch; a shorter one costs calls, a longer one finds a dead connection late. */
+    private static final long WATCH_MILLIS = 5_000;
+
+    /** Retries are spread over this time, so that instances do not return to the store at once. */
+    private static final long RETRY_MILLIS = 250;
+
+    /** Without contact for this time, the store counts as lost; several renewals of a lease fall into it. */
+    private static final long LOST_MILLIS = 2_000;
+
+    private final CoordinationStore store;
+    private final EventLoop loop;
+    private final MillisClock clock;
+    private final DecisionLog log;
+    private final MirrorListener listener;
+    private final Map<String, StoreItem> items = new HashMap<>();
+    private final Map<String, Long> removals = new HashMap<>();
+    private long revision;
+    private boolean loaded;
+    private long contactMillis;
+    private long relayMillis;
+    private long regainedMillis = Long.MIN_VALUE / 2;
+    private boolean lost;
+
+    /**
+     * Creates an empty copy.
+     *
+     * @param store the store
+     * @param loop the control loop
+     * @param clock the clock of contacts
+     * @param log the log
+     * @param listener gets the changes
+     */
+    public StoreMirror(
+            CoordinationStore store, EventLoop loop, MillisClock clock, DecisionLog log, MirrorListener listener) {
+        this.store = store;
+        this.loop = loop;
+        this.clock = clock;
+        this.log = log;
+        this.listener = listener;
+        this.contactMillis = clock.nowMillis();
+        this.relayMillis = contactMillis - LOST_MILLIS;
+    }
+
+    /** Starts to read the store. */
+    public void start() {
+        loop.execute(this::reload);
+        loop.scheduleAtFixedRate(this::checkContact, RETRY_MILLIS, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Notes that the store answered any call. */
+    public void noteContact() {
+        contactMillis = clock.nowMillis();
+        if (lost) {
+            lost = false;
+            regainedMillis = contactMillis;
+            log.write(RouterEvent.STORE_REGAINED, () -> "revision=" + revision);
+        }
+    }
+
+    /**
+     * Tells how long the store has not answered.
+     *
+     * @return milliseconds
+     */
+    public long contactAgeMillis() {
+        return clock.nowMillis() - contactMillis;
+    }
+
+    /**
+     * Tells how old the copy may be, counting what peers know.
+     *
+     * @return milliseconds
+     */
+    public long ageMillis() {
+        return clock.nowMillis() - Math.max(contactMillis, relayMillis);
+    }
+
+    /**
+     * Tells how long ago the store came back after it was lost.
+     *
+     * @return milliseconds, very large if it was never lost
+     */
+    public long regainedAgeMillis() {
+        return clock.nowMillis() - regainedMillis;
+    }
+
+    /**
+     * Tells whether the store counts as lost.
+     *
+     * @return true from a time without contact until the next contact
+     */
+    public boolean isLost() {
+        return lost;
+    }
+
+    /**
+     * Tells whether the copy was ever complete.
+     *
+     * @return true once it was read
+     */
+    public boolean isLoaded() {
+        return loaded;
+    }
+
+    /**
+     * Gives the revision of the copy.
+     *
+     * @return the revision
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Finds an item.
+     *
+     * @param key key of the item
+     * @return the item, or empty
+     */
+    public Optional<StoreItem> item(String key) {
+        return Optional.ofNullable(items.get(key));
+    }
+
+    /**
+     * Lists all items.
+     *
+     * @return a copy of the list
+     */
+    public List<StoreItem> snapshot() {
+        return List.copyOf(items.values());
+    }
+
+    /**
+     * Takes an item that this instance wrote itself, without waiting for the watch.
+     *
+     * @param item the item with its revision
+     */
+    public void noteWritten(StoreItem item) {
+        apply(item);
+        listener.settled();
+    }
+
+    /**
+     * Adopts the copy of a peer if it is newer.
+     *
+     * @param peerRevision revision of the peer's copy
+     * @param ageMillis how old the peer's copy may be
+     * @param peerItems all items of the peer's copy, if it is newer
+     */
+    public void adopt(long peerRevision, long ageMillis, List<StoreItem> peerItems) {
+        relayMillis = Math.max(relayMillis, clock.nowMillis() - ageMillis);
+        if (peerRevision <= revision || peerItems.isEmpty()) {
+            return;
+        }
+        log.write(RouterEvent.MIRROR_RELAYED, () -> "revision=" + peerRevision + " before=" + revision);
+        replaceAll(peerItems, peerRevision);
+    }
+
+    private void checkContact() {
+        if (!lost && contactAgeMillis() > LOST_MILLIS) {
+            lost = true;
+            log.write(RouterEvent.STORE_LOST, () -> "age=" + contactAgeMillis() + "ms revision=" + revision);
+        }
+    }
+
+    private void reload() {
+        readPages(new ArrayList<>(), Optional.empty(), -1).whenComplete((ignored, failure) -> {
+            if (failure == null) {
+                watch();
+            } else {
+                retry(this::reload);
+            }
+        });
+    }
+
+    private CompletableFuture<Void> readPages(List<StoreItem> read, Optional<String> after, long firstRevision) {
+        return store.range("", after).thenCompose(page -> {
+            noteContact();
+            // Pages are no snapshot: changes since the first page are applied again by the watch.
+            long from = firstRevision < 0 ? page.revision() : firstRevision;
+            read.addAll(page.items());
+            if (page.more() && !page.items().isEmpty()) {
+                return readPages(read, Optional.of(lastKey(page)), from);
+            }
+            if (from >= revision) {
+                replaceAll(read, from);
+            }
+            return CompletableFuture.completedFuture(null);
+        });
+    }
+
+    private static String lastKey(StorePage page) {
+        return page.items().get(page.items().size() - 1).key();
+    }
+
+    private void replaceAll(List<StoreItem> all, long newRevision) {
+        Set<String> present = new HashSet<>();
+        for (StoreItem item : all) {
+            present.add(item.key());
+            apply(item);
+        }
+        for (String key : List.copyOf(items.keySet())) {
+            if (!present.contains(key) && items.get(key).revision() <= newRevision) {
+                remove(key, newRevision);
+            }
+        }
+        revision = Math.max(revision, newRevision);
+        loaded = true;
+        listener.settled();
+    }
+
+    private void watch() {
+        long from = revision;
+        store.watch("", from, WATCH_MILLIS).whenComplete((changes, failure) -> {
+            if (failure == null) {
+                noteContact();
+                applyAll(changes);
+                watch();
+            } else if (kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
+                noteContact();
+                log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + from);
+                reload();
+            } else {
+                retry(this::watch);
+            }
+        });
+    }
+
+    /**
+     * Finds what is known about a failed call.
+     *
+     * @param failure failure of a store call, possibly wrapped
+     * @return the kind
+     */
+    public static StoreException.Kind kindOf(Throwable failure) {
+        Throwable cause = failure;
+        while (cause != null) {
+            if (cause instanceof StoreException known) {
+                return known.kind();
+            }
+            cause = cause.getCause();
+        }
+        return StoreException.Kind.UNKNOWN;
+    }
+
+    private void applyAll(StoreChanges changes) {
+        for (StoreChanges.Change change : changes.changes()) {
+            if (change.removed()) {
+                remove(change.item().key(), change.item().revision());
+            } else {
+                apply(change.item());
+            }
+        }
+        revision = Math.max(revision, changes.revision());
+        if (!changes.changes().isEmpty()) {
+            listener.settled();
+        }
+    }
+
+    private void apply(StoreItem item) {
+        StoreItem known = items.get(item.key());
+        boolean older = known != null && known.revision() >= item.revision();
+        if (older || removals.getOrDefault(item.key(), 0L) >= item.revision()) {
+            return;
+        }
+        items.put(item.key(), item);
+        removals.remove(item.key());
+        listener.changed(item);
+    }
+
+    private void remove(String key, long removedAt) {
+        StoreItem known = items.get(key);
+        if (known != null && known.revision() > removedAt) {
+            return;
+        }
+        // Remembered so that an older state that arrives by another way does not bring the item back.
+        removals.merge(key, removedAt, Math::max);
+        if (items.remove(key) != null) {
+            listener.removed(key);
+        }
+    }
+
+    private void retry(Runnable task) {
+        long delay = ThreadLocalRandom.current().nextLong(RETRY_MILLIS / 2, RETRY_MILLIS * 2);
+        loop.schedule(task, delay, TimeUnit.MILLISECONDS);
+    }
+}
--- a/standins/src/main/java/org/snipewind/standins/deployment/DaemonGroup.java
+++ b/standins/src/main/java/org/snipewind/standins/deployment/DaemonGroup.java
@@ -16,9 +16,9 @@
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.daemon.DaemonRuntime;
 import org.snipewind.daemon.fleet.FleetTimes;
-import org.snipewind.daemon.metrics.DaemonMetrics;
 import org.snipewind.daemon.settings.DaemonSettings;
 import org.snipewind.daemon.settings.SettingsFile;
+import org.snipewind.router.metrics.DaemonMetrics;
 import org.snipewind.standins.Standins;
 
 /** Runs several daemons in one process; their frames still cross loopback sockets. */
