--- a/coordination/src/main/java/org/snipewind/coordination/budget/BudgetAccount.java
+++ b/coordination/src/main/java/org/snipewind/coordination/budget/BudgetAccount.java
@@ -15,10 +15,14 @@
     /** Two such intervals cover the uses that count as recent. */
     private static final long RATE_INTERVAL_MILLIS = 100;
 
+    /** Clock readings are truncated, so an entry stops to use a token this much earlier. */
+    private static final long TRUNCATION_MILLIS = BudgetRules.TOKEN_LIFE_MILLIS - BudgetRules.TOKEN_USE_MILLIS;
+
     private static final long FIRST_BACKOFF_MILLIS = 5;
     private static final long LONGEST_BACKOFF_MILLIS = 100;
 
     private final MillisClock clock;
+    private final long tokenLifeMillis;
     private final Deque<Batch> batches = new ArrayDeque<>();
     private double ratePerSecond;
     private int burst;
@@ -38,6 +42,17 @@
      * @param clock the clock by which tokens expire
      */
     public BudgetAccount(MillisClock clock) {
+        this(clock, BudgetRules.TOKEN_LIFE_MILLIS);
+    }
+
+    /**
+     * Creates an account for tokens with another life.
+     *
+     * @param clock the clock by which tokens expire
+     * @param tokenLifeMillis life of a token, the same as that of the keeper
+     */
+    public BudgetAccount(MillisClock clock, long tokenLifeMillis) {
+        this.tokenLifeMillis = tokenLifeMillis;
         this.clock = clock;
         this.retryNotBeforeMillis = clock.nowMillis();
         this.intervalStartMillis = clock.nowMillis();
@@ -162,7 +177,7 @@
         double previousPart = 1 - (double) (now - intervalStartMillis) / RATE_INTERVAL_MILLIS;
         double usesPerMilli = (usesOfInterval + usesOfPreviousInterval * previousPart) / RATE_INTERVAL_MILLIS;
         double recent = Math.min(usesPerMilli, ratePerSecond / 1_000);
-        return (int) (recent * BudgetRules.prefetchMillis(ratePerSecond, burst));
+        return (int) (recent * BudgetRules.prefetchMillis(ratePerSecond, burst, tokenLifeMillis));
     }
 
     private void rollInterval(long now) {
@@ -175,7 +190,7 @@
     }
 
     private void dropExpired(long now) {
-        while (!batches.isEmpty() && now - batches.peekFirst().sentAtMillis() >= BudgetRules.TOKEN_USE_MILLIS) {
+        while (!batches.isEmpty() && now - batches.peekFirst().sentAtMillis() >= tokenLifeMillis - TRUNCATION_MILLIS) {
             held -= batches.removeFirst().tokens();
         }
     }
--- a/coordination/src/main/java/org/snipewind/coordination/budget/BudgetKeeper.java
+++ b/coordination/src/main/java/org/snipewind/coordination/budget/BudgetKeeper.java
@@ -23,6 +23,7 @@
     private static final long LONGEST_RETRY_MILLIS = 60_000;
 
     private final MillisClock clock;
+    private final long tokenLifeMillis;
     private final long activeFromMillis;
     private final Deque<Batch> outstanding = new ArrayDeque<>();
     private double ratePerSecond;
@@ -41,6 +42,27 @@
      * @param startsFull whether the whole burst is available at once; only true for the first keeper ever
      */
     public BudgetKeeper(MillisClock clock, double ratePerSecond, int burst, long activeFromMillis, boolean startsFull) {
+        this(clock, ratePerSecond, burst, activeFromMillis, startsFull, BudgetRules.TOKEN_LIFE_MILLIS);
+    }
+
+    /**
+     * Creates a keeper of tokens with another life.
+     *
+     * @param clock the clock that refills the budget
+     * @param ratePerSecond tokens per second over the whole fleet, not negative
+     * @param burst tokens that may be used at once over the whole fleet, not negative
+     * @param activeFromMillis reading of the clock before which no token is issued
+     * @param startsFull whether the whole burst is available at once
+     * @param tokenLifeMillis life of a token, the same as that of the accounts
+     */
+    public BudgetKeeper(
+            MillisClock clock,
+            double ratePerSecond,
+            int burst,
+            long activeFromMillis,
+            boolean startsFull,
+            long tokenLifeMillis) {
+        this.tokenLifeMillis = tokenLifeMillis;
         BudgetRules.requireNotNegative(ratePerSecond, burst);
         this.clock = clock;
         this.ratePerSecond = ratePerSecond;
@@ -64,7 +86,7 @@
         drainUntil(now);
         int tokens = (int) Math.max(0, Math.min(wanted, Math.floor(burst - undrained - outstandingTokens())));
         if (tokens > 0) {
-            outstanding.addLast(new Batch(now + BudgetRules.TOKEN_LIFE_MILLIS, tokens));
+            outstanding.addLast(new Batch(now + tokenLifeMillis, tokens));
         }
         return new BudgetDecision(tokens, tokens >= wanted ? 0 : millisUntilNextToken(now));
     }
@@ -89,7 +111,7 @@
      * @return true if {@link BudgetRules#prefetchMillis} is positive
      */
     public synchronized boolean prefetchAllowed() {
-        return BudgetRules.prefetchMillis(ratePerSecond, burst) > 0;
+        return BudgetRules.prefetchMillis(ratePerSecond, burst, tokenLifeMillis) > 0;
     }
 
     private void drainUntil(long now) {
--- a/coordination/src/main/java/org/snipewind/coordination/budget/BudgetRules.java
+++ b/coordination/src/main/java/org/snipewind/coordination/budget/BudgetRules.java
@@ -25,7 +25,19 @@
      * @return milliseconds of the recent rate, 0 if nothing may be fetched in advance
      */
     public static long prefetchMillis(double ratePerSecond, int burst) {
-        return burst - ratePerSecond * TOKEN_LIFE_MILLIS / 1_000 >= 1 ? TOKEN_LIFE_MILLIS : 0;
+        return prefetchMillis(ratePerSecond, burst, TOKEN_LIFE_MILLIS);
+    }
+
+    /**
+     * Tells how much of the recent rate an entry may fetch in advance of tokens with another life.
+     *
+     * @param ratePerSecond rate of the budget
+     * @param burst burst of the budget
+     * @param tokenLifeMillis life of a token
+     * @return milliseconds of the recent rate, 0 if nothing may be fetched in advance
+     */
+    public static long prefetchMillis(double ratePerSecond, int burst, long tokenLifeMillis) {
+        return burst - ratePerSecond * tokenLifeMillis / 1_000 >= 1 ? tokenLifeMillis : 0;
     }
 
     static void requireNotNegative(double ratePerSecond, double capacity) {
--- a/coordination/src/main/java/org/snipewind/coordination/quota/QuotaRules.java
+++ b/coordination/src/main/java/org/snipewind/coordination/quota/QuotaRules.java
@@ -1,13 +1,38 @@
 package org.snipewind.coordination.quota;
 
-/** The figures that lender and borrowers must agree on. */
+import org.snipewind.coordination.routing.Organisation;
+
+/** The figures on which the keeper and the instances must agree. */
 public final class QuotaRules {
 
-    /** Share of a rate that is split evenly over the instances for good; the rest is lent by demand. */
-    public static final double FIXED_SHARE = 0.4;
+    /** Part of a rate and burst that is split evenly over the instances for good; the keeper issues the rest. */
+    public static final double FIXED_PART = 0.25;
 
-    /** Time for which a loan is valid, counted by the borrower from sending its report. */
-    public static final long LOAN_MILLIS = 2_000;
+    /**
+     * Life of a token from the sending of its request. It covers a round trip between instances that are short of
+     * processor time, and is short against a burst of about one second.
+     */
+    public static final long TOKEN_LIFE_MILLIS = 250;
 
     private QuotaRules() {}
+
+    /**
+     * Gives the rate that the keeper issues.
+     *
+     * @param organisation the organisation
+     * @return tokens a second
+     */
+    public static double keptRate(Organisation organisation) {
+        return organisation.ratePerSecond() * (1 - FIXED_PART);
+    }
+
+    /**
+     * Gives the burst that the keeper issues.
+     *
+     * @param organisation the organisation
+     * @return tokens at once, at least 1
+     */
+    public static int keptBurst(Organisation organisation) {
+        return (int) Math.max(1, organisation.burst() * (1 - FIXED_PART));
+    }
 }
--- a/coordination/src/main/java/org/snipewind/coordination/quota/package-info.java
+++ b/coordination/src/main/java/org/snipewind/coordination/quota/package-info.java
@@ -1,6 +1,5 @@
 /**
- * Limits over the whole fleet without a call for each request: each instance has a fixed part of an organisation's rate
- * and borrows from the rest for a limited time, as in escrow (O'Neil, TODS 1986) and bounded counters (Balegas et al.,
- * SRDS 2015). What a lost lender or borrower held is lost until its loan ends, so a loss never adds tokens.
+ * Limits over the whole fleet: most of an organisation's rate is issued by one keeper as short-lived tokens, and a fixed
+ * part is split over the instances for good, for the time in which the keeper can't be reached.
  */
 package org.snipewind.coordination.quota;
--- /dev/null
+++ b/coordination/src/test/java/org/snipewind/coordination/keyspace/KeyPlannerTest.java
@@ -0,0 +1,136 @@
+package org.snipewind.coordination.keyspace;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Guards the spread of load over the holders of keys, by the pattern of the load. */
+final class KeyPlannerTest {
+
+    private static final double CAPACITY = 30;
+    private static final NavigableMap<Integer, Double> NO_LOAD = new TreeMap<>();
+
+    @Test
+    void theFirstPlanGivesEachKeyToOneTargetInOneRunEach() {
+        KeyTable table = apply(KeyTable.EMPTY, KeyPlanner.plan(KeyTable.EMPTY, targets(15), NO_LOAD));
+        int covered = table.assignments().stream()
+                .mapToInt(each -> each.to() - each.from() + 1)
+                .sum();
+        assertThat(covered).isEqualTo(KeyTable.LAST_KEY + 1);
+        assertThat(table.assignments().stream().map(KeyAssignment::holder).distinct().count())
+                .isEqualTo(15);
+    }
+
+    @Test
+    void aSettledTableWithoutLoadIsLeftAlone() {
+        KeyTable table = evenTable(8);
+        assertThat(KeyPlanner.plan(table, targets(8), NO_LOAD)).isEmpty();
+    }
+
+    @Test
+    void keysOfALostTargetAreSpreadOverTheOthers() {
+        KeyTable table = evenTable(8);
+        List<HolderView> left = targets(8).subList(1, 8);
+        List<KeyMove> moves = KeyPlanner.plan(table, left, NO_LOAD);
+        assertThat(moves.stream().allMatch(move -> move.source().equals(Optional.of("t0@1")))).isTrue();
+        assertThat(moves.stream().map(KeyMove::destination).distinct().count()).isAtLeast(3);
+        KeyTable after = apply(table, moves);
+        assertThat(after.assignments().stream().noneMatch(each -> each.holder().equals("t0@1"))).isTrue();
+    }
+
+    @Test
+    void aHotRunOfNeighbouringKeysIsSpreadUntilNoTargetIsOverloaded() {
+        int targets = 15;
+        KeyTable table = evenTable(targets);
+        NavigableMap<Integer, Double> rates = background(targets * 8.0);
+        // 80 requests a second on 200 neighbouring keys, nearly three times what their holder can run.
+        IntStream.range(1_000, 1_200).forEach(key -> rates.merge(key, 0.4, Double::sum));
+        int movedKeys = 0;
+        for (int round = 0; round < 3; round++) {
+            List<KeyMove> moves = KeyPlanner.plan(table, targets(targets), rates);
+            movedKeys += moves.stream().mapToInt(move -> move.to() - move.from() + 1).sum();
+            table = apply(table, moves);
+        }
+        for (HolderView view : targets(targets)) {
+            assertThat(load(table, rates, view.life())).isLessThan(CAPACITY * 0.85);
+        }
+        assertThat(movedKeys).isLessThan(KeyTable.LAST_KEY / 20);
+    }
+
+    @Test
+    void aTargetThatJoinsGetsAPartOfTheBusiestOnesLoad() {
+        KeyTable table = evenTable(4);
+        NavigableMap<Integer, Double> rates = background(20);
+        List<KeyMove> moves = KeyPlanner.plan(table, targets(5), rates);
+        assertThat(moves.stream().anyMatch(move -> move.destination().equals("t4@1"))).isTrue();
+    }
+
+    @Test
+    void aTargetInColdStartGetsNoKeysWhileOthersCanHoldThem() {
+        KeyTable table = evenTable(4);
+        List<HolderView> views = new ArrayList<>(targets(3));
+        views.add(new HolderView("t4@1", CAPACITY, true));
+        List<KeyMove> moves = KeyPlanner.plan(table, views, background(20));
+        assertThat(moves.stream().noneMatch(move -> move.destination().equals("t4@1"))).isTrue();
+    }
+
+    @Test
+    void aSlowTargetKeepsLessLoadThanAFastOne() {
+        KeyTable table = evenTable(2);
+        NavigableMap<Integer, Double> rates = background(30);
+        List<HolderView> views = List.of(new HolderView("t0@1", 10, false), new HolderView("t1@1", 50, false));
+        for (int round = 0; round < 5; round++) {
+            table = apply(table, KeyPlanner.plan(table, views, rates));
+        }
+        assertThat(load(table, rates, "t0@1")).isLessThan(8.0);
+    }
+
+    private static List<HolderView> targets(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(index -> new HolderView("t" + index + "@1", CAPACITY, false))
+                .toList();
+    }
+
+    private static KeyTable evenTable(int targets) {
+        int width = (KeyTable.LAST_KEY + 1) / targets;
+        return new KeyTable(IntStream.range(0, targets)
+                .mapToObj(index -> new KeyAssignment(
+                        index * width,
+                        index == targets - 1 ? KeyTable.LAST_KEY : (index + 1) * width - 1,
+                        "t" + index + "@1",
+                        1,
+                        List.of()))
+                .toList());
+    }
+
+    private static NavigableMap<Integer, Double> background(double totalPerSecond) {
+        NavigableMap<Integer, Double> rates = new TreeMap<>();
+        for (int key = 7; key <= KeyTable.LAST_KEY; key += 128) {
+            rates.put(key, totalPerSecond / 512);
+        }
+        return rates;
+    }
+
+    private static KeyTable apply(KeyTable table, List<KeyMove> moves) {
+        KeyTable changed = table;
+        for (KeyMove move : moves) {
+            changed = changed.with(new KeyAssignment(move.from(), move.to(), move.destination(), 2, List.of()));
+        }
+        return changed.compacted();
+    }
+
+    private static double load(KeyTable table, NavigableMap<Integer, Double> rates, String life) {
+        return table.assignments().stream()
+                .filter(each -> each.holder().equals(life))
+                .mapToDouble(each -> rates.subMap(each.from(), true, each.to(), true).values().stream()
+                        .mapToDouble(Double::doubleValue)
+                        .sum())
+                .sum();
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/snipewind/coordination/keyspace/KeyTableTest.java
@@ -0,0 +1,60 @@
+package org.snipewind.coordination.keyspace;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against keys that are lost or counted twice when ranges are cut. */
+final class KeyTableTest {
+
+    private static final KeyAssignment ALL = new KeyAssignment(0, KeyTable.LAST_KEY, "a@1", 5, List.of());
+
+    @Test
+    void aReplacedMiddleLeavesBothEndsWithTheirHolder() {
+        KeyTable table = new KeyTable(List.of(ALL)).with(new KeyAssignment(100, 199, "b@1", 6, List.of("a@1")));
+        assertThat(table.find(99).orElseThrow().holder()).isEqualTo("a@1");
+        assertThat(table.find(100).orElseThrow().holder()).isEqualTo("b@1");
+        assertThat(table.find(199).orElseThrow().isMoving()).isTrue();
+        assertThat(table.find(200).orElseThrow().epoch()).isEqualTo(5);
+        assertThat(table.highestEpoch()).isEqualTo(6);
+    }
+
+    @Test
+    void aReplacementOverSeveralRangesRemovesThemAll() {
+        KeyTable table = new KeyTable(List.of(
+                        new KeyAssignment(0, 9, "a@1", 1, List.of()),
+                        new KeyAssignment(10, 19, "b@1", 1, List.of()),
+                        new KeyAssignment(20, 29, "c@1", 1, List.of())))
+                .with(new KeyAssignment(5, 24, "d@1", 2, List.of()));
+        assertThat(table.assignments().stream().map(KeyAssignment::holder))
+                .containsExactly("a@1", "d@1", "c@1")
+                .inOrder();
+    }
+
+    @Test
+    void aKeyOutsideAllRangesHasNoHolder() {
+        KeyTable table = new KeyTable(List.of(new KeyAssignment(10, 19, "a@1", 1, List.of())));
+        assertThat(table.find(9)).isEmpty();
+        assertThat(table.find(20)).isEmpty();
+    }
+
+    @Test
+    void neighboursOfOneHolderAndEpochAreJoined() {
+        KeyTable table = new KeyTable(List.of(
+                        new KeyAssignment(0, 9, "a@1", 1, List.of()),
+                        new KeyAssignment(10, 19, "a@1", 1, List.of()),
+                        new KeyAssignment(20, 29, "a@1", 2, List.of())))
+                .compacted();
+        assertThat(table.assignments()).hasSize(2);
+        assertThat(table.find(19).orElseThrow().from()).isEqualTo(0);
+    }
+
+    @Test
+    void overlappingRangesAreRejected() {
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> new KeyTable(List.of(ALL, new KeyAssignment(5, 9, "b@1", 6, List.of()))));
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/snipewind/coordination/routing/RoutingConfigurationTest.java
@@ -0,0 +1,51 @@
+package org.snipewind.coordination.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Guards the choice of route, organisation and part of a split. */
+final class RoutingConfigurationTest {
+
+    private static final Route SHORT = route("short", "/a/", List.of(new PoolShare("p", 1)));
+    private static final Route LONG = route("long", "/a/b/", List.of(new PoolShare("q", 1)));
+    private final RoutingConfiguration configuration = new RoutingConfiguration(
+            3,
+            List.of(SHORT, LONG),
+            List.of(),
+            List.of(new Organisation("north", List.of("k1", "k2"), 10, 5)),
+            CallerLimits.DEFAULT);
+
+    @Test
+    void theLongestPrefixWins() {
+        assertThat(configuration.route("host.example", "/a/b/c")).hasValue(LONG);
+        assertThat(configuration.route("host.example", "/a/x")).hasValue(SHORT);
+        assertThat(configuration.route("HOST.example:80", "/a/x")).hasValue(SHORT);
+    }
+
+    @Test
+    void anUnknownHostOrPathHasNoRoute() {
+        assertThat(configuration.route("other.example", "/a/x")).isEmpty();
+        assertThat(configuration.route("host.example", "/b/")).isEmpty();
+    }
+
+    @Test
+    void eachKeyOfAnOrganisationNamesIt() {
+        assertThat(configuration.organisationOf("k2").orElseThrow().name()).isEqualTo("north");
+        assertThat(configuration.organisationOf("k3")).isEmpty();
+    }
+
+    @Test
+    void aSplitSendsEachPartItsShare() {
+        Route split = route("split", "/s/", List.of(new PoolShare("p", 90), new PoolShare("q", 10)));
+        Random random = new Random(7);
+        long rare = random.doubles(10_000).filter(draw -> split.poolFor(draw).equals("q")).count();
+        assertThat((double) rare).isWithin(120).of(1_000);
+    }
+
+    private static Route route(String name, String prefix, List<PoolShare> shares) {
+        return new Route(name, "host.example", prefix, true, 500, 200, 0, shares, 2, false);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/snipewind/coordination/target/TargetChooserTest.java
@@ -0,0 +1,76 @@
+package org.snipewind.coordination.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Guards the choice of a target, by the pattern of the load. */
+final class TargetChooserTest {
+
+    private static final long NOW = 10_000;
+
+    private final Random random = new Random(1);
+    private final TargetChooser chooser = new TargetChooser("here", 1.3, 5, random::nextDouble);
+
+    @Test
+    void aThirdOfAPoolThatIsSlowGetsHardlyAnyRequests() {
+        List<TargetState> targets = pool(9, "here");
+        IntStream.range(0, 9).forEach(index -> teach(targets.get(index), index < 3 ? 300 : 25));
+        long slow = IntStream.range(0, 300)
+                .filter(each -> targets.indexOf(chooser.choose(targets, NOW, target -> true).orElseThrow()) < 3)
+                .count();
+        assertThat(slow).isAtMost(3);
+    }
+
+    @Test
+    void aTargetThatShedsHalfOfItsRequestsIsAvoided() {
+        List<TargetState> targets = pool(4, "here");
+        targets.forEach(target -> teach(target, 25));
+        IntStream.range(0, 20).forEach(each -> {
+            targets.get(0).failed(NOW - 5_000, false);
+            targets.get(0).answered(25);
+        });
+        long shedding = IntStream.range(0, 300)
+                .filter(each -> chooser.choose(targets, NOW, target -> true).orElseThrow() == targets.get(0))
+                .count();
+        assertThat(shedding).isAtMost(15);
+    }
+
+    @Test
+    void workStaysInTheDataCentreUntilAnotherOneIsClearlyFaster() {
+        TargetState near = state("near", "here");
+        TargetState far = state("far", "there");
+        teach(near, 30);
+        teach(far, 28);
+        assertThat(chooser.choose(List.of(near, far), NOW, target -> true)).hasValue(near);
+        IntStream.range(0, 8).forEach(each -> near.started());
+        assertThat(chooser.choose(List.of(near, far), NOW, target -> true)).hasValue(far);
+    }
+
+    @Test
+    void aPausedTargetIsUsedOnlyIfThereIsNoOther() {
+        TargetState failing = state("failing", "here");
+        TargetState busy = state("busy", "here");
+        failing.failed(NOW, true);
+        IntStream.range(0, 30).forEach(each -> busy.started());
+        assertThat(chooser.choose(List.of(failing, busy), NOW, target -> true)).hasValue(busy);
+        assertThat(chooser.choose(List.of(failing), NOW, target -> true)).hasValue(failing);
+    }
+
+    private static List<TargetState> pool(int size, String dataCentre) {
+        return IntStream.range(0, size)
+                .mapToObj(index -> state("t" + index, dataCentre))
+                .toList();
+    }
+
+    private static TargetState state(String id, String dataCentre) {
+        return new TargetState(new TargetEntry(id, 1, 1, "pool", "127.0.0.1", 1, dataCentre, 2, false, 0), NOW);
+    }
+
+    private static void teach(TargetState target, double millis) {
+        IntStream.range(0, 30).forEach(each -> target.answered(millis));
+    }
+}
--- a/protocol/src/main/java/org/snipewind/protocol/DemandReport.java
+++ b/protocol/src/main/java/org/snipewind/protocol/LoadSummary.java
@@ -5,21 +5,10 @@
 /**
  * What an entry instance saw since its last report, sent to the leader.
  *
- * @param rates demand and loan of each limited organisation
  * @param keys requests by key of keyed pools
  * @param timings answer times of targets of keyed pools
  */
-public record DemandReport(List<RateDemand> rates, List<KeyCount> keys, List<TargetTiming> timings)
-        implements PeerMessage {
-
-    /**
-     * Demand of an organisation.
-     *
-     * @param organisation name
-     * @param demandPerSecond requests a second, including refused ones
-     * @param lentPerSecond loan in force at the sender
-     */
-    public record RateDemand(String organisation, double demandPerSecond, double lentPerSecond) {}
+public record LoadSummary(List<KeyCount> keys, List<TargetTiming> timings) implements PeerMessage {
 
     /**
      * Requests for a key.
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -139,15 +139,9 @@
                     in -> new CancelRequest(in.text("requestId"))),
             new MessageLayout<>(
                     17,
-                    DemandReport.class,
-                    3,
+                    LoadSummary.class,
+                    2,
                     (out, message) -> out.list(
-                                    message.rates(),
-                                    rate -> out.arrayHeader(3)
-                                            .text(rate.organisation())
-                                            .real(rate.demandPerSecond())
-                                            .real(rate.lentPerSecond()))
-                            .list(
                                     message.keys(),
                                     key -> out.arrayHeader(3)
                                             .text(key.pool())
@@ -159,18 +153,15 @@
                                             .text(timing.life())
                                             .number(timing.answers())
                                             .real(timing.meanMillis())),
-                    in -> new DemandReport(
-                            in.list("rates", () -> readDemand(in)),
+                    in -> new LoadSummary(
                             in.list("keys", () -> readKeyCount(in)),
                             in.list("timings", () -> readTiming(in)))),
             new MessageLayout<>(
                     18,
-                    LoanAnswer.class,
-                    2,
-                    (out, message) -> out.flag(message.accepted()).map(message.lentPerSecond(), out::text, out::real),
-                    in -> new LoanAnswer(
-                            in.flag("accepted"),
-                            in.map("lentPerSecond", () -> in.text("organisation"), () -> in.real("perSecond")))),
+                    ReportAnswer.class,
+                    1,
+                    (out, message) -> out.flag(message.accepted()),
+                    in -> new ReportAnswer(in.flag("accepted"))),
             new MessageLayout<>(
                     19,
                     MirrorRequest.class,
@@ -276,20 +267,14 @@
                 in.optional("refusal.retryAfterMillis", () -> in.number("refusal.retryAfterMillis")));
     }
 
-    private static DemandReport.RateDemand readDemand(FieldReader in) {
-        requireFields(in, "rate", 3);
-        return new DemandReport.RateDemand(
-                in.text("organisation"), in.real("demandPerSecond"), in.real("lentPerSecond"));
-    }
-
-    private static DemandReport.KeyCount readKeyCount(FieldReader in) {
+    private static LoadSummary.KeyCount readKeyCount(FieldReader in) {
         requireFields(in, "key", 3);
-        return new DemandReport.KeyCount(in.text("pool"), in.integer("key"), in.integer("requests"));
+        return new LoadSummary.KeyCount(in.text("pool"), in.integer("key"), in.integer("requests"));
     }
 
-    private static DemandReport.TargetTiming readTiming(FieldReader in) {
+    private static LoadSummary.TargetTiming readTiming(FieldReader in) {
         requireFields(in, "timing", 3);
-        return new DemandReport.TargetTiming(in.text("life"), in.integer("answers"), in.real("meanMillis"));
+        return new LoadSummary.TargetTiming(in.text("life"), in.integer("answers"), in.real("meanMillis"));
     }
 
     private static MirrorAnswer.Item readItem(FieldReader in) {
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -19,6 +19,7 @@
 import org.snipewind.router.metrics.PrometheusText;
 import org.snipewind.router.path.CallerServer;
 import org.snipewind.router.path.PathContext;
+import org.snipewind.router.path.RateDesk;
 import org.snipewind.router.path.SharedTables;
 import org.snipewind.router.peer.FleetReporter;
 import org.snipewind.router.peer.PeerNetwork;
@@ -94,7 +95,6 @@
         membership = new Membership(store, mirror, control, log, self);
         duties = new LeaderDuties(store, mirror, tracker, ordersFactory.apply(caller), clock, log);
         leadership = new Leadership(store, mirror, tracker, control, clock, log, self, duties::begin, duties::end);
-        duties.attach(leadership);
         network = new PeerNetwork(
                 store,
                 mirror,
@@ -104,13 +104,17 @@
                 log,
                 self,
                 settings.peers().getPort());
+        duties.attach(
+                leadership, item -> network.push(item, tracker.view().members().values()));
         tables = new SharedTables(tracker, clock, settings.limits(), settings.name());
         reporter = new FleetReporter(network, tracker, mirror, leadership, duties, tables, control, clock, log, self);
         tracker.observe(tables::viewChanged);
+        RateDesk rates = new RateDesk(tracker, clock, control, reporter::fetchTokens);
+        tracker.observe(rates::viewChanged);
         callers = new CallerServer(
                 controlGroup,
                 workerGroup,
-                new PathContext(tracker, tables, dialect, clock, metrics, log, settings.dataCentre()));
+                new PathContext(tracker, tables, rates, dialect, clock, metrics, log, settings.dataCentre()));
         registerGauges();
     }
 
--- a/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.keyspace.HolderView;
 import org.snipewind.coordination.keyspace.KeyAssignment;
@@ -22,6 +23,7 @@
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.KeyOrders;
 import org.snipewind.router.port.StoreException;
+import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetView;
 import org.snipewind.router.state.StoreKeys;
 import org.snipewind.router.state.StoreMirror;
@@ -58,7 +60,7 @@
     private final Map<String, HolderSession> sessions = new HashMap<>();
     private final List<MoveTask> tasks = new ArrayList<>();
     private final BooleanSupplier leading;
-    private final long openedAtMillis;
+    private final long formerGrantsUntilMillis;
     private KeyTable table = KeyTable.EMPTY;
     private long tableRevision;
     private long epoch;
@@ -77,17 +79,19 @@
             KeyOrders keyOrders,
             MillisClock clock,
             DecisionLog log,
-            BooleanSupplier leading) {
+            BooleanSupplier leading,
+            long formerUntilMillis,
+            Consumer<StoreItem> onWritten) {
         this.pool = pool;
         this.mirror = mirror;
         this.clock = clock;
         this.log = log;
         this.leading = leading;
         this.orders = new OrderDesk(pool, keyOrders, clock, log, leading, () -> fenced = true);
-        this.writer = new TableWriter(store, mirror, StoreKeys.TABLES + pool);
+        this.writer = new TableWriter(store, mirror, onWritten, StoreKeys.TABLES + pool);
         this.loads = new KeyLoads(clock);
-        this.openedAtMillis = clock.nowMillis();
-        this.targetsSinceMillis = openedAtMillis;
+        this.formerGrantsUntilMillis = formerUntilMillis + LeaderTimes.ORDER_MILLIS + LeaderTimes.longestHoldMillis();
+        this.targetsSinceMillis = clock.nowMillis();
     }
 
     /** Counts requests for a key. */
@@ -168,7 +172,7 @@
     private HolderSession session(String life) {
         // A life that the former leader may have served is free only after that leader's grants have ended.
         return sessions.computeIfAbsent(
-                life, key -> new HolderSession(key, openedAtMillis + LeaderTimes.formerLeaderMillis()));
+                life, key -> new HolderSession(key, formerGrantsUntilMillis));
     }
 
     private void writeChanges(FleetView view, long now) {
--- a/router/src/main/java/org/snipewind/router/lead/LeaderDuties.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderDuties.java
@@ -2,14 +2,18 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.routing.Pool;
-import org.snipewind.protocol.DemandReport;
-import org.snipewind.protocol.LoanAnswer;
+import org.snipewind.protocol.BudgetGrant;
+import org.snipewind.protocol.BudgetRequest;
+import org.snipewind.protocol.LoadSummary;
+import org.snipewind.protocol.ReportAnswer;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.KeyOrders;
+import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.FleetView;
 import org.snipewind.router.state.StoreMirror;
@@ -23,9 +27,11 @@
     private final KeyOrders orders;
     private final MillisClock clock;
     private final DecisionLog log;
-    private final LoanDesk loans;
+    private final TokenDesk tokens;
+    private long formerUntilMillis;
     private final Map<String, KeyGrantor> grantors = new HashMap<>();
     private Leadership leadership;
+    private Consumer<StoreItem> onTable = item -> {};
 
     /**
      * Creates duties of an instance that does not lead.
@@ -34,7 +40,7 @@
      * @param mirror the copy of the store
      * @param tracker the view of the fleet
      * @param orders orders to targets
-     * @param clock the clock of grants and loans
+     * @param clock the clock of grants and tokens
      * @param log the log
      */
     public LeaderDuties(
@@ -50,22 +56,29 @@
         this.orders = orders;
         this.clock = clock;
         this.log = log;
-        this.loans = new LoanDesk(clock);
+        this.tokens = new TokenDesk(clock);
     }
 
     /**
-     * Sets the office on which the duties depend.
+     * Sets the office on which the duties depend and who is told of written tables.
      *
      * @param office tells whether this instance leads
+     * @param tableObserver gets each table that was written
      */
-    public void attach(Leadership office) {
+    public void attach(Leadership office, Consumer<StoreItem> tableObserver) {
         leadership = office;
+        onTable = tableObserver;
     }
 
-    /** Begins a term of office with nothing known of earlier ones but what the store holds. */
-    public void begin() {
+    /**
+     * Begins a term of office with nothing known of earlier ones but what the store holds.
+     *
+     * @param formerUntil time until which the former leader may still act
+     */
+    public void begin(long formerUntil) {
         grantors.clear();
-        loans.open();
+        formerUntilMillis = formerUntil;
+        tokens.open(formerUntil);
     }
 
     /** Ends the term of office; orders on their way may still arrive. */
@@ -98,23 +111,35 @@
 
     private KeyGrantor grantor(String pool) {
         return grantors.computeIfAbsent(
-                pool, name -> new KeyGrantor(name, store, mirror, orders, clock, log, leadership::isLeading));
+                pool, name -> new KeyGrantor(
+                        name, store, mirror, orders, clock, log, leadership::isLeading, formerUntilMillis, onTable));
     }
 
     /**
-     * Takes a report of an instance.
+     * Takes a summary of the load at an instance.
      *
-     * @param member name of the instance
-     * @param report what it saw
-     * @return its loans
+     * @param summary what it saw
+     * @return whether this instance leads
      */
-    public LoanAnswer report(String member, DemandReport report) {
+    public ReportAnswer report(LoadSummary summary) {
         if (!leadership.isLeading()) {
-            return new LoanAnswer(false, Map.of());
+            return new ReportAnswer(false);
         }
-        report.keys().forEach(count -> grantor(count.pool()).count(count.key(), count.requests()));
-        report.timings()
+        summary.keys().forEach(count -> grantor(count.pool()).count(count.key(), count.requests()));
+        summary.timings()
                 .forEach(timing -> grantors.values().forEach(each -> each.timing(timing.life(), timing.meanMillis())));
-        return loans.lend(tracker.view(), member, report);
+        return new ReportAnswer(true);
+    }
+
+    /**
+     * Issues tokens of an organisation.
+     *
+     * @param request the organisation and the number of tokens
+     * @return the tokens, none if this instance does not lead
+     */
+    public BudgetGrant issue(BudgetRequest request) {
+        return leadership.isLeading()
+                ? tokens.issue(tracker.view(), request.budget(), request.tokens())
+                : new BudgetGrant(false, 0, 0);
     }
 }
--- a/router/src/main/java/org/snipewind/router/lead/LeaderTimes.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderTimes.java
@@ -36,13 +36,4 @@
     public static long longestHoldMillis() {
         return (long) (HOLD_MILLIS * (1 + CLOCK_DRIFT)) + HOLD_SLACK_MILLIS;
     }
-
-    /**
-     * Gives the time after a change of the leader at which no grant of the former one is in force any more.
-     *
-     * @return milliseconds by the new leader's clock
-     */
-    public static long formerLeaderMillis() {
-        return LEASE_MILLIS + ORDER_MILLIS + longestHoldMillis();
-    }
 }
--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
@@ -44,7 +45,7 @@
     private final MillisClock clock;
     private final DecisionLog log;
     private final MemberRecord self;
-    private final Runnable onElected;
+    private final LongConsumer onElected;
     private final Runnable onEnded;
     private boolean leading;
     private boolean claiming;
@@ -65,7 +66,7 @@
      * @param clock the clock of the lease
      * @param log the log
      * @param self this instance
-     * @param onElected called when this instance begins to lead
+     * @param onElected called when this instance begins to lead, with the time until which a former leader may act
      * @param onEnded called when it ends
      */
     public Leadership(
@@ -76,7 +77,7 @@
             MillisClock clock,
             DecisionLog log,
             MemberRecord self,
-            Runnable onElected,
+            LongConsumer onElected,
             Runnable onEnded) {
         this.store = store;
         this.mirror = mirror;
@@ -187,6 +188,9 @@
         Optional<LeaderRecord> former = tracker.view().leader();
         CompletableFuture<Void> vacated = former.map(record -> store.endLease(record.lease()))
                 .orElseGet(() -> CompletableFuture.completedFuture(null));
+        // A leader whose lease ran out has stopped before, and an own earlier process has ended; another one may not know.
+        boolean deposed = former.map(record -> !record.member().name().equals(self.name()))
+                .orElse(false);
         long[] sentAt = new long[1];
         vacated.thenCompose(done -> {
                     sentAt[0] = clock.nowMillis();
@@ -196,7 +200,7 @@
                 .whenComplete((revision, failure) -> {
                     claiming = false;
                     if (failure == null) {
-                        begin(sentAt[0], revision);
+                        begin(sentAt[0], revision, deposed);
                     } else {
                         log.write(
                                 RouterEvent.STORE_CALL_FAILED,
@@ -220,14 +224,14 @@
         lease = 0;
     }
 
-    private void begin(long sentAtMillis, long revision) {
+    private void begin(long sentAtMillis, long revision, boolean deposed) {
         leading = true;
         validUntilMillis = sentAtMillis + LeaderTimes.LEASE_MILLIS - LeaderTimes.LEASE_MARGIN_MILLIS;
         nextRenewalMillis = clock.nowMillis() + LeaderTimes.LEASE_RENEWAL_MILLIS;
         mirror.noteContact();
         mirror.noteWritten(new StoreItem(StoreKeys.LEADER, RecordCodec.encode(self), revision, lease));
         log.write(RouterEvent.LEADERSHIP_TAKEN, () -> "revision=" + revision + " lease=" + lease);
-        onElected.run();
+        onElected.accept(clock.nowMillis() + (deposed ? LeaderTimes.LEASE_MILLIS : 0));
     }
 
     private void end(String reason) {
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/lead/TokenDesk.java
@@ -0,0 +1,47 @@
+package org.snipewind.router.lead;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.snipewind.coordination.budget.BudgetDecision;
+import org.snipewind.coordination.budget.BudgetKeeper;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.quota.QuotaRules;
+import org.snipewind.coordination.routing.Organisation;
+import org.snipewind.protocol.BudgetGrant;
+import org.snipewind.router.state.FleetView;
+
+/** Issues the organisations' tokens while this instance leads; belongs to the control loop. */
+final class TokenDesk {
+
+    private final MillisClock clock;
+    private final Map<String, BudgetKeeper> keepers = new HashMap<>();
+    private long activeFromMillis;
+
+    TokenDesk(MillisClock clock) {
+        this.clock = clock;
+    }
+
+    /** Starts a term of office; no token is issued while one of the former leader can be used. */
+    void open(long formerUntilMillis) {
+        keepers.clear();
+        activeFromMillis = formerUntilMillis + QuotaRules.TOKEN_LIFE_MILLIS;
+    }
+
+    BudgetGrant issue(FleetView view, String name, int wanted) {
+        Optional<Organisation> organisation =
+                view.configuration().flatMap(configuration -> configuration.organisation(name));
+        if (organisation.isEmpty()) {
+            return new BudgetGrant(false, 0, 0);
+        }
+        double rate = QuotaRules.keptRate(organisation.get());
+        int burst = QuotaRules.keptBurst(organisation.get());
+        BudgetKeeper keeper = keepers.computeIfAbsent(
+                name,
+                key -> new BudgetKeeper(
+                        clock, rate, burst, activeFromMillis, false, QuotaRules.TOKEN_LIFE_MILLIS));
+        keeper.configure(rate, burst);
+        BudgetDecision decision = keeper.issue(wanted);
+        return new BudgetGrant(true, decision.tokens(), decision.retryAfterMillis());
+    }
+}
--- a/router/src/main/java/org/snipewind/router/path/PathContext.java
+++ b/router/src/main/java/org/snipewind/router/path/PathContext.java
@@ -11,6 +11,7 @@
  *
  * @param tracker the view of the fleet
  * @param tables limits and counts
+ * @param rates admits requests within the organisations' rates
  * @param dialect headers of requests and answers
  * @param clock the clock of deadlines
  * @param metrics counters and times
@@ -20,6 +21,7 @@
 public record PathContext(
         FleetTracker tracker,
         SharedTables tables,
+        RateDesk rates,
         RequestDialect dialect,
         MillisClock clock,
         DaemonMetrics metrics,
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/path/RateDesk.java
@@ -0,0 +1,185 @@
+package org.snipewind.router.path;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiFunction;
+import org.snipewind.coordination.budget.BudgetAccount;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.quota.FixedShare;
+import org.snipewind.coordination.quota.QuotaRules;
+import org.snipewind.coordination.routing.Organisation;
+import org.snipewind.protocol.BudgetGrant;
+import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.FleetView;
+
+/**
+ * Admits requests within the organisations' rates: by tokens of the keeper, of which some are fetched in advance, or by
+ * this instance's fixed part. Each organisation has its own lock; no other one is taken under it.
+ */
+public final class RateDesk {
+
+    /** Told at once if tokens can't be had for a reason other than the limit. */
+    private static final long UNAVAILABLE_RETRY_MILLIS = 150;
+
+    /** Gets the decision about a request, on any thread. */
+    interface Decision {
+        /** The request is within the limit. */
+        void admitted();
+
+        /**
+         * The request can't be admitted.
+         *
+         * @param overLimit true if the organisation is over its limit, false if the keeper can't be reached
+         * @param retryAfterMillis when to come back
+         */
+        void refused(boolean overLimit, long retryAfterMillis);
+    }
+
+    /** The state of one organisation. */
+    private static final class Desk {
+        private final BudgetAccount account;
+        private final FixedShare share;
+        private final Deque<Decision> waiting = new ArrayDeque<>();
+
+        Desk(MillisClock clock) {
+            account = new BudgetAccount(clock, QuotaRules.TOKEN_LIFE_MILLIS);
+            share = new FixedShare(clock);
+        }
+
+        void configure(Organisation organisation, int fleetSize) {
+            account.configure(QuotaRules.keptRate(organisation), QuotaRules.keptBurst(organisation));
+            share.configure(organisation, fleetSize);
+        }
+
+        boolean tryUse() {
+            return account.tryUse() || share.tryTake();
+        }
+    }
+
+    private final FleetTracker tracker;
+    private final MillisClock clock;
+    private final EventLoop control;
+    private final BiFunction<String, Integer, CompletableFuture<BudgetGrant>> keeper;
+    private final Map<String, Desk> desks = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a desk.
+     *
+     * @param tracker the view of the fleet
+     * @param clock the clock of the tokens
+     * @param control the control loop, on which the keeper is asked
+     * @param keeper asks the keeper for tokens of an organisation
+     */
+    public RateDesk(
+            FleetTracker tracker,
+            MillisClock clock,
+            EventLoop control,
+            BiFunction<String, Integer, CompletableFuture<BudgetGrant>> keeper) {
+        this.tracker = tracker;
+        this.clock = clock;
+        this.control = control;
+        this.keeper = keeper;
+    }
+
+    /** Takes changed limits and fleet sizes into account. */
+    public void viewChanged() {
+        FleetView view = tracker.view();
+        view.configuration().ifPresent(configuration -> desks.forEach((name, desk) -> configuration
+                .organisation(name)
+                .ifPresent(organisation -> desk.configure(organisation, view.fleetSize()))));
+    }
+
+    /** Decides about a request, at once or as soon as the keeper has answered. */
+    void admit(Organisation organisation, Decision decision) {
+        Desk desk = desks.computeIfAbsent(organisation.name(), name -> {
+            Desk created = new Desk(clock);
+            created.configure(organisation, tracker.view().fleetSize());
+            return created;
+        });
+        boolean admitted;
+        synchronized (desk) {
+            admitted = desk.waiting.isEmpty() && desk.tryUse();
+            if (!admitted) {
+                desk.waiting.addLast(decision);
+            }
+        }
+        if (admitted) {
+            decision.admitted();
+        }
+        fetch(organisation.name(), desk);
+    }
+
+    /** Asks the keeper for tokens if requests wait or the tokens in hand run low. */
+    private void fetch(String organisation, Desk desk) {
+        int wanted;
+        long call = 0;
+        synchronized (desk) {
+            wanted = desk.account.tokensToRequest(desk.waiting.size());
+            if (wanted > 0) {
+                call = desk.account.requested(clock.nowMillis());
+            }
+        }
+        if (wanted > 0) {
+            long number = call;
+            control.execute(() -> keeper.apply(organisation, wanted)
+                    .whenComplete((grant, failure) -> answered(organisation, desk, number, grant, failure)));
+        } else {
+            refuseIfPaused(desk);
+        }
+    }
+
+    private void answered(String organisation, Desk desk, long call, BudgetGrant grant, Throwable failure) {
+        boolean known = failure == null && grant.holder();
+        synchronized (desk) {
+            if (known) {
+                desk.account.granted(call, grant.tokens(), grant.retryAfterMillis());
+            } else {
+                desk.account.failed();
+            }
+        }
+        serveWaiting(desk);
+        if (!known) {
+            refuseAll(desk, false, UNAVAILABLE_RETRY_MILLIS);
+        } else {
+            fetch(organisation, desk);
+        }
+    }
+
+    private void serveWaiting(Desk desk) {
+        while (true) {
+            Decision next;
+            synchronized (desk) {
+                if (desk.waiting.isEmpty() || !desk.tryUse()) {
+                    return;
+                }
+                next = desk.waiting.pollFirst();
+            }
+            next.admitted();
+        }
+    }
+
+    /** While the keeper has no tokens, waiting would only delay the refusal. */
+    private void refuseIfPaused(Desk desk) {
+        long pause = desk.account.retryNotBeforeMillis() - clock.nowMillis();
+        if (pause > 0) {
+            refuseAll(desk, true, pause);
+        }
+    }
+
+    private void refuseAll(Desk desk, boolean overLimit, long retryAfterMillis) {
+        while (true) {
+            Decision next;
+            synchronized (desk) {
+                next = desk.waiting.pollFirst();
+            }
+            if (next == null) {
+                return;
+            }
+            next.refused(overLimit, retryAfterMillis);
+        }
+    }
+}
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -12,7 +12,6 @@
 import org.snipewind.coordination.error.Execution;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
-import org.snipewind.coordination.quota.RateShare;
 import org.snipewind.coordination.routing.Organisation;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.routing.Route;
@@ -27,7 +26,7 @@
  * A request on its way: checked against the configuration and the limits, sent to one target or, where it may be
  * repeated, to a further one, and answered exactly once. Belongs to its worker's loop.
  */
-final class RoutedRequest {
+final class RoutedRequest implements RateDesk.Decision {
 
     /** Longest wait for keys that are on their way to a new holder; moves mostly take less than half of it. */
     private static final long OWNER_WAIT_MILLIS = 400;
@@ -121,7 +120,10 @@
             return;
         }
         route = found.get();
-        if (!admit(configuration)) {
+        organisation = headers.organisationKey().flatMap(configuration::organisationOf);
+        boolean keyNeeded = !route.anonymous() && !configuration.organisations().isEmpty();
+        if (keyNeeded && organisation.isEmpty()) {
+            refuse(ErrorKind.KEY_REJECTED, 0, "version=" + configuration.version());
             return;
         }
         pool = configuration
@@ -138,31 +140,35 @@
         long allowed = Math.min(route.timeoutMillis(), headers.remainingMillis().orElse(Long.MAX_VALUE));
         finalMillis = arrivedMillis + allowed;
         schedule(this::expire, allowed);
-        if (pool.keyed()) {
-            context.tables().countKey(pool.name(), headers.shardKey().getAsInt());
+        Optional<Organisation> limited = organisation.filter(Organisation::isLimited);
+        if (limited.isPresent()) {
+            context.rates().admit(limited.get(), this);
+        } else {
+            admittedOnLoop();
         }
-        route();
     }
 
-    /** Checks the organisation's key and limit. */
-    private boolean admit(RoutingConfiguration configuration) {
-        organisation = headers.organisationKey().flatMap(configuration::organisationOf);
-        boolean keyNeeded = !route.anonymous() && !configuration.organisations().isEmpty();
-        if (keyNeeded && organisation.isEmpty()) {
-            refuse(ErrorKind.KEY_REJECTED, 0, "version=" + configuration.version());
-            return false;
+    @Override
+    public void admitted() {
+        worker.run(this::admittedOnLoop);
+    }
+
+    @Override
+    public void refused(boolean overLimit, long retryAfterMillis) {
+        worker.run(() -> refuse(
+                overLimit ? ErrorKind.RATE_EXCEEDED : ErrorKind.BUDGET_UNAVAILABLE,
+                retryAfterMillis,
+                "organisation=" + organisationName().orElse("none")));
+    }
+
+    private void admittedOnLoop() {
+        if (done) {
+            return;
         }
-        Optional<RateShare> share = organisation.filter(Organisation::isLimited).map(context.tables()::rate);
-        if (share.isPresent() && !share.get().tryTake()) {
-            refuse(
-                    ErrorKind.RATE_EXCEEDED,
-                    share.get().millisUntilToken(),
-                    "organisation=" + organisation.get().name() + " demand="
-                            + Math.round(share.get().demand()) + "/s lent="
-                            + Math.round(share.get().lentPerSecond()) + "/s");
-            return false;
+        if (pool.keyed()) {
+            context.tables().countKey(pool.name(), headers.shardKey().getAsInt());
         }
-        return true;
+        route();
     }
 
     /** Chooses where to send the request next. */
--- a/router/src/main/java/org/snipewind/router/path/SharedTables.java
+++ b/router/src/main/java/org/snipewind/router/path/SharedTables.java
@@ -6,20 +6,16 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.snipewind.coordination.clock.MillisClock;
-import org.snipewind.coordination.quota.QuotaRules;
-import org.snipewind.coordination.quota.RateShare;
-import org.snipewind.coordination.routing.Organisation;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.target.ColdPace;
 import org.snipewind.coordination.target.RepeatBudget;
 import org.snipewind.coordination.target.TargetState;
-import org.snipewind.protocol.DemandReport;
-import org.snipewind.protocol.LoanAnswer;
+import org.snipewind.protocol.LoadSummary;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.FleetView;
 
 /**
- * The tables that all workers share: parts of the rates, repeat budgets, cold paces and what the next report says. Each
+ * The tables that all workers share: repeat budgets, cold paces and what the next report says. Each
  * entry has its own lock; no lock is taken while another one is held.
  */
 public final class SharedTables {
@@ -34,7 +30,6 @@
     private final MillisClock clock;
     private final RouterLimits limits;
     private final String self;
-    private final Map<String, RateShare> rates = new ConcurrentHashMap<>();
     private final Map<String, RepeatBudget> repeats = new ConcurrentHashMap<>();
     private final Map<String, ColdPace> paces = new ConcurrentHashMap<>();
     private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
@@ -58,21 +53,6 @@
     /** Takes a changed view into account; called on the control loop. */
     public void viewChanged() {
         FleetView view = tracker.view();
-        view.configuration().ifPresent(configuration -> {
-            rates.keySet()
-                    .removeIf(name -> configuration
-                            .organisation(name)
-                            .filter(Organisation::isLimited)
-                            .isEmpty());
-            for (Organisation each : configuration.organisations()) {
-                if (each.isLimited()) {
-                    rates.computeIfAbsent(
-                                    each.name(),
-                                    name -> new RateShare(clock, each.ratePerSecond(), each.burst(), view.fleetSize()))
-                            .configure(each.ratePerSecond(), each.burst(), view.fleetSize());
-                }
-            }
-        });
         paces.keySet().removeIf(life -> view.serving(life).filter(this::isCold).isEmpty());
     }
 
@@ -80,16 +60,6 @@
         return state.isCold(clock.nowMillis());
     }
 
-    RateShare rate(Organisation organisation) {
-        return rates.computeIfAbsent(
-                organisation.name(),
-                name -> new RateShare(
-                        clock,
-                        organisation.ratePerSecond(),
-                        organisation.burst(),
-                        tracker.view().fleetSize()));
-    }
-
     void countFirst(String pool) {
         budget(pool).countFirst();
     }
@@ -142,41 +112,20 @@
      *
      * @return the report
      */
-    public DemandReport takeReport() {
-        List<DemandReport.RateDemand> demands = new ArrayList<>();
-        rates.forEach(
-                (name, share) -> demands.add(new DemandReport.RateDemand(name, share.demand(), share.lentPerSecond())));
-        List<DemandReport.KeyCount> keys = new ArrayList<>();
+    public LoadSummary takeReport() {
+        List<LoadSummary.KeyCount> keys = new ArrayList<>();
         synchronized (keyCounts) {
             keyCounts.forEach((pool, counts) -> counts.entrySet().stream()
                     .limit(MAX_REPORTED_KEYS)
-                    .forEach(entry -> keys.add(new DemandReport.KeyCount(pool, entry.getKey(), entry.getValue()))));
+                    .forEach(entry -> keys.add(new LoadSummary.KeyCount(pool, entry.getKey(), entry.getValue()))));
             keyCounts.clear();
         }
-        List<DemandReport.TargetTiming> times = new ArrayList<>();
+        List<LoadSummary.TargetTiming> times = new ArrayList<>();
         synchronized (timings) {
             timings.forEach(
-                    (life, sum) -> times.add(new DemandReport.TargetTiming(life, (int) sum[0], sum[1] / sum[0])));
+                    (life, sum) -> times.add(new LoadSummary.TargetTiming(life, (int) sum[0], sum[1] / sum[0])));
             timings.clear();
         }
-        return new DemandReport(demands, keys, times);
-    }
-
-    /**
-     * Takes new loans.
-     *
-     * @param answer the leader's answer
-     * @param sentAtMillis time at which the report was sent
-     */
-    public void takeLoans(LoanAnswer answer, long sentAtMillis) {
-        if (!answer.accepted()) {
-            return;
-        }
-        answer.lentPerSecond().forEach((name, perSecond) -> {
-            RateShare share = rates.get(name);
-            if (share != null) {
-                share.lend(perSecond, sentAtMillis + QuotaRules.LOAN_MILLIS);
-            }
-        });
+        return new LoadSummary(keys, times);
     }
 }
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -45,6 +45,15 @@
         return loop;
     }
 
+    /** Runs a task on this worker's loop, at once if that is the present thread. */
+    void run(Runnable task) {
+        if (loop.inEventLoop()) {
+            task.run();
+        } else {
+            loop.execute(task);
+        }
+    }
+
     PathContext context() {
         return context;
     }
--- a/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
+++ b/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
@@ -5,14 +5,17 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.snipewind.coordination.clock.MillisClock;
-import org.snipewind.protocol.DemandReport;
-import org.snipewind.protocol.LoanAnswer;
+import org.snipewind.protocol.BudgetGrant;
+import org.snipewind.protocol.BudgetRequest;
+import org.snipewind.protocol.LoadSummary;
 import org.snipewind.protocol.MirrorAnswer;
 import org.snipewind.protocol.MirrorRequest;
 import org.snipewind.protocol.PeerMessage;
+import org.snipewind.protocol.ReportAnswer;
 import org.snipewind.router.lead.LeaderDuties;
 import org.snipewind.router.lead.Leadership;
 import org.snipewind.router.log.DecisionLog;
@@ -30,11 +33,14 @@
  */
 public final class FleetReporter {
 
-    /** Reports follow each other at this interval; loans outlive several of them. */
+    /** Reports follow each other at this interval. */
     private static final long REPORT_MILLIS = 400;
 
     private static final long CALL_MILLIS = 350;
 
+    /** A request waits at most this long for tokens; a round trip takes a few milliseconds. */
+    private static final long TOKEN_CALL_MILLIS = 80;
+
     /** A leader that answered none of three reports is taken to be gone if others say the same. */
     private static final long LEADER_GONE_MILLIS = 1_200;
 
@@ -111,24 +117,42 @@
             leaderBoot = member.boot();
             leaderHeardMillis = clock.nowMillis();
         }
-        long sentAt = clock.nowMillis();
-        DemandReport report = tables.takeReport();
+        LoadSummary report = tables.takeReport();
         if (member.equals(self)) {
-            tables.takeLoans(duties.report(self.name(), report), sentAt);
+            duties.report(report);
             network.leaderHeard();
             return;
         }
         network.call(member.peerAddress(), report, CALL_MILLIS).whenComplete((answer, failure) -> {
-            if (failure == null && answer instanceof LoanAnswer loans) {
+            if (failure == null && answer instanceof ReportAnswer) {
                 leaderHeardMillis = clock.nowMillis();
                 network.leaderHeard();
-                tables.takeLoans(loans, sentAt);
             } else if (clock.nowMillis() - leaderHeardMillis > LEADER_GONE_MILLIS) {
                 askAboutLeader(member);
             }
         });
     }
 
+    /**
+     * Asks the leader for tokens of an organisation.
+     *
+     * @param organisation name of the organisation
+     * @param wanted number of tokens
+     * @return the tokens; fails if there is no leader that answers
+     */
+    public CompletableFuture<BudgetGrant> fetchTokens(String organisation, int wanted) {
+        Optional<LeaderRecord> leader = tracker.view().leader();
+        BudgetRequest request = new BudgetRequest(organisation, wanted);
+        if (leader.isEmpty()) {
+            return CompletableFuture.completedFuture(new BudgetGrant(false, 0, 0));
+        }
+        if (leader.get().member().equals(self)) {
+            return CompletableFuture.completedFuture(duties.issue(request));
+        }
+        return network.call(leader.get().member().peerAddress(), request, TOKEN_CALL_MILLIS)
+                .thenApply(BudgetGrant.class::cast);
+    }
+
     /** A leader that only this instance can't reach stays. */
     private void askAboutLeader(MemberRecord leader) {
         List<MemberRecord> others = otherMembers();
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -3,12 +3,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.security.SecureRandom;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import org.snipewind.protocol.DemandReport;
+import org.snipewind.protocol.BudgetRequest;
+import org.snipewind.protocol.LoadSummary;
 import org.snipewind.protocol.MirrorAnswer;
 import org.snipewind.protocol.MirrorRequest;
 import org.snipewind.protocol.NettyPeerConnections;
@@ -16,6 +18,7 @@
 import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.PeerServer;
 import org.snipewind.protocol.PeerSettings;
+import org.snipewind.protocol.RecordPush;
 import org.snipewind.router.lead.LeaderDuties;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
@@ -127,7 +130,7 @@
         CompletableFuture<Optional<PeerMessage>> answer = new CompletableFuture<>();
         loop.execute(() -> {
             try {
-                answer.complete(answerTo(senderId.split(BOOT_SEPARATOR, 2)[0], message));
+                answer.complete(answerTo(message));
             } catch (RuntimeException e) {
                 log.write(RouterEvent.TASK_FAILED, () -> "task=answer to " + senderId + " cause=" + e);
                 answer.completeExceptionally(e);
@@ -136,9 +139,16 @@
         return answer;
     }
 
-    private Optional<PeerMessage> answerTo(String sender, PeerMessage message) {
-        if (message instanceof DemandReport report) {
-            return Optional.of(duties.report(sender, report));
+    private Optional<PeerMessage> answerTo(PeerMessage message) {
+        if (message instanceof LoadSummary summary) {
+            return Optional.of(duties.report(summary));
+        }
+        if (message instanceof BudgetRequest request) {
+            return Optional.of(duties.issue(request));
+        }
+        if (message instanceof RecordPush push) {
+            mirror.noteWritten(new StoreItem(push.name(), push.content(), push.version(), 0));
+            return Optional.empty();
         }
         if (message instanceof MirrorRequest request) {
             List<MirrorAnswer.Item> items = request.knownRevision() >= mirror.revision()
@@ -156,6 +166,22 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    /**
+     * Sends an item that this instance wrote to all others, before their watches bring it.
+     *
+     * @param item the item
+     * @param members the instances
+     */
+    public void push(StoreItem item, Collection<MemberRecord> members) {
+        connections.ifPresent(open -> {
+            for (MemberRecord member : members) {
+                if (!member.name().equals(self.name())) {
+                    open.send(member.peerAddress(), new RecordPush(item.key(), item.revision(), item.value()));
+                }
+            }
+        });
+    }
+
     /** Notes that the leader answered. */
     void leaderHeard() {
         leaderHeardMillis = now();
--- a/router/src/main/java/org/snipewind/router/state/StoreMirror.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreMirror.java
@@ -29,6 +29,9 @@
     /** Longest wait of one watch; a shorter one costs calls, a longer one finds a dead connection late. */
     private static final long WATCH_MILLIS = 5_000;
 
+    /** Changes that follow each other within this time come with one call; each call has a price. */
+    private static final long COALESCE_MILLIS = 250;
+
     /** Retries are spread over this time, so that instances do not return to the store at once. */
     private static final long RETRY_MILLIS = 250;
 
@@ -243,7 +246,11 @@
             if (failure == null) {
                 noteContact();
                 applyAll(changes);
-                watch();
+                if (changes.changes().isEmpty()) {
+                    watch();
+                } else {
+                    loop.schedule(this::watch, COALESCE_MILLIS, TimeUnit.MILLISECONDS);
+                }
             } else if (kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
                 noteContact();
                 log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + from);
