Mend keys granted twice, requests sent twice and answers cut at the end of a process

Cause: a re-planned move could still grant keys while the new plan was being written; the timer of an owner wait sent a request that was on its way again; a connection accepted in the last 20 ms was cut by the exit; requests of callers that had left lay in the socket of a slow process. Ruled out: a wrong hold time, as the second holder's epoch was written 150 ms before.

--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyLoads.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyLoads.java
@@ -9,7 +9,9 @@
 public final class KeyLoads {
 
     /** Time after which a request counts for 1/e; hot keys move within a few seconds, and a shorter time is noisy. */
-    private static final double MEMORY_MILLIS = 1_500;
+    static final double MEMORY_SECONDS = 1.5;
+
+    private static final double MEMORY_MILLIS = MEMORY_SECONDS * 1_000;
 
     /** Keys below this rate are forgotten. */
     private static final double NEGLIGIBLE_PER_SECOND = 0.02;
--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyPlanner.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyPlanner.java
@@ -25,6 +25,9 @@
     /** A move must at least bring the busier side down to this share of its load, or it isn't worth the pause. */
     private static final double WORTHWHILE_RATIO = 0.8;
 
+    /** Standard deviations of a measured load that do not count as an excess. */
+    private static final double NOISE_DEVIATIONS = 2;
+
     /** Most moves of one plan, so that the effect is seen before the next ones. */
     private static final int MAX_RELIEF_MOVES = 8;
 
@@ -149,7 +152,7 @@
             if (busiest.isEmpty() || idlest.isEmpty() || utilization(busiest.get()) < RELIEF_UTILIZATION) {
                 return;
             }
-            if (!moveLoad(busiest.get(), idlest.get())) {
+            if (!moveLoad(busiest.get(), idlest.get(), false)) {
                 settled.remove(busiest.get().life());
             }
         }
@@ -163,7 +166,7 @@
             usable.values().stream()
                     .filter(view -> loads.getOrDefault(view.life(), 0.0) > 0)
                     .max(Comparator.comparingDouble(this::utilization))
-                    .ifPresent(busiest -> moveLoad(busiest, newcomer));
+                    .ifPresent(busiest -> moveLoad(busiest, newcomer, true));
         }
     }
 
@@ -178,12 +181,13 @@
     }
 
     /** Moves the load that makes both sides equally busy; reports false if no run of keys fits. */
-    private boolean moveLoad(HolderView source, HolderView destination) {
+    private boolean moveLoad(HolderView source, HolderView destination, boolean always) {
         double sourceLoad = loads.getOrDefault(source.life(), 0.0);
         double destinationLoad = loads.getOrDefault(destination.life(), 0.0);
         double level = (sourceLoad + destinationLoad) / (source.capacity() + destination.capacity());
         double wanted = sourceLoad - level * source.capacity();
-        if (level * source.capacity() > sourceLoad * WORTHWHILE_RATIO) {
+        boolean worthwhile = level * source.capacity() <= sourceLoad * WORTHWHILE_RATIO && wanted >= noise(sourceLoad);
+        if (!always && !worthwhile) {
             return false;
         }
         Optional<int[]> run = shortestRun(source.life(), wanted);
@@ -197,6 +201,11 @@
         return run.isPresent();
     }
 
+    /** Gives the excess that a load shows by chance alone, as requests arrive independently of each other. */
+    private static double noise(double load) {
+        return NOISE_DEVIATIONS * Math.sqrt(load / KeyLoads.MEMORY_SECONDS);
+    }
+
     /** Finds the fewest neighbouring keys of a holder whose load lies between half of and the whole wanted load. */
     private Optional<int[]> shortestRun(String holder, double wanted) {
         int[] best = null;
--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyTable.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyTable.java
@@ -88,7 +88,7 @@
     }
 
     /**
-     * Joins neighbouring ranges of one holder and epoch.
+     * Joins neighbouring ranges of one holder and epoch; ranges on their way to a holder stay as they are.
      *
      * @return the table with the fewest ranges that say the same
      */
@@ -109,6 +109,7 @@
         return first.to() + 1 == second.from()
                 && first.epoch() == second.epoch()
                 && first.holder().equals(second.holder())
-                && first.previous().equals(second.previous());
+                && !first.isMoving()
+                && !second.isMoving();
     }
 }
--- a/coordination/src/main/java/org/snipewind/coordination/quota/QuotaRules.java
+++ b/coordination/src/main/java/org/snipewind/coordination/quota/QuotaRules.java
@@ -6,7 +6,7 @@
 public final class QuotaRules {
 
     /** Part of a rate and burst that is split evenly over the instances for good; the keeper issues the rest. */
-    public static final double FIXED_PART = 0.25;
+    public static final double FIXED_PART = 0.4;
 
     /**
      * Life of a token from the sending of its request. It covers a round trip between instances that are short of
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -195,13 +195,16 @@
                 () -> "grace=" + settings.graceMillis() + "ms connections=" + callers.connections());
         control.execute(leadership::stop);
         callers.drain();
-        while (clock.nowMillis() < end) {
-            boolean rotated = clock.nowMillis() >= outOfRotation;
-            if (rotated) {
-                callers.closeIdle();
-            }
-            if (rotated && !callers.isBusy() && callers.connections() == 0) {
-                break;
+        while (clock.nowMillis() < outOfRotation) {
+            pause();
+        }
+        boolean listening = true;
+        while (clock.nowMillis() < end && (listening || callers.isBusy() || callers.connections() > 0)) {
+            callers.closeIdle();
+            if (listening && !callers.isBusy() && callers.connections() == 0) {
+                // A connection that was accepted just before still counts in the next round.
+                callers.closeListener();
+                listening = false;
             }
             pause();
         }
--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -44,6 +44,7 @@
     private boolean skipping;
     private boolean written;
     private boolean reusable = true;
+    private int exchanges;
     private boolean closed;
     private long idleMillis = DEFAULT_IDLE_MILLIS;
 
@@ -71,6 +72,7 @@
             outcome.failed(new ExchangeException("connection is closed or in use", false));
             return;
         }
+        exchanges++;
         listener = Optional.of(outcome);
         filter = answerFilter;
         written = false;
@@ -93,6 +95,15 @@
         return reusable && !closed && listener.isEmpty();
     }
 
+    /**
+     * Tells whether the exchange in progress is the first one, so that no earlier answer can be on its way.
+     *
+     * @return true for the first exchange
+     */
+    public boolean isFirstExchange() {
+        return exchanges == 1;
+    }
+
     /**
      * Gives the time after which the other side closes the connection if it is idle.
      *
--- a/router/src/main/java/org/snipewind/router/lead/HolderSession.java
+++ b/router/src/main/java/org/snipewind/router/lead/HolderSession.java
@@ -9,14 +9,15 @@
     /** A target that answers no order for this time gets its keys taken away. */
     private static final long SILENT_MILLIS = 1_000;
 
-    /** A silent target without keys is taken into account again after this time. */
-    private static final long FORGET_MILLIS = 3_000;
+    /** Silent targets are asked at this interval whether they answer again. */
+    private static final long PROBE_MILLIS = 1_000;
 
     private final String life;
     private Optional<TargetEntry> entry = Optional.empty();
     private long heldUntilMillis;
     private long failingSinceMillis = -1;
     private long nextRenewalMillis;
+    private long nextProbeMillis;
     private int grantsInFlight;
 
     HolderSession(String life, long heldUntilMillis) {
@@ -81,10 +82,17 @@
         return failing > SILENT_MILLIS;
     }
 
-    /** Ends the memory of failures of a target that holds nothing, so that it may get keys again. */
-    void forgetFailures(long now) {
-        if (failingSinceMillis >= 0 && now - failingSinceMillis > SILENT_MILLIS + FORGET_MILLIS) {
-            failingSinceMillis = -1;
-        }
+    /** Tells whether a silent target should be asked whether it answers again. */
+    boolean isProbeDue(long now) {
+        return isSilent(now) && grantsInFlight == 0 && now >= nextProbeMillis;
+    }
+
+    void probeSent(long now) {
+        nextProbeMillis = now + PROBE_MILLIS;
+    }
+
+    /** The target answers again and may get keys. */
+    void answers() {
+        failingSinceMillis = -1;
     }
 }
--- a/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.keyspace.HolderView;
 import org.snipewind.coordination.keyspace.KeyAssignment;
@@ -158,7 +159,11 @@
                 session(entry.life()).update(entry);
             }
         }
-        sessions.values().forEach(session -> session.forgetFailures(now));
+        view.configuration()
+                .flatMap(configuration -> configuration.pool(pool))
+                .ifPresent(known -> sessions.values().stream()
+                        .filter(session -> session.isProbeDue(now) && view.serving(session.life()).isPresent())
+                        .forEach(session -> orders.probe(session, known.healthPath(), now)));
         Set<String> targets = new TreeSet<>();
         view.inService()
                 .getOrDefault(pool, List.of())
@@ -279,22 +284,23 @@
         return Math.max(1, state.entry().slots()) * MILLIS_PER_SECOND / service;
     }
 
+    /** Lists the lives that may hold keys of a range; moves that overlap it send no more orders. */
     private List<String> possibleHolders(KeyMove move, long now) {
         KeyAssignment range = new KeyAssignment(move.from(), move.to(), move.destination(), epoch, List.of());
-        return tasks.stream()
-                .filter(task -> task.overlaps(range))
-                .findFirst()
-                .map(task -> task.possibleHolders(now))
-                .orElseGet(() -> move.source().stream().toList())
-                .stream()
-                .filter(life -> !life.equals(move.destination()))
-                .toList();
+        List<MoveTask> overlapping =
+                tasks.stream().filter(task -> task.overlaps(range)).toList();
+        overlapping.forEach(MoveTask::suspend);
+        Stream<String> holders = overlapping.isEmpty()
+                ? move.source().stream()
+                : overlapping.stream().flatMap(task -> task.possibleHolders(now).stream());
+        return holders.filter(life -> !life.equals(move.destination())).distinct().toList();
     }
 
     private void write(KeyTable changed, long expectedRevision, Runnable onWritten) {
         writing = true;
         writer.write(changed, expectedRevision).whenComplete((revision, failure) -> {
             writing = false;
+            tasks.forEach(MoveTask::resume);
             if (failure == null) {
                 table = changed;
                 tableRevision = revision;
--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -28,10 +28,10 @@
  */
 public final class Leadership {
 
-    private static final long TICK_MILLIS = 100;
+    private static final long TICK_MILLIS = 50;
 
     /** Candidates wait a random part of this time, so that mostly one of them writes. */
-    private static final long CLAIM_SPREAD_MILLIS = 300;
+    private static final long CLAIM_SPREAD_MILLIS = 100;
 
     private static final long CLAIM_PAUSE_MILLIS = 500;
 
--- a/router/src/main/java/org/snipewind/router/lead/MoveTask.java
+++ b/router/src/main/java/org/snipewind/router/lead/MoveTask.java
@@ -20,6 +20,7 @@
     private boolean grantSent;
     private boolean granted;
     private boolean dropped;
+    private boolean suspended;
     private long retryAtMillis;
 
     MoveTask(KeyAssignment assignment) {
@@ -102,6 +103,19 @@
         return granted;
     }
 
+    /** Sends no further orders while another plan for the range is being written. */
+    void suspend() {
+        suspended = true;
+    }
+
+    void resume() {
+        suspended = false;
+    }
+
+    boolean isSuspended() {
+        return suspended;
+    }
+
     void drop() {
         dropped = true;
     }
--- a/router/src/main/java/org/snipewind/router/lead/OrderDesk.java
+++ b/router/src/main/java/org/snipewind/router/lead/OrderDesk.java
@@ -51,7 +51,7 @@
             }
         }
         for (MoveTask task : tasks) {
-            if (task.isGranted()) {
+            if (task.isGranted() && !task.isSuspended()) {
                 held.computeIfAbsent(task.assignment().holder(), life -> new ArrayList<>())
                         .add(task.assignment());
             }
@@ -106,9 +106,19 @@
         return true;
     }
 
+    /** Asks a silent target whether it answers again. */
+    void probe(HolderSession session, String healthPath, long now) {
+        session.probeSent(now);
+        orders.probe(session.entry().orElseThrow(), healthPath).whenComplete((healthy, failure) -> {
+            if (failure == null && healthy) {
+                session.answers();
+            }
+        });
+    }
+
     /** Takes the next step of a move. */
     void advance(MoveTask task, Map<String, HolderSession> sessions, long now) {
-        if (task.isDropped() || task.isGranted() || !leading.getAsBoolean()) {
+        if (task.isDropped() || task.isSuspended() || task.isGranted() || !leading.getAsBoolean()) {
             return;
         }
         for (String life : task.unfreed(now)) {
--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -91,14 +91,21 @@
                 EmptyHttpHeaders.INSTANCE);
     }
 
-    /** An answer without an id is only a refusal that was sent before the request was read. */
+    /**
+     * An answer without an id can be a refusal that was sent before the request was read. On a connection with earlier
+     * exchanges it can also be a second refusal of one of those, which says nothing about this request.
+     */
     private boolean belongs(int status, HttpHeaders headers) {
         AnswerHeaders answer = context.dialect().readAnswer(status, headers);
-        return answer.requestId().isPresent()
-                ? answer.requestId().equals(owner.requestId())
-                : answer.notExecuted()
-                        || answer.misdirected()
-                        || owner.requestId().isEmpty();
+        if (answer.requestId().isPresent()) {
+            return answer.requestId().equals(owner.requestId());
+        }
+        boolean refusal = answer.notExecuted() || answer.misdirected();
+        boolean attributable = connection.isFirstExchange() || owner.isIdempotent();
+        if (!refusal || !attributable) {
+            context.metrics().count("answers.skipped");
+        }
+        return refusal && attributable || owner.requestId().isEmpty();
     }
 
     @Override
--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -170,10 +170,15 @@
             }
             return;
         }
-        serve(request);
+        answering = true;
+        // A caller may have left while the request lay in the socket; its end is read before this task runs.
+        worker.loop().execute(() -> serve(request));
     }
 
     private void serve(CallerRequest request) {
+        if (!context.channel().isActive()) {
+            return;
+        }
         answering = true;
         headRequest = HttpMethod.HEAD.equals(request.method());
         RoutedRequest routed = worker.serve(request, this);
--- a/router/src/main/java/org/snipewind/router/path/CallerServer.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -33,6 +34,7 @@
     private final Map<EventLoop, Worker> workers = new ConcurrentHashMap<>();
     private final Set<CallerChannel> channels = ConcurrentHashMap.newKeySet();
     private final AtomicInteger answersInProgress = new AtomicInteger();
+    private Channel listening;
     private volatile boolean draining;
 
     /**
@@ -55,12 +57,16 @@
      * @return the address with the actual port
      */
     public InetSocketAddress start(InetSocketAddress address) {
-        Channel listening = new ServerBootstrap()
+        listening = new ServerBootstrap()
                 .group(acceptors, loops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads until nothing is left, so that the end of a connection shows together with its last request.
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel accepted) {
@@ -119,6 +125,11 @@
         draining = true;
     }
 
+    /** Stops to accept connections; must not be called on a network thread. */
+    public void closeListener() {
+        listening.close().awaitUninterruptibly();
+    }
+
     /** Closes connections without a request. */
     public void closeIdle() {
         channels.forEach(channel -> channel.worker().loop().execute(channel::closeIfIdle));
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -171,9 +171,9 @@
         route();
     }
 
-    /** Chooses where to send the request next. */
+    /** Chooses where to send the request next; does nothing while it is at a target already. */
     void route() {
-        if (done) {
+        if (done || !active.isEmpty()) {
             return;
         }
         if (pool.keyed()) {
@@ -253,7 +253,7 @@
         if (ownerWaitUntilMillis < 0) {
             // Half of the time is kept for the work itself.
             ownerWaitUntilMillis = now + Math.min(OWNER_WAIT_MILLIS, remainingMillis() / 2);
-            schedule(this::route, ownerWaitUntilMillis - now);
+            schedule(this::endOwnerWait, ownerWaitUntilMillis - now);
         }
         if (now >= ownerWaitUntilMillis) {
             endWithout(ErrorKind.OWNER_UNAVAILABLE, OWNER_RETRY_MILLIS, inputs);
@@ -262,6 +262,13 @@
         }
     }
 
+    private void endOwnerWait() {
+        if (worker.isWaiting(this)) {
+            worker.stopWaiting(this);
+            route();
+        }
+    }
+
     private void send(TargetState target) {
         attempts++;
         tried.add(target.entry().life());
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -86,6 +86,10 @@
         waiting.add(request);
     }
 
+    boolean isWaiting(RoutedRequest request) {
+        return waiting.contains(request);
+    }
+
     void stopWaiting(RoutedRequest request) {
         waiting.remove(request);
     }
--- a/router/src/main/java/org/snipewind/router/port/KeyOrders.java
+++ b/router/src/main/java/org/snipewind/router/port/KeyOrders.java
@@ -20,6 +20,15 @@
     CompletableFuture<Boolean> grant(
             TargetEntry target, KeyAssignment range, long holdMillis, Optional<String> handover);
 
+    /**
+     * Asks whether a target answers at all.
+     *
+     * @param target the target
+     * @param healthPath path of its health check
+     * @return true if it answers and considers itself healthy
+     */
+    CompletableFuture<Boolean> probe(TargetEntry target, String healthPath);
+
     /**
      * Takes keys back and waits until the work on them has ended.
      *
