--- a/router/src/main/java/org/snipewind/router/lead/HolderSession.java
+++ b/router/src/main/java/org/snipewind/router/lead/HolderSession.java
@@ -54,10 +54,12 @@
         nextRenewalMillis = atMillis;
     }
 
-    /** A grant has certainly arrived or will never arrive; until it ends the target holds the keys. */
-    void granted(long now, boolean answered) {
+    /** A grant has arrived or will never arrive; if it may have, the target holds the keys until it ends. */
+    void grantEnded(long now, boolean answered, boolean mayHaveArrived) {
         grantsInFlight--;
-        heldUntilMillis = Math.max(heldUntilMillis, now + LeaderTimes.longestHoldMillis());
+        if (mayHaveArrived) {
+            heldUntilMillis = Math.max(heldUntilMillis, now + LeaderTimes.longestHoldMillis());
+        }
         if (answered) {
             failingSinceMillis = -1;
         } else if (failingSinceMillis < 0) {
--- a/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -235,24 +235,12 @@
         long now = clock.nowMillis();
         MoveTask task = new MoveTask(moving);
         for (String life : moving.previous()) {
-            task.freeAt(life, isReplaced(life) ? now : session(life).freeAtMillis(now));
+            task.freeAt(life, session(life).freeAtMillis(now));
         }
         tasks.add(task);
         orders.advance(task, sessions, now);
     }
 
-    /** A process that was started later under the same id or address shows that the earlier one has ended. */
-    private boolean isReplaced(String life) {
-        Optional<TargetEntry> old = session(life).entry();
-        return old.isPresent()
-                && sessions.values().stream()
-                        .flatMap(other -> other.entry().stream())
-                        .anyMatch(entry -> entry.startedAtMillis() > old.get().startedAtMillis()
-                                && (entry.id().equals(old.get().id())
-                                        || entry.host().equals(old.get().host())
-                                                && entry.port() == old.get().port()));
-    }
-
     private List<KeyAssignment> plan(KeyTable base, FleetView view, long now) {
         if (base.assignments().isEmpty() && now - targetsSinceMillis < SETTLE_MILLIS) {
             return List.of();
--- a/router/src/main/java/org/snipewind/router/lead/OrderDesk.java
+++ b/router/src/main/java/org/snipewind/router/lead/OrderDesk.java
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.target.TargetEntry;
+import org.snipewind.router.http.ExchangeException;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.KeyOrders;
@@ -84,10 +86,15 @@
         });
     }
 
+    private static boolean mayHaveArrived(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return !(cause instanceof ExchangeException exchange) || exchange.isSent();
+    }
+
     /** Takes the outcome of a grant; tells whether the target accepted it. */
     private boolean finish(HolderSession session, KeyAssignment range, Boolean accepted, Throwable failure) {
         long now = clock.nowMillis();
-        session.granted(now, failure == null);
+        session.grantEnded(now, failure == null, mayHaveArrived(failure));
         if (failure != null) {
             log.write(
                     RouterEvent.HOLDER_SILENT,
--- a/router/src/main/java/org/snipewind/router/log/DecisionLog.java
+++ b/router/src/main/java/org/snipewind/router/log/DecisionLog.java
@@ -10,9 +10,9 @@
 public final class DecisionLog {
 
     /** Lines a second of one event that are written in the long run, low enough for a small processor share. */
-    private static final double LINES_PER_SECOND = 5;
+    private static final double LINES_PER_SECOND = 3;
 
-    private static final double LINES_AT_ONCE = 50;
+    private static final double LINES_AT_ONCE = 20;
 
     private final System.Logger logger = System.getLogger("org.snipewind.router");
     private final String instance;
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -108,6 +108,10 @@
 
     void start() {
         headers = context.dialect().readCaller(request.headers());
+        if (worker.isOverloaded()) {
+            refuse(ErrorKind.DAEMON_REQUESTS_LIMIT, START_RETRY_MILLIS, "the loop is late");
+            return;
+        }
         FleetView view = context.tracker().view();
         if (view.configuration().isEmpty()) {
             refuse(ErrorKind.NOT_READY, START_RETRY_MILLIS, "no configuration");
@@ -270,6 +274,10 @@
     }
 
     private void send(TargetState target) {
+        if (remainingMillis() <= 0) {
+            expire();
+            return;
+        }
         attempts++;
         tried.add(target.entry().life());
         if (attempts == 1) {
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -21,11 +21,20 @@
 
     private static final long TIDY_MILLIS = 1_000;
 
+    private static final long TICK_MILLIS = 25;
+
+    /**
+     * A loop that is late by this much has more requests than processor time. Requests that are read then are refused at
+     * once, since their callers may have left before an answer is ready.
+     */
+    private static final long OVERLOAD_MILLIS = 200;
+
     private final EventLoop loop;
     private final PathContext context;
     private final TargetConnections connections;
     private final TargetChooser chooser;
     private final Set<RoutedRequest> waiting = new LinkedHashSet<>();
+    private long tickedAtMillis;
     private final AtomicInteger inProgress = new AtomicInteger();
 
     Worker(EventLoop loop, PathContext context) {
@@ -37,6 +46,8 @@
                 REMOTE_FACTOR,
                 REMOTE_MILLIS,
                 () -> ThreadLocalRandom.current().nextDouble());
+        this.tickedAtMillis = context.clock().nowMillis();
+        loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
         context.tracker().observe(() -> loop.execute(this::viewChanged));
     }
@@ -101,6 +112,15 @@
         }
     }
 
+    private void tick() {
+        tickedAtMillis = context.clock().nowMillis();
+    }
+
+    /** Tells whether this instance has too little processor time for its requests. */
+    boolean isOverloaded() {
+        return context.clock().nowMillis() - tickedAtMillis > TICK_MILLIS + OVERLOAD_MILLIS;
+    }
+
     private void tidy() {
         connections.tidy(life -> context.tracker().view().serving(life).isPresent());
     }
