Keep renewals from granting a range that moves meanwhile, and probe targets that do not answer

Also each unanswered grant prolonged the wait for a dark target. Ruled out: late grants of former leaders, which the epochs refused.

--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -48,7 +48,7 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
-    private final RouterSettings settings;
+    private volatile RouterSettings settings;
     private final MillisClock clock = new SystemMillisClock();
     private final DecisionLog log;
     private final DaemonMetrics metrics = new DaemonMetrics();
@@ -159,6 +159,34 @@
                         + settings.dataCentre());
     }
 
+    /**
+     * Takes changed settings into force; limits and the grace period can change while the instance runs.
+     *
+     * @param changed the settings
+     */
+    public void update(RouterSettings changed) {
+        if (changed.equals(settings)) {
+            return;
+        }
+        boolean sameAddresses =
+                changed.callers().equals(settings.callers()) && changed.peers().equals(settings.peers());
+        settings = changed;
+        tables.setLimits(changed.limits());
+        log.write(
+                RouterEvent.SETTINGS_RELOADED,
+                () -> "limits=" + changed.limits() + " grace=" + changed.graceMillis() + "ms addresses="
+                        + (sameAddresses ? "unchanged" : "changed, in force after the next start"));
+    }
+
+    /**
+     * Reports settings that can't be used; those in force stay.
+     *
+     * @param problem what is wrong
+     */
+    public void rejectSettings(String problem) {
+        log.write(RouterEvent.SETTINGS_REJECTED, () -> problem);
+    }
+
     private void tick() {
         tracker.removeLapsed();
         duties.tick();
--- a/router/src/main/java/org/snipewind/router/lead/HolderSession.java
+++ b/router/src/main/java/org/snipewind/router/lead/HolderSession.java
@@ -7,10 +7,10 @@
 final class HolderSession {
 
     /** A target that answers no order for this time gets its keys taken away. */
-    private static final long SILENT_MILLIS = 1_000;
+    private static final long SILENT_MILLIS = 700;
 
-    /** Silent targets are asked at this interval whether they answer again. */
-    private static final long PROBE_MILLIS = 1_000;
+    /** A target that did not answer a grant is asked at this interval whether it answers at all. */
+    private static final long PROBE_MILLIS = 300;
 
     private final String life;
     private Optional<TargetEntry> entry = Optional.empty();
@@ -42,8 +42,9 @@
         return grantsInFlight > 0;
     }
 
+    /** Each grant without an answer may have started another hold, so a failing target is probed instead. */
     boolean isRenewalDue(long now) {
-        return grantsInFlight == 0 && now >= nextRenewalMillis;
+        return grantsInFlight == 0 && failingSinceMillis < 0 && now >= nextRenewalMillis;
     }
 
     void grantSent() {
@@ -84,9 +85,9 @@
         return failing > SILENT_MILLIS;
     }
 
-    /** Tells whether a silent target should be asked whether it answers again. */
+    /** Tells whether a failing target should be asked whether it answers again. */
     boolean isProbeDue(long now) {
-        return isSilent(now) && grantsInFlight == 0 && now >= nextProbeMillis;
+        return failingSinceMillis >= 0 && grantsInFlight == 0 && now >= nextProbeMillis;
     }
 
     void probeSent(long now) {
@@ -96,5 +97,6 @@
     /** The target answers again and may get keys. */
     void answers() {
         failingSinceMillis = -1;
+        nextRenewalMillis = 0;
     }
 }
--- a/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -118,13 +118,23 @@
             return;
         }
         updateSessions(view, now);
-        orders.renew(table, tasks, sessions, now);
+        orders.renew(table, tasks, sessions, this::isHeld, now);
         tasks.forEach(task -> orders.advance(task, sessions, now));
         if (!writing && now >= retryAtMillis) {
             writeChanges(view, now);
         }
     }
 
+    /** Tells whether a range is still held as it was when its renewal was due. */
+    private boolean isHeld(KeyAssignment range) {
+        boolean settled = !range.isMoving()
+                && table.find(range.from()).filter(range::equals).isPresent();
+        return settled
+                || tasks.stream()
+                        .anyMatch(task ->
+                                task.isGranted() && !task.isSuspended() && task.assignment().equals(range));
+    }
+
     /** Takes over the table of the former leader under an epoch that fences its orders off. */
     private void open(FleetView view) {
         String key = StoreKeys.TABLES + pool;
--- a/router/src/main/java/org/snipewind/router/lead/LeaderTimes.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderTimes.java
@@ -15,11 +15,11 @@
     /** Time for which a target holds its keys; a lost target's keys are unserved for so long. */
     public static final long HOLD_MILLIS = 3_000;
 
-    /** Time between renewals of a grant, so that two may be lost. */
-    public static final long GRANT_RENEWAL_MILLIS = 800;
+    /** Time between renewals of a grant, so that several fall into a hold. */
+    public static final long GRANT_RENEWAL_MILLIS = 600;
 
     /** Longest wait for the answer to an order. */
-    public static final long ORDER_MILLIS = 700;
+    public static final long ORDER_MILLIS = 500;
 
     /** A target's clock that measures its hold may run slow by this part. */
     private static final double CLOCK_DRIFT = 0.02;
--- a/router/src/main/java/org/snipewind/router/lead/OrderDesk.java
+++ b/router/src/main/java/org/snipewind/router/lead/OrderDesk.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
@@ -45,7 +46,12 @@
     }
 
     /** Renews the grants that are due. */
-    void renew(KeyTable table, List<MoveTask> tasks, Map<String, HolderSession> sessions, long now) {
+    void renew(
+            KeyTable table,
+            List<MoveTask> tasks,
+            Map<String, HolderSession> sessions,
+            Predicate<KeyAssignment> isHeld,
+            long now) {
         Map<String, List<KeyAssignment>> held = new HashMap<>();
         for (KeyAssignment each : table.assignments()) {
             if (!each.isMoving()) {
@@ -62,24 +68,33 @@
             HolderSession session = sessions.get(life);
             if (session != null && session.entry().isPresent() && session.isRenewalDue(now)) {
                 session.scheduleRenewal(now + LeaderTimes.GRANT_RENEWAL_MILLIS);
-                renewNext(session, session.entry().get(), ranges.iterator());
+                renewNext(session, session.entry().get(), ranges.iterator(), isHeld);
             }
         });
     }
 
-    /** One order after the other, so that a target needs only one connection for them. */
-    private void renewNext(HolderSession session, TargetEntry entry, Iterator<KeyAssignment> rest) {
-        if (!rest.hasNext() || !leading.getAsBoolean()) {
+    /**
+     * One order after the other, so that a target needs only one connection for them. The table may change meanwhile, and
+     * a range that is on its way to another holder by then must not be granted again.
+     */
+    private void renewNext(
+            HolderSession session, TargetEntry entry, Iterator<KeyAssignment> rest, Predicate<KeyAssignment> isHeld) {
+        KeyAssignment range = null;
+        while (range == null && rest.hasNext()) {
+            KeyAssignment next = rest.next();
+            range = isHeld.test(next) ? next : null;
+        }
+        if (range == null || !leading.getAsBoolean()) {
             return;
         }
-        KeyAssignment range = rest.next();
+        KeyAssignment renewed = range;
         session.grantSent();
-        orders.grant(entry, range, LeaderTimes.HOLD_MILLIS, Optional.empty()).whenComplete((accepted, failure) -> {
-            if (!finish(session, range, accepted, failure)) {
+        orders.grant(entry, renewed, LeaderTimes.HOLD_MILLIS, Optional.empty()).whenComplete((accepted, failure) -> {
+            if (!finish(session, renewed, accepted, failure)) {
                 return;
             }
             if (rest.hasNext()) {
-                renewNext(session, entry, rest);
+                renewNext(session, entry, rest, isHeld);
             } else {
                 session.acknowledged(clock.nowMillis());
             }
@@ -113,11 +128,11 @@
         return true;
     }
 
-    /** Asks a silent target whether it answers again. */
+    /** Asks a failing target whether it answers again. */
     void probe(HolderSession session, String healthPath, long now) {
         session.probeSent(now);
-        orders.probe(session.entry().orElseThrow(), healthPath).whenComplete((healthy, failure) -> {
-            if (failure == null && healthy) {
+        orders.probe(session.entry().orElseThrow(), healthPath).whenComplete((present, failure) -> {
+            if (failure == null && present) {
                 session.answers();
             }
         });
--- a/router/src/main/java/org/snipewind/router/path/RateDesk.java
+++ b/router/src/main/java/org/snipewind/router/path/RateDesk.java
@@ -18,7 +18,7 @@
 
 /**
  * Admits requests within the organisations' rates: by tokens of the keeper, of which some are fetched in advance, or by
- * this instance's fixed part. Each organisation has its own lock; no other one is taken under it.
+ * this instance's fixed part. Each organisation has its own lock, under which only those of its account and share are taken.
  */
 public final class RateDesk {
 
@@ -55,8 +55,9 @@
             share.configure(organisation, fleetSize);
         }
 
+        /** The fixed part comes first: what is left of it can't be used elsewhere. */
         boolean tryUse() {
-            return account.tryUse() || share.tryTake();
+            return share.tryTake() || account.tryUse();
         }
     }
 
--- a/router/src/main/java/org/snipewind/router/path/SharedTables.java
+++ b/router/src/main/java/org/snipewind/router/path/SharedTables.java
@@ -28,7 +28,7 @@
 
     private final FleetTracker tracker;
     private final MillisClock clock;
-    private final RouterLimits limits;
+    private volatile RouterLimits limits;
     private final String self;
     private final Map<String, RepeatBudget> repeats = new ConcurrentHashMap<>();
     private final Map<String, ColdPace> paces = new ConcurrentHashMap<>();
@@ -50,6 +50,15 @@
         this.self = self;
     }
 
+    /**
+     * Sets the limits over all instances; budgets that exist keep their window.
+     *
+     * @param changed the limits
+     */
+    public void setLimits(RouterLimits changed) {
+        limits = changed;
+    }
+
     /** Takes a changed view into account; called on the control loop. */
     public void viewChanged() {
         FleetView view = tracker.view();
--- a/router/src/main/java/org/snipewind/router/port/KeyOrders.java
+++ b/router/src/main/java/org/snipewind/router/port/KeyOrders.java
@@ -25,7 +25,7 @@
      *
      * @param target the target
      * @param healthPath path of its health check
-     * @return true if it answers and considers itself healthy
+     * @return false if another target has the address; any other answer shows that the target is there
      */
     CompletableFuture<Boolean> probe(TargetEntry target, String healthPath);
 
--- /dev/null
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedStore.java
@@ -0,0 +1,82 @@
+package org.snipewind.router.lead;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.StoreChanges;
+import org.snipewind.router.port.StoreException;
+import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.port.StorePage;
+import org.snipewind.router.port.StoreWrite;
+
+/** A store in memory whose writes may be refused, or take effect without an answer. */
+final class SimulatedStore implements CoordinationStore {
+
+    private final Map<String, StoreItem> items = new HashMap<>();
+    private final Random random;
+    private long revision = 10;
+    private double refusedShare;
+    private double unansweredShare;
+
+    SimulatedStore(Random random) {
+        this.random = random;
+    }
+
+    void setFaults(double refused, double unanswered) {
+        refusedShare = refused;
+        unansweredShare = unanswered;
+    }
+
+    @Override
+    public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
+        List<StoreItem> found = items.values().stream()
+                .filter(item -> item.key().startsWith(prefix))
+                .toList();
+        return CompletableFuture.completedFuture(new StorePage(found, false, revision));
+    }
+
+    @Override
+    public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
+        return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<Long> commit(List<StoreWrite> writes) {
+        if (random.nextDouble() < refusedShare) {
+            return CompletableFuture.failedFuture(new StoreException(StoreException.Kind.REFUSED, "refused"));
+        }
+        for (StoreWrite write : writes) {
+            long stored = Optional.ofNullable(items.get(write.key()))
+                    .map(StoreItem::revision)
+                    .orElse(0L);
+            if (stored != write.expectedRevision()) {
+                return CompletableFuture.failedFuture(new StoreException(StoreException.Kind.CONFLICT, "conflict"));
+            }
+        }
+        revision++;
+        writes.forEach(write ->
+                items.put(write.key(), new StoreItem(write.key(), write.value(), revision, write.lease())));
+        return random.nextDouble() < unansweredShare
+                ? CompletableFuture.failedFuture(new StoreException(StoreException.Kind.UNKNOWN, "no answer"))
+                : CompletableFuture.completedFuture(revision);
+    }
+
+    @Override
+    public CompletableFuture<Long> openLease(long lifetimeMillis) {
+        return CompletableFuture.completedFuture(1L);
+    }
+
+    @Override
+    public CompletableFuture<Void> renewLease(long lease) {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> endLease(long lease) {
+        return CompletableFuture.completedFuture(null);
+    }
+}
