--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -54,7 +54,7 @@
     }
 
     private void use(HttpConnection opened) {
-        if (ended) {
+        if (ended || !owner.isWanted()) {
             owner.worker().connections().giveBack(target.entry(), opened);
             return;
         }
--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -201,6 +202,13 @@
         write(response);
     }
 
+    @Override
+    public boolean isCallerPresent() {
+        // Reads what has arrived now; the end of the connection may wait behind the work of many others.
+        ((AbstractNioChannel.NioUnsafe) context.channel().unsafe()).read();
+        return context.channel().isActive();
+    }
+
     @Override
     public void refuse(ErrorKind kind, Optional<String> requestId, long retryAfterMillis) {
         write(refusal(kind, requestId, retryAfterMillis));
--- a/router/src/main/java/org/snipewind/router/path/Responder.java
+++ b/router/src/main/java/org/snipewind/router/path/Responder.java
@@ -10,6 +10,9 @@
     /** Passes the answer of a target on. */
     void deliver(HttpAnswer answer);
 
+    /** Looks whether the caller has left, also if its loop has not come round to notice that. */
+    boolean isCallerPresent();
+
     /** Answers for the router itself. */
     void refuse(ErrorKind kind, Optional<String> requestId, long retryAfterMillis);
 }
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -28,6 +28,9 @@
  */
 final class RoutedRequest implements RateDesk.Decision {
 
+    /** A request that was read within this time, by a loop that is in time, is sent without another look at its caller. */
+    private static final long FRESH_MILLIS = 50;
+
     /** Longest wait for keys that are on their way to a new holder; moves mostly take less than half of it. */
     private static final long OWNER_WAIT_MILLIS = 400;
 
@@ -101,6 +104,15 @@
         return finalMillis - context.clock().nowMillis();
     }
 
+    /** Ends the work if the caller has left; only looked up if the request is not new any more. */
+    boolean isWanted() {
+        boolean fresh = context.clock().nowMillis() - arrivedMillis < FRESH_MILLIS && !worker.isLate();
+        if (!fresh && !done && !responder.isCallerPresent()) {
+            cancel();
+        }
+        return !done;
+    }
+
     /** Tells whether a further attempt is allowed, apart from the budget. */
     boolean mayRepeat() {
         return attempts < route.maxAttempts() && remainingMillis() > 0;
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -116,6 +116,11 @@
         tickedAtMillis = context.clock().nowMillis();
     }
 
+    /** Tells whether events may have waited noticeably. */
+    boolean isLate() {
+        return context.clock().nowMillis() - tickedAtMillis > 2 * TICK_MILLIS;
+    }
+
     /** Tells whether this instance has too little processor time for its requests. */
     boolean isOverloaded() {
         return context.clock().nowMillis() - tickedAtMillis > TICK_MILLIS + OVERLOAD_MILLIS;
--- /dev/null
+++ b/router/src/test/java/org/snipewind/router/path/RoutedRequestTest.java
@@ -0,0 +1,356 @@
+package org.snipewind.router.path;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.clock.SystemMillisClock;
+import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.keyspace.KeyAssignment;
+import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.coordination.routing.CallerLimits;
+import org.snipewind.coordination.routing.Pool;
+import org.snipewind.coordination.routing.PoolShare;
+import org.snipewind.coordination.routing.Route;
+import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.coordination.target.TargetEntry;
+import org.snipewind.protocol.BudgetGrant;
+import org.snipewind.router.http.HttpAnswer;
+import org.snipewind.router.log.DecisionLog;
+import org.snipewind.router.metrics.DaemonMetrics;
+import org.snipewind.router.port.AnswerHeaders;
+import org.snipewind.router.port.CallerHeaders;
+import org.snipewind.router.port.DocumentReader;
+import org.snipewind.router.port.RequestDialect;
+import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.RecordCodec;
+import org.snipewind.router.state.StoreKeys;
+
+/** Guards requests against being run twice, run for callers that left, or refused as not run although they ran. */
+final class RoutedRequestTest {
+
+    private static final String KEYED = "keyed";
+    private static final String PLAIN = "plain";
+    private static final long LONGEST_WAIT_MILLIS = 5_000;
+
+    private final MillisClock clock = new SystemMillisClock();
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = loops.next();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
+    private final List<String> ran = new CopyOnWriteArrayList<>();
+    private final DecisionLog log = new DecisionLog("test", clock);
+    private final FleetTracker tracker = new FleetTracker(new Documents(), clock, log);
+    private final PathContext context = new PathContext(
+            tracker,
+            new SharedTables(tracker, clock, new RouterLimits(1, 10_000, 10, 1.5, 5), "entry"),
+            new RateDesk(
+                    tracker,
+                    clock,
+                    loop,
+                    (name, wanted) -> CompletableFuture.completedFuture(new BudgetGrant(true, wanted, 0))),
+            new Dialect(),
+            clock,
+            new DaemonMetrics(),
+            log,
+            "dc");
+    private final Worker worker = new Worker(loop, context);
+    private long revision = 1;
+
+    RoutedRequestTest() {
+        tracker.changed(new StoreItem("config", new byte[0], 1, 0));
+        tracker.settled();
+    }
+
+    @AfterEach
+    void stop() {
+        servers.forEach(server -> server.stop(0));
+        threads.shutdownNow();
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void aRequestThatWaitedForItsOwnerIsSentOnce() throws Exception {
+        addTarget("a", KEYED, exchange -> {
+            ran.add("a");
+            pause(900);
+            answer(exchange, 200, true);
+        });
+        assign(new KeyAssignment(0, KeyTable.LAST_KEY, "a@1", 2, List.of("b@1")));
+        Outcome outcome = send("/keyed-once/x");
+        pause(150);
+        assign(new KeyAssignment(0, KeyTable.LAST_KEY, "a@1", 2, List.of()));
+        assertThat(outcome.await()).isEqualTo("200");
+        assertThat(ran).containsExactly("a");
+    }
+
+    @Test
+    void keysThatStayOnTheirWayAreRefusedBeforeTheTimeIsUp() throws Exception {
+        addTarget("a", KEYED, exchange -> answer(exchange, 200, true));
+        assign(new KeyAssignment(0, KeyTable.LAST_KEY, "a@1", 2, List.of("b@1")));
+        long start = clock.nowMillis();
+        assertThat(send("/keyed-once/x").await()).isEqualTo("owner-unavailable");
+        assertThat(clock.nowMillis() - start).isLessThan(1_000);
+    }
+
+    @Test
+    void workThatMustNotBeRepeatedIsNotSentAgainAfterALostAnswer() throws Exception {
+        for (String id : List.of("a", "b")) {
+            addTarget(id, PLAIN, exchange -> {
+                ran.add(id);
+                exchange.close();
+            });
+        }
+        assertThat(send("/plain-once/x").await()).isEqualTo("target-lost");
+        assertThat(ran).hasSize(1);
+    }
+
+    @Test
+    void workThatMayBeRepeatedGoesToAnotherTargetAfterALostAnswer() throws Exception {
+        addTarget("a", PLAIN, exchange -> {
+            ran.add("a");
+            if (ran.size() == 1) {
+                exchange.close();
+            } else {
+                answer(exchange, 200, true);
+            }
+        });
+        addTarget("b", PLAIN, exchange -> {
+            ran.add("b");
+            if (ran.size() == 1) {
+                exchange.close();
+            } else {
+                answer(exchange, 200, true);
+            }
+        });
+        assertThat(send("/plain/x").await()).isEqualTo("200");
+        assertThat(ran).containsExactly("a", "b");
+    }
+
+    @Test
+    void aRefusalByTheTargetGoesToAnotherTargetAlsoForWorkThatMustNotBeRepeated() throws Exception {
+        addTarget("a", PLAIN, exchange -> answer(exchange, 503, false));
+        addTarget("b", PLAIN, exchange -> {
+            ran.add("b");
+            answer(exchange, 200, true);
+        });
+        for (int each = 0; each < 5; each++) {
+            assertThat(send("/plain-once/x").await()).isEqualTo("200");
+        }
+        assertThat(ran).hasSize(5);
+    }
+
+    @Test
+    void aRequestWithoutATargetIsRefusedAtOnce() throws Exception {
+        long start = clock.nowMillis();
+        assertThat(send("/plain/x").await()).isEqualTo("pool-unavailable");
+        assertThat(clock.nowMillis() - start).isLessThan(500);
+    }
+
+    @Test
+    void aRequestWhoseTimeIsUpWithoutAnAnswerPromisesNothing() throws Exception {
+        addTarget("a", PLAIN, exchange -> {
+            ran.add("a");
+            pause(3_000);
+        });
+        assertThat(send("/plain-once/x").await()).isEqualTo("deadline-after-send");
+    }
+
+    @Test
+    void aCallerThatLeftBeforeTheSendIsNotServed() throws Exception {
+        addTarget("a", KEYED, exchange -> {
+            ran.add("a");
+            answer(exchange, 200, true);
+        });
+        assign(new KeyAssignment(0, KeyTable.LAST_KEY, "a@1", 2, List.of("b@1")));
+        Outcome outcome = send("/keyed-once/x");
+        pause(100);
+        outcome.present = false;
+        assign(new KeyAssignment(0, KeyTable.LAST_KEY, "a@1", 2, List.of()));
+        pause(300);
+        assertThat(ran).isEmpty();
+    }
+
+    @Test
+    void aSlowTargetIsHedgedForWorkThatMayBeRepeated() throws Exception {
+        addTarget("a", PLAIN, exchange -> {
+            ran.add("a");
+            pause(ran.size() == 1 ? 1_500 : 0);
+            answer(exchange, 200, true);
+        });
+        addTarget("b", PLAIN, exchange -> {
+            ran.add("b");
+            pause(ran.size() == 1 ? 1_500 : 0);
+            answer(exchange, 200, true);
+        });
+        long start = clock.nowMillis();
+        assertThat(send("/plain/x").await()).isEqualTo("200");
+        assertThat(clock.nowMillis() - start).isLessThan(1_000);
+        assertThat(ran).hasSize(2);
+    }
+
+    /** Takes the answer of a request. */
+    private static final class Outcome implements Responder {
+        private final CompletableFuture<String> text = new CompletableFuture<>();
+        private volatile boolean present = true;
+
+        @Override
+        public void deliver(HttpAnswer answer) {
+            text.complete(Integer.toString(answer.status()));
+        }
+
+        @Override
+        public boolean isCallerPresent() {
+            return present;
+        }
+
+        @Override
+        public void refuse(ErrorKind kind, Optional<String> requestId, long retryAfterMillis) {
+            text.complete(kind.wireName());
+        }
+
+        String await() throws Exception {
+            return text.get(LONGEST_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private Outcome send(String path) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Host", "h").set("Id", "1");
+        Outcome outcome = new Outcome();
+        loop.execute(() -> worker.serve(new CallerRequest(HttpMethod.GET, path, headers, new byte[0]), outcome));
+        return outcome;
+    }
+
+    private void addTarget(String id, String pool, com.sun.net.httpserver.HttpHandler handler) throws Exception {
+        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        server.setExecutor(threads);
+        server.createContext("/", handler);
+        server.start();
+        servers.add(server);
+        String entry = pool + " " + server.getAddress().getPort();
+        onLoop(() -> tracker.changed(new StoreItem("target/" + id, entry.getBytes(), ++revision, 0)));
+    }
+
+    private void assign(KeyAssignment assignment) throws Exception {
+        byte[] table = RecordCodec.encode(new KeyTable(List.of(assignment)));
+        onLoop(() -> tracker.changed(new StoreItem(StoreKeys.TABLES + KEYED, table, ++revision, 0)));
+    }
+
+    private void onLoop(Runnable change) throws Exception {
+        loop.submit(() -> {
+                    change.run();
+                    tracker.settled();
+                })
+                .get(LONGEST_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void answer(HttpExchange exchange, int status, boolean executed) throws IOException {
+        exchange.getResponseHeaders().set("Id", "1");
+        exchange.getResponseHeaders().set(executed ? "Signed" : "Not-Run", "1");
+        exchange.sendResponseHeaders(status, -1);
+        exchange.close();
+    }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Reads the short texts of this test. */
+    private static final class Documents implements DocumentReader {
+        @Override
+        public Optional<Kind> kindOf(String key) {
+            return Optional.of(key.equals("config") ? Kind.CONFIGURATION : Kind.TARGET);
+        }
+
+        @Override
+        public String subjectOf(String key) {
+            return key.substring(key.indexOf('/') + 1);
+        }
+
+        @Override
+        public Either<String, RoutingConfiguration> configuration(byte[] value) {
+            return Either.right(new RoutingConfiguration(
+                    1,
+                    List.of(
+                            route("/keyed-once/", KEYED, false),
+                            route("/plain-once/", PLAIN, false),
+                            route("/plain/", PLAIN, true)),
+                    List.of(new Pool(KEYED, true, 100, 1, "/h"), new Pool(PLAIN, false, 100, 1, "/h")),
+                    List.of(),
+                    CallerLimits.DEFAULT));
+        }
+
+        private static Route route(String prefix, String pool, boolean idempotent) {
+            return new Route(
+                    prefix, "h", prefix, idempotent, 2_000, 200, 0, List.of(new PoolShare(pool, 1)), 2, true);
+        }
+
+        @Override
+        public Either<String, TargetEntry> target(String id, byte[] value) {
+            String[] parts = new String(value).split(" ");
+            return Either.right(new TargetEntry(
+                    id, 1, 1, parts[0], "127.0.0.1", Integer.parseInt(parts[1]), "dc", 2, false, 0));
+        }
+    }
+
+    /** Headers with short names; all requests go to key 5. */
+    private static final class Dialect implements RequestDialect {
+        @Override
+        public CallerHeaders readCaller(HttpHeaders headers) {
+            return new CallerHeaders(
+                    Optional.ofNullable(headers.get("Id")),
+                    OptionalLong.of(2_000),
+                    Optional.empty(),
+                    OptionalInt.of(5));
+        }
+
+        @Override
+        public void writeForTarget(
+                HttpHeaders headers, String targetId, Optional<String> organisation, long remainingMillis) {
+            headers.set("Target", targetId);
+        }
+
+        @Override
+        public AnswerHeaders readAnswer(int status, HttpHeaders headers) {
+            return new AnswerHeaders(
+                    Optional.ofNullable(headers.get("Id")),
+                    headers.contains("Signed"),
+                    headers.contains("Not-Run"),
+                    false,
+                    Optional.empty(),
+                    OptionalLong.empty());
+        }
+
+        @Override
+        public void writeForCaller(HttpHeaders headers) {}
+
+        @Override
+        public void writeRefusal(HttpHeaders headers, String requestId) {}
+    }
+}
