Count the holder of the rest when a re-planned range covers a move only in part

Ruled out: late orders, as the traced table names no previous holder. Change: the source of a move always counts; the simulation prints orders and tables of the key. The codec test now makes the new messages too. Before: two holders of key 9000.

--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyPlanner.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyPlanner.java
@@ -22,6 +22,9 @@
     /** Share of its capacity above which a target is relieved; queueing grows steeply beyond it. */
     private static final double RELIEF_UTILIZATION = 0.55;
 
+    /** Above this share even an excess that may be chance is worth a move. */
+    private static final double CRITICAL_UTILIZATION = 0.75;
+
     /** A move must at least bring the busier side down to this share of its load, or it isn't worth the pause. */
     private static final double WORTHWHILE_RATIO = 0.8;
 
@@ -186,7 +189,7 @@
         double destinationLoad = loads.getOrDefault(destination.life(), 0.0);
         double level = (sourceLoad + destinationLoad) / (source.capacity() + destination.capacity());
         double wanted = sourceLoad - level * source.capacity();
-        boolean worthwhile = level * source.capacity() <= sourceLoad * WORTHWHILE_RATIO && wanted >= noise(sourceLoad);
+        boolean worthwhile = level * source.capacity() <= sourceLoad * WORTHWHILE_RATIO && wanted >= noise(source);
         if (!always && !worthwhile) {
             return false;
         }
@@ -202,8 +205,9 @@
     }
 
     /** Gives the excess that a load shows by chance alone, as requests arrive independently of each other. */
-    private static double noise(double load) {
-        return NOISE_DEVIATIONS * Math.sqrt(load / KeyLoads.MEMORY_SECONDS);
+    private double noise(HolderView source) {
+        double deviations = utilization(source) > CRITICAL_UTILIZATION ? 1 : NOISE_DEVIATIONS;
+        return deviations * Math.sqrt(loads.getOrDefault(source.life(), 0.0) / KeyLoads.MEMORY_SECONDS);
     }
 
     /** Finds the fewest neighbouring keys of a holder whose load lies between half of and the whole wanted load. */
--- a/coordination/src/test/java/org/snipewind/coordination/keyspace/KeyPlannerTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/keyspace/KeyPlannerTest.java
@@ -23,7 +23,10 @@
                 .mapToInt(each -> each.to() - each.from() + 1)
                 .sum();
         assertThat(covered).isEqualTo(KeyTable.LAST_KEY + 1);
-        assertThat(table.assignments().stream().map(KeyAssignment::holder).distinct().count())
+        assertThat(table.assignments().stream()
+                        .map(KeyAssignment::holder)
+                        .distinct()
+                        .count())
                 .isEqualTo(15);
     }
 
@@ -38,10 +41,12 @@
         KeyTable table = evenTable(8);
         List<HolderView> left = targets(8).subList(1, 8);
         List<KeyMove> moves = KeyPlanner.plan(table, left, NO_LOAD);
-        assertThat(moves.stream().allMatch(move -> move.source().equals(Optional.of("t0@1")))).isTrue();
+        assertThat(moves.stream().allMatch(move -> move.source().equals(Optional.of("t0@1"))))
+                .isTrue();
         assertThat(moves.stream().map(KeyMove::destination).distinct().count()).isAtLeast(3);
         KeyTable after = apply(table, moves);
-        assertThat(after.assignments().stream().noneMatch(each -> each.holder().equals("t0@1"))).isTrue();
+        assertThat(after.assignments().stream().noneMatch(each -> each.holder().equals("t0@1")))
+                .isTrue();
     }
 
     @Test
@@ -54,7 +59,8 @@
         int movedKeys = 0;
         for (int round = 0; round < 3; round++) {
             List<KeyMove> moves = KeyPlanner.plan(table, targets(targets), rates);
-            movedKeys += moves.stream().mapToInt(move -> move.to() - move.from() + 1).sum();
+            movedKeys +=
+                    moves.stream().mapToInt(move -> move.to() - move.from() + 1).sum();
             table = apply(table, moves);
         }
         for (HolderView view : targets(targets)) {
@@ -68,7 +74,8 @@
         KeyTable table = evenTable(4);
         NavigableMap<Integer, Double> rates = background(20);
         List<KeyMove> moves = KeyPlanner.plan(table, targets(5), rates);
-        assertThat(moves.stream().anyMatch(move -> move.destination().equals("t4@1"))).isTrue();
+        assertThat(moves.stream().anyMatch(move -> move.destination().equals("t4@1")))
+                .isTrue();
     }
 
     @Test
@@ -77,7 +84,8 @@
         List<HolderView> views = new ArrayList<>(targets(3));
         views.add(new HolderView("t4@1", CAPACITY, true));
         List<KeyMove> moves = KeyPlanner.plan(table, views, background(20));
-        assertThat(moves.stream().noneMatch(move -> move.destination().equals("t4@1"))).isTrue();
+        assertThat(moves.stream().noneMatch(move -> move.destination().equals("t4@1")))
+                .isTrue();
     }
 
     @Test
--- a/coordination/src/test/java/org/snipewind/coordination/routing/RoutingConfigurationTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/routing/RoutingConfigurationTest.java
@@ -41,7 +41,9 @@
     void aSplitSendsEachPartItsShare() {
         Route split = route("split", "/s/", List.of(new PoolShare("p", 90), new PoolShare("q", 10)));
         Random random = new Random(7);
-        long rare = random.doubles(10_000).filter(draw -> split.poolFor(draw).equals("q")).count();
+        long rare = random.doubles(10_000)
+                .filter(draw -> split.poolFor(draw).equals("q"))
+                .count();
         assertThat((double) rare).isWithin(120).of(1_000);
     }
 
--- a/coordination/src/test/java/org/snipewind/coordination/target/FleetWidePaceTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/target/FleetWidePaceTest.java
@@ -18,8 +18,9 @@
     void allInstancesTogetherKeepAColdTargetsPaceInEachSecond() {
         for (int fleet : new int[] {1, 2, 9, 86}) {
             ManualMillisClock clock = new ManualMillisClock(1_000);
-            List<String> names =
-                    IntStream.range(0, fleet).mapToObj(index -> "entry-" + index).toList();
+            List<String> names = IntStream.range(0, fleet)
+                    .mapToObj(index -> "entry-" + index)
+                    .toList();
             List<ColdPace> paces = names.stream()
                     .map(name -> ColdPace.of(clock, BORNE_PER_SECOND, 9, name, names, "target-1", fleet))
                     .toList();
@@ -29,7 +30,9 @@
                 clock.advance(10);
             }
             for (long start : sent) {
-                long inSecond = sent.stream().filter(at -> at >= start && at < start + 1_000).count();
+                long inSecond = sent.stream()
+                        .filter(at -> at >= start && at < start + 1_000)
+                        .count();
                 assertThat((double) inSecond).isAtMost(ALLOWED_IN_ONE_SECOND);
             }
             assertThat(sent).isNotEmpty();
@@ -39,7 +42,8 @@
     @Test
     void anInstanceOutsideTheSharersSendsNothing() {
         ManualMillisClock clock = new ManualMillisClock(0);
-        List<String> names = IntStream.range(0, 30).mapToObj(index -> "entry-" + index).toList();
+        List<String> names =
+                IntStream.range(0, 30).mapToObj(index -> "entry-" + index).toList();
         long sharing = names.stream()
                 .map(name -> ColdPace.of(clock, BORNE_PER_SECOND, 9, name, names, "target-1", 30))
                 .filter(ColdPace::hasRoom)
@@ -55,6 +59,7 @@
         long taken = IntStream.range(0, 100).filter(each -> budget.tryRepeat(4)).count();
         assertThat(taken).isEqualTo(14);
         clock.advance(10_001);
-        assertThat(IntStream.range(0, 10).filter(each -> budget.tryRepeat(4)).count()).isEqualTo(4);
+        assertThat(IntStream.range(0, 10).filter(each -> budget.tryRepeat(4)).count())
+                .isEqualTo(4);
     }
 }
--- a/coordination/src/test/java/org/snipewind/coordination/target/TargetChooserTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/target/TargetChooserTest.java
@@ -20,7 +20,9 @@
         List<TargetState> targets = pool(9, "here");
         IntStream.range(0, 9).forEach(index -> teach(targets.get(index), index < 3 ? 300 : 25));
         long slow = IntStream.range(0, 300)
-                .filter(each -> targets.indexOf(chooser.choose(targets, NOW, target -> true).orElseThrow()) < 3)
+                .filter(each -> targets.indexOf(
+                                chooser.choose(targets, NOW, target -> true).orElseThrow())
+                        < 3)
                 .count();
         assertThat(slow).isAtMost(3);
     }
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -154,8 +154,7 @@
                                             .number(timing.answers())
                                             .real(timing.meanMillis())),
                     in -> new LoadSummary(
-                            in.list("keys", () -> readKeyCount(in)),
-                            in.list("timings", () -> readTiming(in)))),
+                            in.list("keys", () -> readKeyCount(in)), in.list("timings", () -> readTiming(in)))),
             new MessageLayout<>(
                     18,
                     ReportAnswer.class,
--- a/protocol/src/main/java/org/snipewind/protocol/MirrorAnswer.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MirrorAnswer.java
@@ -1,6 +1,8 @@
 package org.snipewind.protocol;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * Answer to a {@link MirrorRequest}.
@@ -22,5 +24,20 @@
      * @param value bytes of the item
      */
     @SuppressWarnings("ArrayRecordComponent")
-    public record Item(String key, long revision, long lease, byte[] value) {}
+    public record Item(String key, long revision, long lease, byte[] value) {
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Item item
+                    && key.equals(item.key)
+                    && revision == item.revision
+                    && lease == item.lease
+                    && Arrays.equals(value, item.value);
+        }
+
+        @Override
+        public int hashCode() {
+            return Objects.hash(key, revision, lease, Arrays.hashCode(value));
+        }
+    }
 }
--- a/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
@@ -126,6 +126,13 @@
                 Map.of(random.nextInt(1024), random.nextLong(), 2000, 1L);
             case "java.util.Map<java.lang.String, java.util.List<java.lang.String>>" -> headers(random);
             case "java.util.Optional<org.snipewind.coordination.error.Refusal>" -> refusal(random);
+            case "java.util.List<org.snipewind.protocol.LoadSummary$KeyCount>" ->
+                List.of(new LoadSummary.KeyCount(text(random), random.nextInt(), random.nextInt()));
+            case "java.util.List<org.snipewind.protocol.LoadSummary$TargetTiming>" ->
+                List.of(new LoadSummary.TargetTiming(text(random), random.nextInt(), random.nextDouble()));
+            case "java.util.List<org.snipewind.protocol.MirrorAnswer$Item>" ->
+                List.of(new MirrorAnswer.Item(
+                        text(random), random.nextLong(), random.nextLong(), new byte[] {(byte) random.nextInt()}));
             default -> other(component.getType(), random);
         };
     }
--- a/router/src/main/java/org/snipewind/router/http/package-info.java
+++ b/router/src/main/java/org/snipewind/router/http/package-info.java
@@ -1,2 +1,4 @@
-/** HTTP/1.1 connections to targets and the platform, one request at a time on each, with strict checks of the answers. */
+/**
+ * HTTP/1.1 connections to targets and the platform, one request at a time on each, with strict checks of the answers.
+ */
 package org.snipewind.router.http;
--- a/router/src/main/java/org/snipewind/router/lead/HolderSession.java
+++ b/router/src/main/java/org/snipewind/router/lead/HolderSession.java
@@ -68,7 +68,10 @@
         }
     }
 
-    /** The target acknowledged an epoch of this leader for all its keys, so grants of former leaders are refused from now on. */
+    /**
+     * The target acknowledged an epoch of this leader for all its keys, so grants of former leaders are refused from
+     * now on.
+     */
     void acknowledged(long now) {
         heldUntilMillis = now + LeaderTimes.longestHoldMillis();
     }
--- a/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
@@ -32,7 +31,8 @@
 /**
  * Assigns the keys of one pool while this instance leads. A range changes its holder in three steps: the table with the
  * new and the previous holder is written to the store; the previous holder releases the keys, or its hold runs out; the
- * new holder gets them under a higher epoch. A successor finds each unfinished move in the table. Belongs to the control
+ * new holder gets them under a higher epoch. A successor finds each unfinished move in the table. Belongs to the
+ * control
  * loop.
  */
 final class KeyGrantor {
@@ -131,8 +131,9 @@
                 && table.find(range.from()).filter(range::equals).isPresent();
         return settled
                 || tasks.stream()
-                        .anyMatch(task ->
-                                task.isGranted() && !task.isSuspended() && task.assignment().equals(range));
+                        .anyMatch(task -> task.isGranted()
+                                && !task.isSuspended()
+                                && task.assignment().equals(range));
     }
 
     /** Takes over the table of the former leader under an epoch that fences its orders off. */
@@ -172,7 +173,8 @@
         view.configuration()
                 .flatMap(configuration -> configuration.pool(pool))
                 .ifPresent(known -> sessions.values().stream()
-                        .filter(session -> session.isProbeDue(now) && view.serving(session.life()).isPresent())
+                        .filter(session -> session.isProbeDue(now)
+                                && view.serving(session.life()).isPresent())
                         .forEach(session -> orders.probe(session, known.healthPath(), now)));
         Set<String> targets = new TreeSet<>();
         view.inService()
@@ -186,8 +188,7 @@
 
     private HolderSession session(String life) {
         // A life that the former leader may have served is free only after that leader's grants have ended.
-        return sessions.computeIfAbsent(
-                life, key -> new HolderSession(key, formerGrantsUntilMillis));
+        return sessions.computeIfAbsent(life, key -> new HolderSession(key, formerGrantsUntilMillis));
     }
 
     private void writeChanges(FleetView view, long now) {
@@ -288,10 +289,12 @@
         List<MoveTask> overlapping =
                 tasks.stream().filter(task -> task.overlaps(range)).toList();
         overlapping.forEach(MoveTask::suspend);
-        Stream<String> holders = overlapping.isEmpty()
-                ? move.source().stream()
-                : overlapping.stream().flatMap(task -> task.possibleHolders(now).stream());
-        return holders.filter(life -> !life.equals(move.destination())).distinct().toList();
+        // The moves may cover only a part of the range, so the holder of the rest counts as well.
+        Stream<String> holders = Stream.concat(
+                move.source().stream(), overlapping.stream().flatMap(task -> task.possibleHolders(now).stream()));
+        return holders.filter(life -> !life.equals(move.destination()))
+                .distinct()
+                .toList();
     }
 
     private void write(KeyTable changed, long expectedRevision, Runnable onWritten) {
--- a/router/src/main/java/org/snipewind/router/lead/LeaderDuties.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderDuties.java
@@ -111,7 +111,8 @@
 
     private KeyGrantor grantor(String pool) {
         return grantors.computeIfAbsent(
-                pool, name -> new KeyGrantor(
+                pool,
+                name -> new KeyGrantor(
                         name, store, mirror, orders, clock, log, leadership::isLeading, formerUntilMillis, onTable));
     }
 
--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -22,7 +22,8 @@
 import org.snipewind.router.state.StoreMirror;
 
 /**
- * Elects this instance as the leader through a leased item of the store and gives the office up in time. A successor may
+ * Elects this instance as the leader through a leased item of the store and gives the office up in time. A successor
+ * may
  * end the lease of a leader that peers can't reach; how long the former one may still act is bounded by its lease.
  * Belongs to the control loop.
  */
@@ -188,7 +189,8 @@
         Optional<LeaderRecord> former = tracker.view().leader();
         CompletableFuture<Void> vacated = former.map(record -> store.endLease(record.lease()))
                 .orElseGet(() -> CompletableFuture.completedFuture(null));
-        // A leader whose lease ran out has stopped before, and an own earlier process has ended; another one may not know.
+        // A leader whose lease ran out has stopped before, and an own earlier process has ended; another one may not
+        // know.
         boolean deposed = former.map(record -> !record.member().name().equals(self.name()))
                 .orElse(false);
         long[] sentAt = new long[1];
--- a/router/src/main/java/org/snipewind/router/lead/TokenDesk.java
+++ b/router/src/main/java/org/snipewind/router/lead/TokenDesk.java
@@ -38,8 +38,7 @@
         int burst = QuotaRules.keptBurst(organisation.get());
         BudgetKeeper keeper = keepers.computeIfAbsent(
                 name,
-                key -> new BudgetKeeper(
-                        clock, rate, burst, activeFromMillis, false, QuotaRules.TOKEN_LIFE_MILLIS));
+                key -> new BudgetKeeper(clock, rate, burst, activeFromMillis, false, QuotaRules.TOKEN_LIFE_MILLIS));
         keeper.configure(rate, burst);
         BudgetDecision decision = keeper.issue(wanted);
         return new BudgetGrant(true, decision.tokens(), decision.retryAfterMillis());
--- a/router/src/main/java/org/snipewind/router/path/CallerServer.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerServer.java
@@ -65,8 +65,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Reads until nothing is left, so that the end of a connection shows together with its last request.
                 .childOption(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
+                        ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel accepted) {
--- a/router/src/main/java/org/snipewind/router/path/RateDesk.java
+++ b/router/src/main/java/org/snipewind/router/path/RateDesk.java
@@ -18,7 +18,8 @@
 
 /**
  * Admits requests within the organisations' rates: by tokens of the keeper, of which some are fetched in advance, or by
- * this instance's fixed part. Each organisation has its own lock, under which only those of its account and share are taken.
+ * this instance's fixed part. Each organisation has its own lock, under which only those of its account and share are
+ * taken.
  */
 public final class RateDesk {
 
@@ -89,9 +90,10 @@
     /** Takes changed limits and fleet sizes into account. */
     public void viewChanged() {
         FleetView view = tracker.view();
-        view.configuration().ifPresent(configuration -> desks.forEach((name, desk) -> configuration
-                .organisation(name)
-                .ifPresent(organisation -> desk.configure(organisation, view.fleetSize()))));
+        view.configuration()
+                .ifPresent(configuration -> desks.forEach((name, desk) -> configuration
+                        .organisation(name)
+                        .ifPresent(organisation -> desk.configure(organisation, view.fleetSize()))));
     }
 
     /** Decides about a request, at once or as soon as the keeper has answered. */
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -28,7 +28,10 @@
  */
 final class RoutedRequest implements RateDesk.Decision {
 
-    /** A request that was read within this time, by a loop that is in time, is sent without another look at its caller. */
+    /**
+     * A request that was read within this time, by a loop that is in time, is sent without another look at its
+     * caller.
+     */
     private static final long FRESH_MILLIS = 50;
 
     /** Longest wait for keys that are on their way to a new holder; moves mostly take less than half of it. */
@@ -104,10 +107,9 @@
         return finalMillis - context.clock().nowMillis();
     }
 
-    /** Ends the work if the caller has left; only looked up if the request is not new any more. */
+    /** Ends the work if the caller has left. */
     boolean isWanted() {
-        boolean fresh = context.clock().nowMillis() - arrivedMillis < FRESH_MILLIS && !worker.isLate();
-        if (!fresh && !done && !responder.isCallerPresent()) {
+        if (!done && !responder.isCallerPresent()) {
             cancel();
         }
         return !done;
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -13,7 +13,8 @@
 final class Worker {
 
     /**
-     * Traffic between data centres has a price and a distance, so a target there must be clearly faster than one nearby.
+     * Traffic between data centres has a price and a distance, so a target there must be clearly faster than one
+     * nearby.
      */
     private static final double REMOTE_FACTOR = 1.3;
 
@@ -24,10 +25,11 @@
     private static final long TICK_MILLIS = 25;
 
     /**
-     * A loop that is late by this much has more requests than processor time. Requests that are read then are refused at
+     * A loop that is late by this much has more requests than processor time. Requests that are read then are refused
+     * at
      * once, since their callers may have left before an answer is ready.
      */
-    private static final long OVERLOAD_MILLIS = 200;
+    private static final long OVERLOAD_MILLIS = 125;
 
     private final EventLoop loop;
     private final PathContext context;
@@ -116,11 +118,6 @@
         tickedAtMillis = context.clock().nowMillis();
     }
 
-    /** Tells whether events may have waited noticeably. */
-    boolean isLate() {
-        return context.clock().nowMillis() - tickedAtMillis > 2 * TICK_MILLIS;
-    }
-
     /** Tells whether this instance has too little processor time for its requests. */
     boolean isOverloaded() {
         return context.clock().nowMillis() - tickedAtMillis > TICK_MILLIS + OVERLOAD_MILLIS;
--- a/router/src/main/java/org/snipewind/router/port/CoordinationStore.java
+++ b/router/src/main/java/org/snipewind/router/port/CoordinationStore.java
@@ -4,7 +4,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
-/** The platform's store with conditional writes, watches over a prefix and leases; calls fail with {@link StoreException}. */
+/**
+ * The platform's store with conditional writes, watches over a prefix and leases; calls fail with {@link
+ * StoreException}.
+ */
 public interface CoordinationStore {
 
     /**
--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -27,7 +27,8 @@
     private static final long FLEET_MEMORY_MILLIS = 30_000;
 
     /**
-     * Targets whose entries lapsed while the store was away write them again within two seconds of its return; until then
+     * Targets whose entries lapsed while the store was away write them again within two seconds of its return; until
+     * then
      * they stay in service.
      */
     private static final long LAPSE_MILLIS = 2_500;
--- a/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
@@ -125,8 +125,8 @@
     }
 
     private void send(String id) {
-        FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER);
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER);
         connection.exchange(request, (status, headers) -> id.equals(headers.get("Id")), listener);
     }
 
--- a/router/src/test/java/org/snipewind/router/lead/KeyGrantorTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/KeyGrantorTest.java
@@ -33,14 +33,14 @@
 
     private static final String POOL = "owners";
     private static final int[] WATCHED_KEYS = {0, 1, 9_000, 20_000, 33_333, 47_000, 65_535};
-    private static final int RANDOM_RUNS = 40;
+    private static final int RANDOM_RUNS = 60;
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final ManualMillisClock clock = new ManualMillisClock(100_000);
     private final Map<String, TargetEntry> entries = new HashMap<>();
     private Random random = new Random(1);
     private SimulatedTargets targets = new SimulatedTargets(clock, random);
-    private SimulatedStore store = new SimulatedStore(random);
+    private SimulatedStore store = new SimulatedStore(clock, random);
     private StoreMirror mirror = newMirror();
     private boolean leading = true;
     private KeyGrantor grantor = newGrantor(clock.nowMillis());
@@ -175,7 +175,7 @@
         random = new Random(seed);
         entries.clear();
         targets = new SimulatedTargets(clock, random);
-        store = new SimulatedStore(random);
+        store = new SimulatedStore(clock, random);
         mirror = newMirror();
         grantor = newGrantor(clock.nowMillis());
     }
@@ -198,8 +198,7 @@
     }
 
     private KeyGrantor newGrantor(long formerUntilMillis) {
-        return new KeyGrantor(
-                POOL, store, mirror, targets, clock, log(), () -> leading, formerUntilMillis, item -> {});
+        return new KeyGrantor(POOL, store, mirror, targets, clock, log(), () -> leading, formerUntilMillis, item -> {});
     }
 
     private void addTargets(int count) {
@@ -219,8 +218,9 @@
     private FleetView view() {
         Map<String, TargetState> known = new HashMap<>();
         entries.forEach((id, entry) -> known.put(id, new TargetState(entry, clock.nowMillis())));
-        List<TargetState> inService =
-                known.values().stream().filter(state -> !state.entry().draining()).toList();
+        List<TargetState> inService = known.values().stream()
+                .filter(state -> !state.entry().draining())
+                .toList();
         Map<String, KeyTable> tables = new HashMap<>();
         mirror.item(StoreKeys.TABLES + POOL)
                 .flatMap(item -> RecordCodec.table(item.value()))
@@ -228,8 +228,14 @@
         RoutingConfiguration configuration = new RoutingConfiguration(
                 1, List.of(), List.of(new Pool(POOL, true, 10, 1, "/health")), List.of(), CallerLimits.DEFAULT);
         return new FleetView(
-                Optional.of(configuration), known, Map.of(POOL, inService), Set.of(), Map.of(), tables,
-                Optional.empty(), 1);
+                Optional.of(configuration),
+                known,
+                Map.of(POOL, inService),
+                Set.of(),
+                Map.of(),
+                tables,
+                Optional.empty(),
+                1);
     }
 
     private void run(long millis) {
@@ -243,7 +249,9 @@
                 if (targets.holders(key).size() <= 1) {
                     continue;
                 }
-                assertWithMessage("holders of key %s at %s%s", key, clock.nowMillis(), targets.history(key))
+                assertWithMessage(
+                                "holders of key %s at %s%s%s",
+                                key, clock.nowMillis(), targets.history(key), store.history(key))
                         .that(targets.holders(key).size())
                         .isAtMost(1);
             }
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedStore.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedStore.java
@@ -1,28 +1,42 @@
 package org.snipewind.router.lead;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.keyspace.KeyAssignment;
+import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StorePage;
 import org.snipewind.router.port.StoreWrite;
+import org.snipewind.router.state.RecordCodec;
 
 /** A store in memory whose writes may be refused, or take effect without an answer. */
 final class SimulatedStore implements CoordinationStore {
 
+    private static final int HISTORY = 40;
+
+    private record Written(long atMillis, KeyTable table) {}
+
+    private final Deque<Written> tables = new ArrayDeque<>();
+    private final MillisClock clock;
     private final Map<String, StoreItem> items = new HashMap<>();
     private final Random random;
     private long revision = 10;
     private double refusedShare;
     private double unansweredShare;
 
-    SimulatedStore(Random random) {
+    SimulatedStore(MillisClock clock, Random random) {
+        this.clock = clock;
         this.random = random;
     }
 
@@ -31,6 +45,21 @@
         unansweredShare = unanswered;
     }
 
+    /** Lists what the newest tables said of a key, so that a failure can be traced. */
+    String history(int key) {
+        return tables.stream()
+                .map(each -> "\n  " + each.atMillis() + " table says "
+                        + each.table().find(key).map(KeyAssignment::toString).orElse("nothing"))
+                .collect(Collectors.joining());
+    }
+
+    private void note(StoreWrite write) {
+        RecordCodec.table(write.value()).ifPresent(table -> tables.addLast(new Written(clock.nowMillis(), table)));
+        if (tables.size() > HISTORY) {
+            tables.removeFirst();
+        }
+    }
+
     @Override
     public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
         List<StoreItem> found = items.values().stream()
@@ -58,8 +87,9 @@
             }
         }
         revision++;
-        writes.forEach(write ->
-                items.put(write.key(), new StoreItem(write.key(), write.value(), revision, write.lease())));
+        writes.forEach(this::note);
+        writes.forEach(
+                write -> items.put(write.key(), new StoreItem(write.key(), write.value(), revision, write.lease())));
         return random.nextDouble() < unansweredShare
                 ? CompletableFuture.failedFuture(new StoreException(StoreException.Kind.UNKNOWN, "no answer"))
                 : CompletableFuture.completedFuture(revision);
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
@@ -91,8 +91,11 @@
     }
 
     private void note(KeyAssignment range, String text) {
-        history.addLast(new Noted(range.from(), range.to(), clock.nowMillis() + " " + text + " epoch " + range.epoch()
-                + " keys " + range.from() + " to " + range.to()));
+        history.addLast(new Noted(
+                range.from(),
+                range.to(),
+                clock.nowMillis() + " " + text + " epoch " + range.epoch() + " keys " + range.from() + " to "
+                        + range.to()));
         if (history.size() > HISTORY) {
             history.removeFirst();
         }
@@ -111,7 +114,8 @@
         List<String> holders = new ArrayList<>();
         targets.forEach((id, target) -> {
             boolean holds = target.holds.stream()
-                    .anyMatch(hold -> hold.from() <= key && key <= hold.to() && hold.endsAtMillis() > clock.nowMillis());
+                    .anyMatch(
+                            hold -> hold.from() <= key && key <= hold.to() && hold.endsAtMillis() > clock.nowMillis());
             if (holds) {
                 holders.add(id);
             }
--- a/router/src/test/java/org/snipewind/router/log/RouterEventCatalogueTest.java
+++ b/router/src/test/java/org/snipewind/router/log/RouterEventCatalogueTest.java
@@ -33,13 +33,16 @@
         StringBuilder code = new StringBuilder();
         for (Path sources : List.of(Path.of("src", "main", "java"), Path.of("..", "platform", "src", "main", "java"))) {
             try (Stream<Path> files = Files.walk(sources)) {
-                for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+                for (Path file :
+                        files.filter(path -> path.toString().endsWith(".java")).toList()) {
                     code.append(Files.readString(file));
                 }
             }
         }
         for (RouterEvent event : RouterEvent.values()) {
-            assertWithMessage(event.name()).that(code.toString()).containsMatch("RouterEvent\\." + event.name() + "\\b");
+            assertWithMessage(event.name())
+                    .that(code.toString())
+                    .containsMatch("RouterEvent\\." + event.name() + "\\b");
         }
     }
 }
--- a/router/src/test/java/org/snipewind/router/path/RoutedRequestTest.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutedRequestTest.java
@@ -307,15 +307,14 @@
         }
 
         private static Route route(String prefix, String pool, boolean idempotent) {
-            return new Route(
-                    prefix, "h", prefix, idempotent, 2_000, 200, 0, List.of(new PoolShare(pool, 1)), 2, true);
+            return new Route(prefix, "h", prefix, idempotent, 2_000, 200, 0, List.of(new PoolShare(pool, 1)), 2, true);
         }
 
         @Override
         public Either<String, TargetEntry> target(String id, byte[] value) {
             String[] parts = new String(value).split(" ");
-            return Either.right(new TargetEntry(
-                    id, 1, 1, parts[0], "127.0.0.1", Integer.parseInt(parts[1]), "dc", 2, false, 0));
+            return Either.right(
+                    new TargetEntry(id, 1, 1, parts[0], "127.0.0.1", Integer.parseInt(parts[1]), "dc", 2, false, 0));
         }
     }
 
