--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -28,12 +28,6 @@
  */
 final class RoutedRequest implements RateDesk.Decision {
 
-    /**
-     * A request that was read within this time, by a loop that is in time, is sent without another look at its
-     * caller.
-     */
-    private static final long FRESH_MILLIS = 50;
-
     /** Longest wait for keys that are on their way to a new holder; moves mostly take less than half of it. */
     private static final long OWNER_WAIT_MILLIS = 400;
 
