--- a/daemon/src/test/java/org/snipewind/daemon/CatalogueTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/CatalogueTest.java
@@ -22,9 +22,11 @@
                 .map(event -> event.code() + " | " + event.wireName() + " | "
                         + event.level().name().toLowerCase(java.util.Locale.ROOT))
                 .toList();
-        assertThat(rows("events.md", "| SW-", 3))
-                .containsExactlyElementsIn(expected)
-                .inOrder();
+        List<String> written = rows("events.md", "| SW-", 3).stream()
+                // The router's events have a test of their own in its module.
+                .filter(row -> !row.startsWith("SW-5"))
+                .toList();
+        assertThat(written).containsExactlyElementsIn(expected).inOrder();
     }
 
     // Guards against a catalogue that misses or invents an error kind, or gives it another outcome.
