Compute the load of a target in one place and drop unused methods

Cause: the read-through found the load worked out twice in TargetState, the tasks of a table's moves made in two places in KeyGrantor, three methods without a caller, and a comment broken by a formatter. Change: one method each; no behaviour changes.

--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
@@ -166,26 +166,11 @@
      * @return milliseconds
      */
     public synchronized double expectedMillis(long nowMillis) {
-        double load = inFlight;
-        double slowdown = 1;
-        if (nowMillis - reportedAtMillis <= REPORT_VALID_MILLIS) {
-            // Work of other instances at the time of the report, plus the change of the own work since then.
-            load = Math.max(inFlight, report.running() + report.waiting() + inFlight - inFlightAtReport);
-            slowdown = Math.max(1, report.slowdown());
-        }
-        double queued = Math.max(1, (load + 1) / Math.max(1, entry.slots()));
+        double slowdown = isReportFresh(nowMillis) ? Math.max(1, report.slowdown()) : 1;
+        double queued = Math.max(1, (load(nowMillis) + 1) / Math.max(1, entry.slots()));
         return serviceMillis * queued * slowdown / Math.max(0.05, 1 - failureShare);
     }
 
-    /**
-     * Gives the share of recent requests that failed.
-     *
-     * @return a number from 0 to 1
-     */
-    public synchronized double failureShare() {
-        return failureShare;
-    }
-
     /**
      * Tells whether own requests and the newest report fill the target's queue.
      *
@@ -194,10 +179,17 @@
      * @return true if one more request would wait too long or be refused
      */
     public synchronized boolean isFull(long nowMillis, double queueFactor) {
-        double load = inFlight;
-        if (nowMillis - reportedAtMillis <= REPORT_VALID_MILLIS) {
-            load = Math.max(inFlight, report.running() + report.waiting() + inFlight - inFlightAtReport);
-        }
-        return load >= entry.slots() * (1 + queueFactor);
+        return load(nowMillis) >= entry.slots() * (1 + queueFactor);
+    }
+
+    private boolean isReportFresh(long nowMillis) {
+        return nowMillis - reportedAtMillis <= REPORT_VALID_MILLIS;
+    }
+
+    /** Gives the work of other instances at the time of a fresh report, plus the change of the own work since then. */
+    private double load(long nowMillis) {
+        return isReportFresh(nowMillis)
+                ? Math.max(inFlight, report.running() + report.waiting() + inFlight - inFlightAtReport)
+                : inFlight;
     }
 }
--- a/router/src/main/java/org/snipewind/router/http/HttpCaller.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpCaller.java
@@ -34,15 +34,6 @@
         this.loop = loop;
     }
 
-    /**
-     * Gives the event loop of the calls.
-     *
-     * @return the event loop
-     */
-    public EventLoop loop() {
-        return loop;
-    }
-
     /**
      * Sends a request.
      *
--- a/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -149,11 +149,7 @@
         }
         write(withEpoch(found, epoch), revision, () -> {
             opened = true;
-            for (KeyAssignment each : table.assignments()) {
-                if (each.isMoving()) {
-                    addTask(each);
-                }
-            }
+            addTasksOfTable();
         });
     }
 
@@ -236,12 +232,16 @@
             // The tasks carry the refused epoch; the table has the same moves under the new one.
             tasks.forEach(MoveTask::drop);
             tasks.clear();
-            table.assignments().stream().filter(KeyAssignment::isMoving).forEach(this::addTask);
+            addTasksOfTable();
         } else {
             moves.forEach(this::addTask);
         }
     }
 
+    private void addTasksOfTable() {
+        table.assignments().stream().filter(KeyAssignment::isMoving).forEach(this::addTask);
+    }
+
     private void addTask(KeyAssignment moving) {
         long now = clock.nowMillis();
         MoveTask task = new MoveTask(moving);
--- a/router/src/main/java/org/snipewind/router/lead/OrderDesk.java
+++ b/router/src/main/java/org/snipewind/router/lead/OrderDesk.java
@@ -75,8 +75,7 @@
 
     /**
      * One order after the other, so that a target needs only one connection for them. The table may change meanwhile,
-     * and
-     * a range that is on its way to another holder by then must not be granted again.
+     * and a range that is on its way to another holder by then must not be granted again.
      */
     private void renewNext(
             HolderSession session, TargetEntry entry, Iterator<KeyAssignment> rest, Predicate<KeyAssignment> isHeld) {
--- a/router/src/main/java/org/snipewind/router/state/StoreMirror.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreMirror.java
@@ -115,15 +115,6 @@
         return clock.nowMillis() - regainedMillis;
     }
 
-    /**
-     * Tells whether the store counts as lost.
-     *
-     * @return true from a time without contact until the next contact
-     */
-    public boolean isLost() {
-        return lost;
-    }
-
     /**
      * Tells whether the copy was ever complete.
      *
