--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -133,7 +133,7 @@
     private void lead(long now) {
         boolean replaced = tracker.view()
                 .leader()
-                .map(record -> !record.member().equals(self))
+                .map(record -> !record.member().isSameProcess(self))
                 .orElse(false);
         if (replaced) {
             end("another instance leads");
--- a/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
+++ b/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
@@ -118,7 +118,7 @@
             leaderHeardMillis = clock.nowMillis();
         }
         LoadSummary report = tables.takeReport();
-        if (member.equals(self)) {
+        if (member.isSameProcess(self)) {
             duties.report(report);
             network.leaderHeard();
             return;
@@ -146,7 +146,7 @@
         if (leader.isEmpty()) {
             return CompletableFuture.completedFuture(new BudgetGrant(false, 0, 0));
         }
-        if (leader.get().member().equals(self)) {
+        if (leader.get().member().isSameProcess(self)) {
             return CompletableFuture.completedFuture(duties.issue(request));
         }
         return network.call(leader.get().member().peerAddress(), request, TOKEN_CALL_MILLIS)
@@ -186,7 +186,7 @@
         if (missing == asked
                 && tracker.view()
                         .leader()
-                        .map(record -> record.member().equals(leader))
+                        .map(record -> record.member().isSameProcess(leader))
                         .orElse(false)) {
             leadership.replaceLeader();
         }
--- a/router/src/main/java/org/snipewind/router/state/MemberRecord.java
+++ b/router/src/main/java/org/snipewind/router/state/MemberRecord.java
@@ -8,4 +8,15 @@
  * @param peerAddress address for other instances
  * @param dataCentre its data centre
  */
-public record MemberRecord(String name, String boot, String peerAddress, String dataCentre) {}
+public record MemberRecord(String name, String boot, String peerAddress, String dataCentre) {
+
+    /**
+     * Tells whether a record is of the same running process.
+     *
+     * @param other the other record
+     * @return true if both were written by one process
+     */
+    public boolean isSameProcess(MemberRecord other) {
+        return boot.equals(other.boot);
+    }
+}
