Feed the instances with the store's changes, split rates by fleet size, and keep a stopping leader

Cause 1: each change of the store ended the watch of every instance. Change: the leader watches the store and passes changes on over the peer connections with the age of its last confirmation; an instance without such word for 1.2 s, or with a gap in it, watches the store itself.

Cause 2: a fixed part of 0.4 of each rate, split over 84 instances, lay where no request came, and tokens fetched in advance after a single use expired. After the loss of a leader only the fixed part is served for seconds. Change: the fixed part is 0.6, and 0 where it would be less than one token at an instance; recent use is measured over four token lives.

Cause 3: a target that shed two requests in a row was taken to be gone, also where it alone holds the key. Change: only missing answers count there, and the caller is told to come back after one service time.

Cause 4: a leader that got SIGTERM while the store was down gave up at once, although nobody could follow it; keys were unserved until its lease ended. Change: it leads on until the store takes the end of the lease, and a leader that answers without leading is replaced.

Ruled out: coalescing for longer than 250 ms (fewer calls, later changes).

--- a/coordination/src/main/java/org/snipewind/coordination/budget/BudgetAccount.java
+++ b/coordination/src/main/java/org/snipewind/coordination/budget/BudgetAccount.java
@@ -12,8 +12,11 @@
  */
 public final class BudgetAccount {
 
-    /** Two such intervals cover the uses that count as recent. */
-    private static final long RATE_INTERVAL_MILLIS = 100;
+    /** Two intervals cover the uses that count as recent; they are at least this long. */
+    private static final long MIN_RATE_INTERVAL_MILLIS = 100;
+
+    /** Token lives in an interval; over a shorter one, single uses look like a rate, and tokens expire unused. */
+    private static final long TOKEN_LIVES_PER_INTERVAL = 4;
 
     /** Clock readings are truncated, so an entry stops to use a token this much earlier. */
     private static final long TRUNCATION_MILLIS = BudgetRules.TOKEN_LIFE_MILLIS - BudgetRules.TOKEN_USE_MILLIS;
@@ -23,6 +26,7 @@
 
     private final MillisClock clock;
     private final long tokenLifeMillis;
+    private final long rateIntervalMillis;
     private final Deque<Batch> batches = new ArrayDeque<>();
     private double ratePerSecond;
     private int burst;
@@ -53,6 +57,7 @@
      */
     public BudgetAccount(MillisClock clock, long tokenLifeMillis) {
         this.tokenLifeMillis = tokenLifeMillis;
+        this.rateIntervalMillis = Math.max(MIN_RATE_INTERVAL_MILLIS, TOKEN_LIVES_PER_INTERVAL * tokenLifeMillis);
         this.clock = clock;
         this.retryNotBeforeMillis = clock.nowMillis();
         this.intervalStartMillis = clock.nowMillis();
@@ -174,18 +179,18 @@
 
     private int prefetch(long now) {
         rollInterval(now);
-        double previousPart = 1 - (double) (now - intervalStartMillis) / RATE_INTERVAL_MILLIS;
-        double usesPerMilli = (usesOfInterval + usesOfPreviousInterval * previousPart) / RATE_INTERVAL_MILLIS;
+        double previousPart = 1 - (double) (now - intervalStartMillis) / rateIntervalMillis;
+        double usesPerMilli = (usesOfInterval + usesOfPreviousInterval * previousPart) / rateIntervalMillis;
         double recent = Math.min(usesPerMilli, ratePerSecond / 1_000);
         return (int) (recent * BudgetRules.prefetchMillis(ratePerSecond, burst, tokenLifeMillis));
     }
 
     private void rollInterval(long now) {
-        long intervals = (now - intervalStartMillis) / RATE_INTERVAL_MILLIS;
+        long intervals = (now - intervalStartMillis) / rateIntervalMillis;
         if (intervals > 0) {
             usesOfPreviousInterval = intervals == 1 ? usesOfInterval : 0;
             usesOfInterval = 0;
-            intervalStartMillis += intervals * RATE_INTERVAL_MILLIS;
+            intervalStartMillis += intervals * rateIntervalMillis;
         }
     }
 
--- a/coordination/src/main/java/org/snipewind/coordination/quota/FixedShare.java
+++ b/coordination/src/main/java/org/snipewind/coordination/quota/FixedShare.java
@@ -25,9 +25,8 @@
      * @param fleetSize number of instances that have a share
      */
     public void configure(Organisation organisation, int fleetSize) {
-        double part = QuotaRules.FIXED_PART / Math.max(1, fleetSize);
-        // Below one token the bucket could never be used.
-        bucket.reconfigure(organisation.ratePerSecond() * part, Math.max(1, organisation.burst() * part));
+        double part = QuotaRules.fixedPart(organisation, fleetSize) / Math.max(1, fleetSize);
+        bucket.reconfigure(organisation.ratePerSecond() * part, organisation.burst() * part);
     }
 
     /**
--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
@@ -23,6 +23,7 @@
     private int inFlight;
     private int failuresInRow;
     private long pausedUntilMillis;
+    private long unansweringUntilMillis;
     private LoadReport report = new LoadReport(0, 0, 1, 1);
     private int inFlightAtReport;
     private long reportedAtMillis = Long.MIN_VALUE / 2;
@@ -78,6 +79,7 @@
      */
     public synchronized void answered(double millis) {
         failuresInRow = 0;
+        unansweringUntilMillis = 0;
         failureShare *= 1 - SAMPLE_WEIGHT;
         // The average starts at the first sample, so that a fast target is not hidden behind the first estimate.
         serviceMillis = sampled ? serviceMillis + SAMPLE_WEIGHT * (millis - serviceMillis) : millis;
@@ -85,12 +87,26 @@
     }
 
     /**
-     * Counts a request that the target refused or failed.
+     * Counts a request that the target answered with a refusal or a failure of its own.
+     *
+     * @param nowMillis present time
+     */
+    public synchronized void refused(long nowMillis) {
+        countFailure(nowMillis, false);
+    }
+
+    /**
+     * Counts a request that got no answer.
      *
      * @param nowMillis present time
      * @param unreachable whether the connection failed, which pauses the target at once
      */
     public synchronized void failed(long nowMillis, boolean unreachable) {
+        countFailure(nowMillis, unreachable);
+        unansweringUntilMillis = pausedUntilMillis;
+    }
+
+    private void countFailure(long nowMillis, boolean unreachable) {
         failuresInRow++;
         failureShare += SAMPLE_WEIGHT * (1 - failureShare);
         if (unreachable || failuresInRow >= FAILURES_BEFORE_PAUSE) {
@@ -141,6 +157,17 @@
         return nowMillis < pausedUntilMillis;
     }
 
+    /**
+     * Tells whether the target is paused because it did not answer. Where no other target may run a request, one that
+     * refuses a part of its requests is still worth asking, and one that does not answer is not.
+     *
+     * @param nowMillis present time
+     * @return true while the target is taken to be unreachable
+     */
+    public synchronized boolean isUnanswering(long nowMillis) {
+        return nowMillis < unansweringUntilMillis;
+    }
+
     /**
      * Gives the number of own requests at the target.
      *
--- /dev/null
+++ b/coordination/src/test/java/org/snipewind/coordination/quota/SpreadCallersTest.java
@@ -0,0 +1,119 @@
+package org.snipewind.coordination.quota;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.budget.BudgetAccount;
+import org.snipewind.coordination.budget.BudgetDecision;
+import org.snipewind.coordination.budget.BudgetKeeper;
+import org.snipewind.coordination.clock.ManualMillisClock;
+import org.snipewind.coordination.routing.Organisation;
+
+/**
+ * Load pattern: callers of one organisation are spread over all instances, so that each sees only few of its requests.
+ * Guards against wrongful refusals by tokens that expire unused and by parts of a rate that lie at the wrong instance.
+ */
+final class SpreadCallersTest {
+
+    private static final int SECONDS = 30;
+
+    /** The users' target for requests that are refused although they are within the rate. */
+    private static final double WRONGFUL_REFUSALS = 0.001;
+
+    private final ManualMillisClock clock = new ManualMillisClock(1_000);
+    private final Random random = new Random(7);
+
+    private double refusedPart(int fleetSize, double rate, double demandPart, boolean keeperPresent) {
+        Organisation organisation = new Organisation("north", List.of(), rate, rate);
+        double keptRate = QuotaRules.keptRate(organisation, fleetSize);
+        int keptBurst = QuotaRules.keptBurst(organisation, fleetSize);
+        BudgetKeeper keeper =
+                new BudgetKeeper(clock, keptRate, keptBurst, clock.nowMillis(), true, QuotaRules.TOKEN_LIFE_MILLIS);
+        List<BudgetAccount> accounts = new ArrayList<>();
+        List<FixedShare> shares = new ArrayList<>();
+        for (int instance = 0; instance < fleetSize; instance++) {
+            BudgetAccount account = new BudgetAccount(clock, QuotaRules.TOKEN_LIFE_MILLIS);
+            account.configure(keptRate, keptBurst);
+            accounts.add(account);
+            FixedShare share = new FixedShare(clock);
+            share.configure(organisation, fleetSize);
+            shares.add(share);
+        }
+        int sent = 0;
+        int refused = 0;
+        for (int milli = 0; milli < SECONDS * 1_000; milli++) {
+            clock.advance(1);
+            if (random.nextDouble() >= rate * demandPart / 1_000) {
+                continue;
+            }
+            sent++;
+            int instance = random.nextInt(fleetSize);
+            boolean served = shares.get(instance).tryTake();
+            if (!served && keeperPresent) {
+                served = useToken(accounts.get(instance), keeper);
+            }
+            refused += served ? 0 : 1;
+        }
+        return refused / (double) sent;
+    }
+
+    private boolean useToken(BudgetAccount account, BudgetKeeper keeper) {
+        if (account.tryUse()) {
+            return true;
+        }
+        int wanted = account.tokensToRequest(1);
+        if (wanted == 0) {
+            return false;
+        }
+        long call = account.requested(clock.nowMillis());
+        BudgetDecision decision = keeper.issue(wanted);
+        account.granted(call, decision.tokens(), decision.retryAfterMillis());
+        return account.tryUse();
+    }
+
+    @Test
+    void anOrganisationBelowItsRateIsNotRefusedInASmallFleet() {
+        assertThat(refusedPart(9, 49, 0.625, true)).isAtMost(WRONGFUL_REFUSALS);
+        assertThat(refusedPart(9, 205, 0.625, true)).isAtMost(WRONGFUL_REFUSALS);
+    }
+
+    @Test
+    void anOrganisationBelowItsRateIsNotRefusedIfEachInstanceSeesHardlyAnyOfItsRequests() {
+        for (double rate : List.of(15.0, 30.0, 60.0, 200.0)) {
+            assertWithMessage("rate " + rate)
+                    .that(refusedPart(84, rate, 0.625, true))
+                    .isAtMost(WRONGFUL_REFUSALS);
+        }
+    }
+
+    @Test
+    void mostRequestsAreServedWhileThereIsNoKeeper() {
+        // The fixed part is three fifths of the rate and the demand five eighths of it.
+        assertThat(refusedPart(9, 49, 0.625, false)).isAtMost(0.4);
+        assertThat(refusedPart(9, 205, 0.625, false)).isAtMost(0.25);
+    }
+
+    @Test
+    void theFixedPartsOfAllInstancesStayWithinTheBurst() {
+        for (int fleetSize : List.of(1, 9, 84, 1_900)) {
+            for (double burst : List.of(1.0, 14.0, 49.0, 205.0, 5_000.0)) {
+                Organisation organisation = new Organisation("north", List.of(), burst, burst);
+                int atOnce = 0;
+                for (int instance = 0; instance < fleetSize; instance++) {
+                    FixedShare share = new FixedShare(clock);
+                    share.configure(organisation, fleetSize);
+                    clock.advance(60_000);
+                    while (share.tryTake()) {
+                        atOnce++;
+                    }
+                }
+                assertThat((double) atOnce + QuotaRules.keptBurst(organisation, fleetSize))
+                        .isAtMost(burst);
+            }
+        }
+    }
+}
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -174,18 +174,27 @@
                     (out, message) -> out.number(message.revision())
                             .number(message.storeAgeMillis())
                             .number(message.leaderAgeMillis())
-                            .list(
-                                    message.items(),
-                                    item -> out.arrayHeader(4)
-                                            .text(item.key())
-                                            .number(item.revision())
-                                            .number(item.lease())
-                                            .bytes(item.value())),
+                            .list(message.items(), item -> writeItem(out, item)),
                     in -> new MirrorAnswer(
                             in.number("revision"),
                             in.number("storeAgeMillis"),
                             in.number("leaderAgeMillis"),
-                            in.list("items", () -> readItem(in)))));
+                            in.list("items", () -> readItem(in)))),
+            new MessageLayout<>(
+                    21,
+                    MirrorDelta.class,
+                    5,
+                    (out, message) -> out.number(message.fromRevision())
+                            .number(message.toRevision())
+                            .number(message.storeAgeMillis())
+                            .list(message.written(), item -> writeItem(out, item))
+                            .list(message.removed(), item -> writeItem(out, item)),
+                    in -> new MirrorDelta(
+                            in.number("fromRevision"),
+                            in.number("toRevision"),
+                            in.number("storeAgeMillis"),
+                            in.list("written", () -> readItem(in)),
+                            in.list("removed", () -> readItem(in)))));
 
     private MessageLayouts() {}
 
@@ -276,6 +285,14 @@
         return new LoadSummary.TargetTiming(in.text("life"), in.integer("answers"), in.real("meanMillis"));
     }
 
+    private static FieldWriter writeItem(FieldWriter out, MirrorAnswer.Item item) {
+        return out.arrayHeader(4)
+                .text(item.key())
+                .number(item.revision())
+                .number(item.lease())
+                .bytes(item.value());
+    }
+
     private static MirrorAnswer.Item readItem(FieldReader in) {
         requireFields(in, "item", 4);
         return new MirrorAnswer.Item(in.text("key"), in.number("revision"), in.number("lease"), in.bytes("value"));
--- a/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
+++ b/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
@@ -15,6 +15,7 @@
                 LoadProbe,
                 LoadSummary,
                 MirrorAnswer,
+                MirrorDelta,
                 MirrorRequest,
                 RecordAnswer,
                 RecordFetch,
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -23,6 +23,7 @@
 import org.snipewind.router.path.SharedTables;
 import org.snipewind.router.peer.FleetReporter;
 import org.snipewind.router.peer.PeerNetwork;
+import org.snipewind.router.peer.StoreFeed;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.DocumentReader;
 import org.snipewind.router.port.KeyOrders;
@@ -62,6 +63,7 @@
     private final LeaderDuties duties;
     private final PeerNetwork network;
     private final FleetReporter reporter;
+    private final StoreFeed feed;
     private final SharedTables tables;
     private final CallerServer callers;
     private volatile boolean stopping;
@@ -104,8 +106,8 @@
                 log,
                 self,
                 settings.peers().getPort());
-        duties.attach(
-                leadership, item -> network.push(item, tracker.view().members().values()));
+        duties.attach(leadership);
+        feed = new StoreFeed(network, mirror, tracker, leadership, control);
         tables = new SharedTables(tracker, clock, settings.limits(), settings.name());
         reporter = new FleetReporter(network, tracker, mirror, leadership, duties, tables, control, clock, log, self);
         tracker.observe(tables::viewChanged);
@@ -148,6 +150,7 @@
         network.start();
         leadership.start();
         reporter.start();
+        feed.start();
         control.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         new TextServer(controlGroup, uri -> readiness()).start(settings.readiness());
         new TextServer(controlGroup, uri -> new TextServer.Text(OK, PrometheusText.write(metrics.registry())))
--- a/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.keyspace.HolderView;
@@ -23,7 +22,6 @@
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.KeyOrders;
 import org.snipewind.router.port.StoreException;
-import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetView;
 import org.snipewind.router.state.StoreKeys;
 import org.snipewind.router.state.StoreMirror;
@@ -81,15 +79,14 @@
             MillisClock clock,
             DecisionLog log,
             BooleanSupplier leading,
-            long formerUntilMillis,
-            Consumer<StoreItem> onWritten) {
+            long formerUntilMillis) {
         this.pool = pool;
         this.mirror = mirror;
         this.clock = clock;
         this.log = log;
         this.leading = leading;
         this.orders = new OrderDesk(pool, keyOrders, clock, log, leading, () -> fenced = true);
-        this.writer = new TableWriter(store, mirror, onWritten, StoreKeys.TABLES + pool);
+        this.writer = new TableWriter(store, mirror, StoreKeys.TABLES + pool);
         this.loads = new KeyLoads(clock);
         this.formerGrantsUntilMillis = formerUntilMillis + LeaderTimes.ORDER_MILLIS + LeaderTimes.longestHoldMillis();
         this.targetsSinceMillis = clock.nowMillis();
--- a/router/src/main/java/org/snipewind/router/lead/LeaderDuties.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderDuties.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Consumer;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.protocol.BudgetGrant;
@@ -13,7 +12,6 @@
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.KeyOrders;
-import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.FleetView;
 import org.snipewind.router.state.StoreMirror;
@@ -31,7 +29,6 @@
     private long formerUntilMillis;
     private final Map<String, KeyGrantor> grantors = new HashMap<>();
     private Leadership leadership;
-    private Consumer<StoreItem> onTable = item -> {};
 
     /**
      * Creates duties of an instance that does not lead.
@@ -60,14 +57,12 @@
     }
 
     /**
-     * Sets the office on which the duties depend and who is told of written tables.
+     * Sets the office on which the duties depend.
      *
      * @param office tells whether this instance leads
-     * @param tableObserver gets each table that was written
      */
-    public void attach(Leadership office, Consumer<StoreItem> tableObserver) {
+    public void attach(Leadership office) {
         leadership = office;
-        onTable = tableObserver;
     }
 
     /**
@@ -113,7 +108,7 @@
         return grantors.computeIfAbsent(
                 pool,
                 name -> new KeyGrantor(
-                        name, store, mirror, orders, clock, log, leadership::isLeading, formerUntilMillis, onTable));
+                        name, store, mirror, orders, clock, log, leadership::isLeading, formerUntilMillis));
     }
 
     /**
--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -36,6 +36,9 @@
 
     private static final long CLAIM_PAUSE_MILLIS = 500;
 
+    /** Time between attempts to end the lease of a leader that stops while the store refuses calls. */
+    private static final long VACATE_RETRY_MILLIS = 200;
+
     /** A copy of the store that is older says nothing about a missing leader. */
     private static final long FRESH_MILLIS = 1_500;
 
@@ -52,6 +55,7 @@
     private boolean claiming;
     private boolean renewing;
     private boolean stopped;
+    private boolean vacating;
     private long lease;
     private long validUntilMillis;
     private long nextRenewalMillis;
@@ -102,7 +106,7 @@
      * @return true while the lease has certainly not ended
      */
     public boolean isLeading() {
-        return leading && clock.nowMillis() < validUntilMillis;
+        return leading && !vacating && clock.nowMillis() < validUntilMillis;
     }
 
     /** Takes the office from a leader that can't be reached. */
@@ -112,13 +116,33 @@
         }
     }
 
-    /** Gives the office up for good, so that a successor need not wait for the end of the lease. */
+    /**
+     * Gives the office up for good, so that a successor need not wait for the end of the lease. While the store refuses
+     * to end the lease, there can be no successor, and this instance leads on as long as its lease is valid.
+     */
     public void stop() {
         stopped = true;
-        if (leading) {
-            end("the instance stops");
-            endLease(lease);
+        vacate();
+    }
+
+    private void vacate() {
+        if (!leading || vacating) {
+            return;
         }
+        // A successor may begin before the answer to this call arrives.
+        vacating = true;
+        store.endLease(lease).whenComplete((done, failure) -> {
+            vacating = false;
+            if (failure != null && StoreMirror.kindOf(failure) == StoreException.Kind.REFUSED) {
+                log.write(
+                        RouterEvent.STORE_CALL_FAILED,
+                        () -> "call=end of the leader's lease valid=" + (validUntilMillis - clock.nowMillis())
+                                + "ms cause=" + failure.getMessage());
+                loop.schedule(this::vacate, VACATE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            } else if (leading) {
+                end("the instance stops");
+            }
+        });
     }
 
     private void tick() {
@@ -139,7 +163,7 @@
             end("another instance leads");
         } else if (now >= validUntilMillis) {
             end("the lease may have ended");
-        } else if (now >= nextRenewalMillis && !renewing) {
+        } else if (now >= nextRenewalMillis && !renewing && !vacating) {
             renew(now);
         }
     }
@@ -195,6 +219,7 @@
                 .orElse(false);
         long[] sentAt = new long[1];
         vacated.thenCompose(done -> {
+                    // Renewals of the former lease succeeded before this time only.
                     sentAt[0] = clock.nowMillis();
                     return store.openLease(LeaderTimes.LEASE_MILLIS);
                 })
@@ -233,7 +258,7 @@
         mirror.noteContact();
         mirror.noteWritten(new StoreItem(StoreKeys.LEADER, RecordCodec.encode(self), revision, lease));
         log.write(RouterEvent.LEADERSHIP_TAKEN, () -> "revision=" + revision + " lease=" + lease);
-        onElected.accept(clock.nowMillis() + (deposed ? LeaderTimes.LEASE_MILLIS : 0));
+        onElected.accept(deposed ? sentAtMillis + LeaderTimes.LEASE_MILLIS : clock.nowMillis());
     }
 
     private void end(String reason) {
--- a/router/src/main/java/org/snipewind/router/lead/TableWriter.java
+++ b/router/src/main/java/org/snipewind/router/lead/TableWriter.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.StoreException;
@@ -18,13 +17,11 @@
 
     private final CoordinationStore store;
     private final StoreMirror mirror;
-    private final Consumer<StoreItem> onWritten;
     private final String key;
 
-    TableWriter(CoordinationStore store, StoreMirror mirror, Consumer<StoreItem> onWritten, String key) {
+    TableWriter(CoordinationStore store, StoreMirror mirror, String key) {
         this.store = store;
         this.mirror = mirror;
-        this.onWritten = onWritten;
         this.key = key;
     }
 
@@ -44,9 +41,7 @@
                 .thenCompose(result -> result)
                 .thenApply(revision -> {
                     mirror.noteContact();
-                    StoreItem written = new StoreItem(key, value, revision, 0);
-                    mirror.noteWritten(written);
-                    onWritten.accept(written);
+                    mirror.noteWritten(new StoreItem(key, value, revision, 0));
                     return revision;
                 });
     }
--- a/router/src/main/java/org/snipewind/router/lead/TokenDesk.java
+++ b/router/src/main/java/org/snipewind/router/lead/TokenDesk.java
@@ -34,8 +34,8 @@
         if (organisation.isEmpty()) {
             return new BudgetGrant(false, 0, 0);
         }
-        double rate = QuotaRules.keptRate(organisation.get());
-        int burst = QuotaRules.keptBurst(organisation.get());
+        double rate = QuotaRules.keptRate(organisation.get(), view.fleetSize());
+        int burst = QuotaRules.keptBurst(organisation.get(), view.fleetSize());
         BudgetKeeper keeper = keepers.computeIfAbsent(
                 name,
                 key -> new BudgetKeeper(clock, rate, burst, activeFromMillis, false, QuotaRules.TOKEN_LIFE_MILLIS));
--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -124,13 +124,13 @@
         if (headers.misdirected()) {
             owner.failed(this, ErrorKind.FENCED, true, describe("status=" + answer.status()));
         } else if (headers.notExecuted()) {
-            target.failed(now, false);
+            target.refused(now);
             owner.failed(this, ErrorKind.TARGET_SHED, true, describe("status=" + answer.status()));
         } else if (success && !headers.signed()) {
             target.failed(now, false);
             owner.failed(this, ErrorKind.ANSWER_INCOMPLETE, true, describe("answer without signature"));
         } else if (answer.status() >= SERVER_ERROR && owner.isIdempotent() && owner.mayRepeat()) {
-            target.failed(now, false);
+            target.refused(now);
             owner.failed(this, ErrorKind.TARGET_ERROR, true, describe("status=" + answer.status()));
         } else {
             target.answered(elapsed);
--- a/router/src/main/java/org/snipewind/router/path/RateDesk.java
+++ b/router/src/main/java/org/snipewind/router/path/RateDesk.java
@@ -52,7 +52,8 @@
         }
 
         void configure(Organisation organisation, int fleetSize) {
-            account.configure(QuotaRules.keptRate(organisation), QuotaRules.keptBurst(organisation));
+            account.configure(
+                    QuotaRules.keptRate(organisation, fleetSize), QuotaRules.keptBurst(organisation, fleetSize));
             share.configure(organisation, fleetSize);
         }
 
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -40,6 +40,9 @@
     /** A target that refused a keyed request is asked again after this time, as no other target may run it. */
     private static final long SAME_TARGET_MILLIS = 15;
 
+    /** Sends to the owner of a key, which counts as one target, before the caller is told to come back. */
+    private static final int MAX_SENDS_TO_OWNER = 4;
+
     /** Waiting requests for each slot of a target that are accepted; longer queues only grow old. */
     private static final double QUEUE_FACTOR = 2.5;
 
@@ -111,7 +114,8 @@
 
     /** Tells whether a further attempt is allowed, apart from the budget. */
     boolean mayRepeat() {
-        return attempts < route.maxAttempts() && remainingMillis() > 0;
+        int allowed = pool.keyed() ? Math.max(MAX_SENDS_TO_OWNER, route.maxAttempts()) : route.maxAttempts();
+        return attempts < allowed && remainingMillis() > 0;
     }
 
     void start() {
@@ -249,7 +253,7 @@
         TargetState state = target.get();
         String inputs = "key=" + key + " holder=" + owner.holder() + " epoch=" + owner.epoch() + " in-flight="
                 + state.inFlight() + " expected=" + Math.round(state.expectedMillis(now)) + "ms";
-        if (state.isPaused(now)) {
+        if (state.isUnanswering(now)) {
             endWithout(ErrorKind.TARGET_UNREACHABLE, OWNER_RETRY_MILLIS, inputs);
         } else if (state.isFull(now, QUEUE_FACTOR)
                 || !worker.connections().hasRoom(state.entry(), connectionLimit(view))) {
@@ -354,10 +358,12 @@
             // A target that was never reached does not count against the limit of attempts.
             attempts--;
         }
+        // The owner of a key may run the request as soon as a slot is free; no other target can.
+        long retryMillis = pool.keyed() ? (long) attempt.target().serviceMillis() : POOL_RETRY_MILLIS;
         if (!repeatable || !mayRepeat()) {
-            endWithout(kind, POOL_RETRY_MILLIS, detail);
+            endWithout(kind, retryMillis, detail);
         } else if (arrived && !takeRepeat(kind.wireName())) {
-            endWithout(kind, POOL_RETRY_MILLIS, detail + " repeat-budget=empty");
+            endWithout(kind, retryMillis, detail + " repeat-budget=empty");
         } else if (pool.keyed()) {
             schedule(this::route, SAME_TARGET_MILLIS);
         } else {
--- a/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
+++ b/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
@@ -117,14 +117,15 @@
             leaderBoot = member.boot();
             leaderHeardMillis = clock.nowMillis();
         }
-        LoadSummary report = tables.takeReport();
+        LoadSummary summary = tables.takeReport();
         if (member.isSameProcess(self)) {
-            duties.report(report);
+            duties.report(summary);
             network.leaderHeard();
             return;
         }
-        network.call(member.peerAddress(), report, CALL_MILLIS).whenComplete((answer, failure) -> {
-            if (failure == null && answer instanceof ReportAnswer) {
+        network.call(member.peerAddress(), summary, CALL_MILLIS).whenComplete((answer, failure) -> {
+            // An instance that answers without leading, because it stops or lost its lease, is to be replaced too.
+            if (failure == null && answer instanceof ReportAnswer report && report.accepted()) {
                 leaderHeardMillis = clock.nowMillis();
                 network.leaderHeard();
             } else if (clock.nowMillis() - leaderHeardMillis > LEADER_GONE_MILLIS) {
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.security.SecureRandom;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -12,17 +13,18 @@
 import org.snipewind.protocol.BudgetRequest;
 import org.snipewind.protocol.LoadSummary;
 import org.snipewind.protocol.MirrorAnswer;
+import org.snipewind.protocol.MirrorDelta;
 import org.snipewind.protocol.MirrorRequest;
 import org.snipewind.protocol.NettyPeerConnections;
 import org.snipewind.protocol.PeerException;
 import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.PeerServer;
 import org.snipewind.protocol.PeerSettings;
-import org.snipewind.protocol.RecordPush;
 import org.snipewind.router.lead.LeaderDuties;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StoreWrite;
 import org.snipewind.router.state.MemberRecord;
@@ -146,8 +148,8 @@
         if (message instanceof BudgetRequest request) {
             return Optional.of(duties.issue(request));
         }
-        if (message instanceof RecordPush push) {
-            mirror.noteWritten(new StoreItem(push.name(), push.content(), push.version(), 0));
+        if (message instanceof MirrorDelta delta) {
+            follow(delta);
             return Optional.empty();
         }
         if (message instanceof MirrorRequest request) {
@@ -166,20 +168,27 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    private void follow(MirrorDelta delta) {
+        List<StoreChanges.Change> changes = new ArrayList<>();
+        delta.written().forEach(item -> changes.add(change(item, false)));
+        delta.removed().forEach(item -> changes.add(change(item, true)));
+        mirror.follow(delta.fromRevision(), delta.toRevision(), delta.storeAgeMillis(), changes);
+    }
+
+    private static StoreChanges.Change change(MirrorAnswer.Item item, boolean removed) {
+        return new StoreChanges.Change(new StoreItem(item.key(), item.value(), item.revision(), item.lease()), removed);
+    }
+
     /**
-     * Sends an item that this instance wrote to all others, before their watches bring it.
+     * Sends a message to all other instances and awaits no answer.
      *
-     * @param item the item
+     * @param message the message
      * @param members the instances
      */
-    public void push(StoreItem item, Collection<MemberRecord> members) {
-        connections.ifPresent(open -> {
-            for (MemberRecord member : members) {
-                if (!member.name().equals(self.name())) {
-                    open.send(member.peerAddress(), new RecordPush(item.key(), item.revision(), item.value()));
-                }
-            }
-        });
+    void broadcast(PeerMessage message, Collection<MemberRecord> members) {
+        connections.ifPresent(open -> members.stream()
+                .filter(member -> !member.name().equals(self.name()))
+                .forEach(member -> open.send(member.peerAddress(), message)));
     }
 
     /** Notes that the leader answered. */
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/peer/StoreFeed.java
@@ -0,0 +1,74 @@
+package org.snipewind.router.peer;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.snipewind.protocol.MirrorAnswer;
+import org.snipewind.protocol.MirrorDelta;
+import org.snipewind.router.lead.Leadership;
+import org.snipewind.router.port.StoreChanges;
+import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.StoreMirror;
+
+/**
+ * Passes the changes of the store on to the other instances while this one leads, so that a change costs one call to
+ * the store and not one of each instance. Changes come from the store alone, so a former leader that does not know of
+ * its successor does no harm. Belongs to the control loop.
+ */
+public final class StoreFeed {
+
+    /** Without changes, the other instances are told at this interval that their copies are complete. */
+    private static final long CONFIRM_MILLIS = 400;
+
+    private final PeerNetwork network;
+    private final StoreMirror mirror;
+    private final FleetTracker tracker;
+    private final Leadership leadership;
+    private final EventLoop loop;
+
+    /**
+     * Creates a feed that does nothing yet.
+     *
+     * @param network connections to the other instances
+     * @param mirror the copy of the store
+     * @param tracker the view of the fleet
+     * @param leadership tells whether this instance feeds the others
+     * @param loop the control loop
+     */
+    public StoreFeed(
+            PeerNetwork network, StoreMirror mirror, FleetTracker tracker, Leadership leadership, EventLoop loop) {
+        this.network = network;
+        this.mirror = mirror;
+        this.tracker = tracker;
+        this.leadership = leadership;
+        this.loop = loop;
+    }
+
+    /** Starts to feed the others whenever this instance leads. */
+    public void start() {
+        mirror.attachFeed(leadership::isLeading, this::changed);
+        loop.scheduleAtFixedRate(this::confirm, CONFIRM_MILLIS, CONFIRM_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void confirm() {
+        if (leadership.isLeading()) {
+            changed(mirror.revision(), mirror.revision(), List.of());
+        }
+    }
+
+    private void changed(long fromRevision, long toRevision, List<StoreChanges.Change> changes) {
+        List<MirrorAnswer.Item> written = new ArrayList<>();
+        List<MirrorAnswer.Item> removed = new ArrayList<>();
+        for (StoreChanges.Change change : changes) {
+            (change.removed() ? removed : written).add(item(change.item()));
+        }
+        MirrorDelta delta = new MirrorDelta(fromRevision, toRevision, mirror.completeAgeMillis(), written, removed);
+        network.broadcast(delta, tracker.view().members().values());
+    }
+
+    private static MirrorAnswer.Item item(StoreItem item) {
+        return new MirrorAnswer.Item(item.key(), item.revision(), item.lease(), item.value());
+    }
+}
--- a/router/src/main/java/org/snipewind/router/state/StoreMirror.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreMirror.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
@@ -29,6 +30,18 @@
     /** Longest wait of one watch; a shorter one costs calls, a longer one finds a dead connection late. */
     private static final long WATCH_MILLIS = 5_000;
 
+    /** Wait of a watch whose changes go to the other instances; its end confirms that their copies are complete. */
+    private static final long FEEDING_WATCH_MILLIS = 600;
+
+    /** Pause of the instance that feeds the others, so that changes of one moment come with one call. */
+    private static final long FEEDING_COALESCE_MILLIS = 20;
+
+    /** A copy that another instance confirmed within this time needs no watch; changes are due within two seconds. */
+    private static final long FED_MILLIS = 1_200;
+
+    /** Time between looks at whether the changes still come from another instance. */
+    private static final long FED_CHECK_MILLIS = 100;
+
     /** Changes that follow each other within this time come with one call; each call has a price. */
     private static final long COALESCE_MILLIS = 250;
 
@@ -51,6 +64,23 @@
     private long relayMillis;
     private long regainedMillis = Long.MIN_VALUE / 2;
     private boolean lost;
+    private long completeMillis;
+    private long fedMillis = Long.MIN_VALUE / 2;
+    private BooleanSupplier feeding = () -> false;
+    private Feed feed = (from, to, changes) -> {};
+
+    /** Gets the changes that this instance learned from the store itself. */
+    @FunctionalInterface
+    public interface Feed {
+        /**
+         * Takes changes.
+         *
+         * @param fromRevision revision after which they begin
+         * @param toRevision revision up to which they are complete
+         * @param changes the changes
+         */
+        void changed(long fromRevision, long toRevision, List<StoreChanges.Change> changes);
+    }
 
     /**
      * Creates an empty copy.
@@ -72,6 +102,17 @@
         this.relayMillis = contactMillis - LOST_MILLIS;
     }
 
+    /**
+     * Sets who passes changes on to the other instances.
+     *
+     * @param isFeeding tells whether this instance feeds the others now
+     * @param receiver gets the changes meanwhile
+     */
+    public void attachFeed(BooleanSupplier isFeeding, Feed receiver) {
+        feeding = isFeeding;
+        feed = receiver;
+    }
+
     /** Starts to read the store. */
     public void start() {
         loop.execute(this::reload);
@@ -109,10 +150,19 @@
     /**
      * Tells how long ago the store came back after it was lost.
      *
-     * @return milliseconds, very large if it was never lost
+     * @return milliseconds, 0 while it is lost, very large if it was never lost
      */
     public long regainedAgeMillis() {
-        return clock.nowMillis() - regainedMillis;
+        return lost ? 0 : clock.nowMillis() - regainedMillis;
+    }
+
+    /**
+     * Tells how long ago the store confirmed to this instance that its copy was complete.
+     *
+     * @return milliseconds
+     */
+    public long completeAgeMillis() {
+        return clock.nowMillis() - completeMillis;
     }
 
     /**
@@ -178,6 +228,31 @@
         replaceAll(peerItems, peerRevision);
     }
 
+    /**
+     * Takes changes that another instance learned from the store. While they come without a gap, this instance need not
+     * watch the store itself.
+     *
+     * @param from revision after which they begin
+     * @param to revision up to which they are complete
+     * @param ageMillis how long ago the store confirmed that there were no later ones
+     * @param changes the changes
+     */
+    public void follow(long from, long to, long ageMillis, List<StoreChanges.Change> changes) {
+        if (!loaded || from > revision) {
+            // Changes are missing, which the own watch brings.
+            fedMillis = Long.MIN_VALUE / 2;
+            return;
+        }
+        long confirmed = clock.nowMillis() - ageMillis;
+        fedMillis = Math.max(fedMillis, confirmed);
+        relayMillis = Math.max(relayMillis, confirmed);
+        applyAll(new StoreChanges(changes, to));
+    }
+
+    private boolean isFed() {
+        return !feeding.getAsBoolean() && clock.nowMillis() - fedMillis < FED_MILLIS;
+    }
+
     private void checkContact() {
         if (!lost && contactAgeMillis() > LOST_MILLIS) {
             lost = true;
@@ -206,6 +281,7 @@
             }
             if (from >= revision) {
                 replaceAll(read, from);
+                completeMillis = clock.nowMillis();
             }
             return CompletableFuture.completedFuture(null);
         });
@@ -232,15 +308,26 @@
     }
 
     private void watch() {
+        if (isFed()) {
+            loop.schedule(this::watch, FED_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         long from = revision;
-        store.watch("", from, WATCH_MILLIS).whenComplete((changes, failure) -> {
+        long wait = feeding.getAsBoolean() ? FEEDING_WATCH_MILLIS : WATCH_MILLIS;
+        store.watch("", from, wait).whenComplete((changes, failure) -> {
             if (failure == null) {
                 noteContact();
                 applyAll(changes);
+                completeMillis = clock.nowMillis();
+                boolean feedsOthers = feeding.getAsBoolean();
+                if (feedsOthers) {
+                    feed.changed(from, changes.revision(), changes.changes());
+                }
                 if (changes.changes().isEmpty()) {
                     watch();
                 } else {
-                    loop.schedule(this::watch, COALESCE_MILLIS, TimeUnit.MILLISECONDS);
+                    long pause = feedsOthers ? FEEDING_COALESCE_MILLIS : COALESCE_MILLIS;
+                    loop.schedule(this::watch, pause, TimeUnit.MILLISECONDS);
                 }
             } else if (kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
                 noteContact();
--- a/router/src/test/java/org/snipewind/router/lead/KeyGrantorTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/KeyGrantorTest.java
@@ -198,7 +198,7 @@
     }
 
     private KeyGrantor newGrantor(long formerUntilMillis) {
-        return new KeyGrantor(POOL, store, mirror, targets, clock, log(), () -> leading, formerUntilMillis, item -> {});
+        return new KeyGrantor(POOL, store, mirror, targets, clock, log(), () -> leading, formerUntilMillis);
     }
 
     private void addTargets(int count) {
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedStore.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedStore.java
@@ -34,6 +34,7 @@
     private long revision = 10;
     private double refusedShare;
     private double unansweredShare;
+    private volatile Optional<StoreException.Kind> failureOfLeaseEnds = Optional.empty();
 
     SimulatedStore(MillisClock clock, Random random) {
         this.clock = clock;
@@ -45,6 +46,10 @@
         unansweredShare = unanswered;
     }
 
+    void failLeaseEnds(Optional<StoreException.Kind> kind) {
+        failureOfLeaseEnds = kind;
+    }
+
     /** Lists what the newest tables said of a key, so that a failure can be traced. */
     String history(int key) {
         return tables.stream()
@@ -107,6 +112,10 @@
 
     @Override
     public CompletableFuture<Void> endLease(long lease) {
+        if (failureOfLeaseEnds.isPresent()) {
+            return CompletableFuture.failedFuture(new StoreException(failureOfLeaseEnds.get(), "no end of lease"));
+        }
+        items.values().removeIf(item -> item.lease() == lease);
         return CompletableFuture.completedFuture(null);
     }
 }
