Send the changed ranges of a table of holders in place of the whole

Ruled out: segments of the table in the store, which change what a successor has to read together. Change: the feed carries the ranges by which a table differs from the one that was sent before; an instance that holds another one watches the store.

--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyTable.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyTable.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The holders of all keys of a pool, in the order of the keys; immutable.
@@ -87,6 +89,33 @@
         return new KeyTable(changed);
     }
 
+    /**
+     * Gives the ranges by which this table differs from an earlier one.
+     *
+     * @param earlier the earlier table
+     * @return the ranges that make this table of the earlier one by {@link #withAll}, or empty if none do
+     */
+    public Optional<List<KeyAssignment>> changesSince(KeyTable earlier) {
+        Set<KeyAssignment> known = new HashSet<>(earlier.assignments);
+        List<KeyAssignment> changes =
+                assignments.stream().filter(each -> !known.contains(each)).toList();
+        return earlier.withAll(changes).equals(this) ? Optional.of(changes) : Optional.empty();
+    }
+
+    /**
+     * Replaces whatever the table says of some ranges.
+     *
+     * @param replacements the new assignments, in the order of their keys and without overlaps
+     * @return the changed table
+     */
+    public KeyTable withAll(List<KeyAssignment> replacements) {
+        KeyTable changed = this;
+        for (KeyAssignment each : replacements) {
+            changed = changed.with(each);
+        }
+        return changed;
+    }
+
     /**
      * Joins neighbouring ranges of one holder and epoch; ranges on their way to a holder stay as they are.
      *
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -183,18 +183,26 @@
             new MessageLayout<>(
                     21,
                     MirrorDelta.class,
-                    5,
+                    6,
                     (out, message) -> out.number(message.fromRevision())
                             .number(message.toRevision())
                             .number(message.storeAgeMillis())
                             .list(message.written(), item -> writeItem(out, item))
-                            .list(message.removed(), item -> writeItem(out, item)),
+                            .list(message.removed(), item -> writeItem(out, item))
+                            .list(
+                                    message.patches(),
+                                    patch -> out.arrayHeader(4)
+                                            .text(patch.key())
+                                            .number(patch.baseRevision())
+                                            .number(patch.revision())
+                                            .bytes(patch.content())),
                     in -> new MirrorDelta(
                             in.number("fromRevision"),
                             in.number("toRevision"),
                             in.number("storeAgeMillis"),
                             in.list("written", () -> readItem(in)),
-                            in.list("removed", () -> readItem(in)))));
+                            in.list("removed", () -> readItem(in)),
+                            in.list("patches", () -> readPatch(in)))));
 
     private MessageLayouts() {}
 
@@ -298,6 +306,12 @@
         return new MirrorAnswer.Item(in.text("key"), in.number("revision"), in.number("lease"), in.bytes("value"));
     }
 
+    private static MirrorDelta.Patch readPatch(FieldReader in) {
+        requireFields(in, "patch", 4);
+        return new MirrorDelta.Patch(
+                in.text("key"), in.number("baseRevision"), in.number("revision"), in.bytes("content"));
+    }
+
     private static void requireFields(FieldReader in, String name, int count) {
         if (in.arrayHeader(name) != count) {
             throw in.failure(name, "does not have " + count + " fields");
--- a/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
@@ -133,6 +133,9 @@
             case "java.util.List<org.snipewind.protocol.MirrorAnswer$Item>" ->
                 List.of(new MirrorAnswer.Item(
                         text(random), random.nextLong(), random.nextLong(), new byte[] {(byte) random.nextInt()}));
+            case "java.util.List<org.snipewind.protocol.MirrorDelta$Patch>" ->
+                List.of(new MirrorDelta.Patch(
+                        text(random), random.nextLong(), random.nextLong(), new byte[] {(byte) random.nextInt()}));
             default -> other(component.getType(), random);
         };
     }
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -5,7 +5,9 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -30,6 +32,7 @@
 import org.snipewind.router.state.MemberRecord;
 import org.snipewind.router.state.StoreKeys;
 import org.snipewind.router.state.StoreMirror;
+import org.snipewind.router.state.TablePatch;
 
 /** Connections to the other instances, which know each other by a secret in the store. */
 public final class PeerNetwork {
@@ -172,6 +175,24 @@
         List<StoreChanges.Change> changes = new ArrayList<>();
         delta.written().forEach(item -> changes.add(change(item, false)));
         delta.removed().forEach(item -> changes.add(change(item, true)));
+        Map<String, StoreItem> tables = new HashMap<>();
+        changes.forEach(change -> tables.put(change.item().key(), change.item()));
+        for (MirrorDelta.Patch patch : delta.patches()) {
+            Optional<StoreItem> base =
+                    Optional.ofNullable(tables.get(patch.key())).or(() -> mirror.item(patch.key()));
+            if (base.isPresent() && base.get().revision() >= patch.revision()) {
+                continue;
+            }
+            Optional<StoreItem> patched = base.filter(item -> item.revision() == patch.baseRevision())
+                    .flatMap(item -> TablePatch.apply(item.value(), patch.content()))
+                    .map(value -> new StoreItem(patch.key(), value, patch.revision(), 0));
+            if (patched.isEmpty()) {
+                mirror.missedChanges();
+                return;
+            }
+            tables.put(patch.key(), patched.get());
+            changes.add(new StoreChanges.Change(patched.get(), false));
+        }
         mirror.follow(delta.fromRevision(), delta.toRevision(), delta.storeAgeMillis(), changes);
     }
 
--- a/router/src/main/java/org/snipewind/router/peer/StoreFeed.java
+++ b/router/src/main/java/org/snipewind/router/peer/StoreFeed.java
@@ -2,7 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.snipewind.protocol.MirrorAnswer;
 import org.snipewind.protocol.MirrorDelta;
@@ -10,7 +13,9 @@
 import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.StoreKeys;
 import org.snipewind.router.state.StoreMirror;
+import org.snipewind.router.state.TablePatch;
 
 /**
  * Passes the changes of the store on to the other instances while this one leads, so that a change costs one call to
@@ -28,6 +33,9 @@
     private final Leadership leadership;
     private final EventLoop loop;
 
+    /** The newest table of each pool that the others were sent. */
+    private final Map<String, StoreItem> sentTables = new HashMap<>();
+
     /**
      * Creates a feed that does nothing yet.
      *
@@ -55,19 +63,38 @@
     private void confirm() {
         if (leadership.isLeading()) {
             changed(mirror.revision(), mirror.revision(), List.of());
+        } else {
+            sentTables.clear();
         }
     }
 
     private void changed(long fromRevision, long toRevision, List<StoreChanges.Change> changes) {
         List<MirrorAnswer.Item> written = new ArrayList<>();
         List<MirrorAnswer.Item> removed = new ArrayList<>();
+        List<MirrorDelta.Patch> patches = new ArrayList<>();
         for (StoreChanges.Change change : changes) {
-            (change.removed() ? removed : written).add(item(change.item()));
+            Optional<MirrorDelta.Patch> patch = patch(change);
+            if (patch.isPresent()) {
+                patches.add(patch.get());
+            } else {
+                (change.removed() ? removed : written).add(item(change.item()));
+            }
         }
-        MirrorDelta delta = new MirrorDelta(fromRevision, toRevision, mirror.completeAgeMillis(), written, removed);
+        MirrorDelta delta =
+                new MirrorDelta(fromRevision, toRevision, mirror.completeAgeMillis(), written, removed, patches);
         network.broadcast(delta, tracker.view().members().values());
     }
 
+    private Optional<MirrorDelta.Patch> patch(StoreChanges.Change change) {
+        StoreItem item = change.item();
+        if (!item.key().startsWith(StoreKeys.TABLES) || change.removed()) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(sentTables.put(item.key(), item))
+                .flatMap(base -> TablePatch.difference(base.value(), item.value())
+                        .map(content -> new MirrorDelta.Patch(item.key(), base.revision(), item.revision(), content)));
+    }
+
     private static MirrorAnswer.Item item(StoreItem item) {
         return new MirrorAnswer.Item(item.key(), item.revision(), item.lease(), item.value());
     }
--- a/router/src/main/java/org/snipewind/router/state/StoreMirror.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreMirror.java
@@ -239,8 +239,7 @@
      */
     public void follow(long from, long to, long ageMillis, List<StoreChanges.Change> changes) {
         if (!loaded || from > revision) {
-            // Changes are missing, which the own watch brings.
-            fedMillis = Long.MIN_VALUE / 2;
+            missedChanges();
             return;
         }
         long confirmed = clock.nowMillis() - ageMillis;
@@ -249,6 +248,11 @@
         applyAll(new StoreChanges(changes, to));
     }
 
+    /** Notes that changes of another instance are missing, so that the own watch brings them. */
+    public void missedChanges() {
+        fedMillis = Long.MIN_VALUE / 2;
+    }
+
     private boolean isFed() {
         return !feeding.getAsBoolean() && clock.nowMillis() - fedMillis < FED_MILLIS;
     }
