Let requests wait a short time for a keeper of tokens

Each refusal brought its caller back on a new connection to a process that is short of processor time. Ruled out: tokens of a former process; they may all have been used. Change: while the keeper is away for less than 0.8 s, requests wait for a third of their remaining time; a new process has the fixed part of the time since its start, in which it used none.

--- a/coordination/src/main/java/org/snipewind/coordination/quota/FixedShare.java
+++ b/coordination/src/main/java/org/snipewind/coordination/quota/FixedShare.java
@@ -4,17 +4,24 @@
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.routing.Organisation;
 
-/** An instance's fixed part of one organisation's rate and burst; all methods are synchronized by their bucket. */
+/** An instance's fixed part of one organisation's rate and burst; all methods are synchronized. */
 public final class FixedShare {
 
-    private final TokenBucket bucket;
+    private final MillisClock clock;
+    private final long startedAtMillis;
+    private TokenBucket bucket;
+    private boolean configured;
 
     /**
-     * Creates a share without tokens, so that a restart adds none.
+     * Creates a share that had no tokens when the process started, so that a restart adds none: the former process may
+     * have used all until its end, and none was used since.
      *
      * @param clock the clock that refills the share
+     * @param startedAtMillis reading of the clock at the start of the process
      */
-    public FixedShare(MillisClock clock) {
+    public FixedShare(MillisClock clock, long startedAtMillis) {
+        this.clock = clock;
+        this.startedAtMillis = startedAtMillis;
         this.bucket = new TokenBucket(clock, 0, 0, 0);
     }
 
@@ -24,8 +31,14 @@
      * @param organisation the organisation with its limit
      * @param fleetSize number of instances that have a share
      */
-    public void configure(Organisation organisation, int fleetSize) {
+    public synchronized void configure(Organisation organisation, int fleetSize) {
         double part = QuotaRules.fixedPart(organisation, fleetSize) / Math.max(1, fleetSize);
+        if (!configured) {
+            configured = true;
+            double refilled = (clock.nowMillis() - startedAtMillis) * organisation.ratePerSecond() * part / 1_000;
+            bucket = new TokenBucket(clock, organisation.ratePerSecond() * part, organisation.burst() * part, refilled);
+            return;
+        }
         bucket.reconfigure(organisation.ratePerSecond() * part, organisation.burst() * part);
     }
 
@@ -34,7 +47,7 @@
      *
      * @return false if the share is used up
      */
-    public boolean tryTake() {
+    public synchronized boolean tryTake() {
         return bucket.take(1) == 1;
     }
 }
--- a/coordination/src/test/java/org/snipewind/coordination/quota/SpreadCallersTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/quota/SpreadCallersTest.java
@@ -39,7 +39,7 @@
             BudgetAccount account = new BudgetAccount(clock, QuotaRules.TOKEN_LIFE_MILLIS);
             account.configure(keptRate, keptBurst);
             accounts.add(account);
-            FixedShare share = new FixedShare(clock);
+            FixedShare share = new FixedShare(clock, clock.nowMillis());
             share.configure(organisation, fleetSize);
             shares.add(share);
         }
@@ -97,6 +97,21 @@
         assertThat(refusedPart(9, 205, 0.625, false)).isAtMost(0.25);
     }
 
+    @Test
+    void aProcessThatStartsHasTheTokensOfTheTimeSinceItsStartAndNoMore() {
+        Organisation organisation = new Organisation("north", List.of(), 90, 90);
+        long startedAt = clock.nowMillis();
+        clock.advance(500);
+        FixedShare share = new FixedShare(clock, startedAt);
+        share.configure(organisation, 9);
+        int tokens = 0;
+        while (share.tryTake()) {
+            tokens++;
+        }
+        // Three fifths of 90 a second over nine instances, for half a second.
+        assertThat(tokens).isEqualTo(3);
+    }
+
     @Test
     void theFixedPartsOfAllInstancesStayWithinTheBurst() {
         for (int fleetSize : List.of(1, 9, 84, 1_900)) {
@@ -104,7 +119,7 @@
                 Organisation organisation = new Organisation("north", List.of(), burst, burst);
                 int atOnce = 0;
                 for (int instance = 0; instance < fleetSize; instance++) {
-                    FixedShare share = new FixedShare(clock);
+                    FixedShare share = new FixedShare(clock, clock.nowMillis());
                     share.configure(organisation, fleetSize);
                     clock.advance(60_000);
                     while (share.tryTake()) {
--- a/router/src/main/java/org/snipewind/router/path/RateDesk.java
+++ b/router/src/main/java/org/snipewind/router/path/RateDesk.java
@@ -4,8 +4,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import org.snipewind.coordination.budget.BudgetAccount;
 import org.snipewind.coordination.clock.MillisClock;
@@ -23,9 +25,18 @@
  */
 public final class RateDesk {
 
-    /** Told at once if tokens can't be had for a reason other than the limit. */
+    /** A caller comes back after this time if there was nobody to issue tokens. */
     private static final long UNAVAILABLE_RETRY_MILLIS = 150;
 
+    /**
+     * Requests wait for a keeper that is away for less than this time. An election takes about half of it, and each
+     * refusal meanwhile would bring the caller back on a new connection to instances that are just starting.
+     */
+    private static final long KEEPER_ABSENCE_MILLIS = 800;
+
+    /** Time between looks for a keeper while requests wait for one. */
+    private static final long KEEPER_CHECK_MILLIS = 40;
+
     /** Gets the decision about a request, on any thread. */
     interface Decision {
         /** The request is within the limit. */
@@ -38,17 +49,28 @@
          * @param retryAfterMillis when to come back
          */
         void refused(boolean overLimit, long retryAfterMillis);
+
+        /**
+         * Tells how long the request can wait for tokens and still be served in time.
+         *
+         * @return milliseconds from now
+         */
+        long patienceMillis();
     }
 
+    private record Waiting(Decision decision, long untilMillis) {}
+
     /** The state of one organisation. */
     private static final class Desk {
         private final BudgetAccount account;
         private final FixedShare share;
-        private final Deque<Decision> waiting = new ArrayDeque<>();
+        private final Deque<Waiting> waiting = new ArrayDeque<>();
+        private Optional<Long> keeperAwaySince = Optional.empty();
+        private boolean checkScheduled;
 
-        Desk(MillisClock clock) {
+        Desk(MillisClock clock, long startedAtMillis) {
             account = new BudgetAccount(clock, QuotaRules.TOKEN_LIFE_MILLIS);
-            share = new FixedShare(clock);
+            share = new FixedShare(clock, startedAtMillis);
         }
 
         void configure(Organisation organisation, int fleetSize) {
@@ -67,6 +89,7 @@
     private final MillisClock clock;
     private final EventLoop control;
     private final BiFunction<String, Integer, CompletableFuture<BudgetGrant>> keeper;
+    private final long startedAtMillis;
     private final Map<String, Desk> desks = new ConcurrentHashMap<>();
 
     /**
@@ -86,6 +109,7 @@
         this.clock = clock;
         this.control = control;
         this.keeper = keeper;
+        this.startedAtMillis = clock.nowMillis();
     }
 
     /** Takes changed limits and fleet sizes into account. */
@@ -100,7 +124,7 @@
     /** Decides about a request, at once or as soon as the keeper has answered. */
     void admit(Organisation organisation, Decision decision) {
         Desk desk = desks.computeIfAbsent(organisation.name(), name -> {
-            Desk created = new Desk(clock);
+            Desk created = new Desk(clock, startedAtMillis);
             created.configure(organisation, tracker.view().fleetSize());
             return created;
         });
@@ -108,7 +132,7 @@
         synchronized (desk) {
             admitted = desk.waiting.isEmpty() && desk.tryUse();
             if (!admitted) {
-                desk.waiting.addLast(decision);
+                desk.waiting.addLast(new Waiting(decision, clock.nowMillis() + decision.patienceMillis()));
             }
         }
         if (admitted) {
@@ -131,7 +155,7 @@
             long number = call;
             control.execute(() -> keeper.apply(organisation, wanted)
                     .whenComplete((grant, failure) -> answered(organisation, desk, number, grant, failure)));
-        } else {
+        } else if (!awaitKeeper(organisation, desk)) {
             refuseIfPaused(desk);
         }
     }
@@ -141,28 +165,75 @@
         synchronized (desk) {
             if (known) {
                 desk.account.granted(call, grant.tokens(), grant.retryAfterMillis());
+                desk.keeperAwaySince = Optional.empty();
             } else {
                 desk.account.failed();
+                desk.keeperAwaySince = desk.keeperAwaySince.or(() -> Optional.of(clock.nowMillis()));
             }
         }
         serveWaiting(desk);
-        if (!known) {
+        if (known) {
+            fetch(organisation, desk);
+        } else {
+            awaitKeeper(organisation, desk);
+        }
+    }
+
+    /** Lets requests wait while the keeper is away for a short time; tells whether it is away. */
+    private boolean awaitKeeper(String organisation, Desk desk) {
+        boolean lasting;
+        boolean schedule;
+        synchronized (desk) {
+            if (desk.keeperAwaySince.isEmpty()) {
+                return false;
+            }
+            lasting = clock.nowMillis() - desk.keeperAwaySince.get() > KEEPER_ABSENCE_MILLIS;
+            schedule = !lasting && !desk.waiting.isEmpty() && !desk.checkScheduled;
+            desk.checkScheduled |= schedule;
+        }
+        if (lasting) {
             refuseAll(desk, false, UNAVAILABLE_RETRY_MILLIS);
         } else {
-            fetch(organisation, desk);
+            refuseImpatient(desk);
+        }
+        if (schedule) {
+            control.schedule(() -> checkKeeper(organisation, desk), KEEPER_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        return true;
+    }
+
+    private void checkKeeper(String organisation, Desk desk) {
+        synchronized (desk) {
+            desk.checkScheduled = false;
+        }
+        serveWaiting(desk);
+        fetch(organisation, desk);
+    }
+
+    private void refuseImpatient(Desk desk) {
+        while (true) {
+            Waiting first;
+            synchronized (desk) {
+                first = desk.waiting.peekFirst();
+                if (first == null || first.untilMillis() > clock.nowMillis()) {
+                    return;
+                }
+                desk.waiting.removeFirst();
+            }
+            first.decision().refused(false, UNAVAILABLE_RETRY_MILLIS);
         }
     }
 
     private void serveWaiting(Desk desk) {
         while (true) {
-            Decision next;
+            Waiting next;
             synchronized (desk) {
                 if (desk.waiting.isEmpty() || !desk.tryUse()) {
                     return;
                 }
                 next = desk.waiting.pollFirst();
             }
-            next.admitted();
+            next.decision().admitted();
         }
     }
 
@@ -176,14 +247,14 @@
 
     private void refuseAll(Desk desk, boolean overLimit, long retryAfterMillis) {
         while (true) {
-            Decision next;
+            Waiting next;
             synchronized (desk) {
                 next = desk.waiting.pollFirst();
             }
             if (next == null) {
                 return;
             }
-            next.refused(overLimit, retryAfterMillis);
+            next.decision().refused(overLimit, retryAfterMillis);
         }
     }
 }
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -34,6 +34,9 @@
     /** A caller is told to come back after this time if keys have no holder. */
     private static final long OWNER_RETRY_MILLIS = 500;
 
+    /** Part of the remaining time for which a request may wait for tokens; the rest is for the work itself. */
+    private static final double TOKEN_WAIT_PART = 1.0 / 3;
+
     private static final long POOL_RETRY_MILLIS = 200;
     private static final long START_RETRY_MILLIS = 500;
 
@@ -177,6 +180,11 @@
                 "organisation=" + organisationName().orElse("none")));
     }
 
+    @Override
+    public long patienceMillis() {
+        return (long) (remainingMillis() * TOKEN_WAIT_PART);
+    }
+
     private void admittedOnLoop() {
         if (done) {
             return;
--- a/router/src/test/java/org/snipewind/router/lead/NoDocuments.java
+++ b/router/src/test/java/org/snipewind/router/lead/NoDocuments.java
@@ -7,7 +7,7 @@
 import org.snipewind.router.port.DocumentReader;
 
 /** Finds no item of operators or targets in the store. */
-final class NoDocuments implements DocumentReader {
+public final class NoDocuments implements DocumentReader {
 
     @Override
     public Optional<Kind> kindOf(String key) {
--- /dev/null
+++ b/router/src/test/java/org/snipewind/router/path/RateDeskTest.java
@@ -0,0 +1,114 @@
+package org.snipewind.router.path;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.ManualMillisClock;
+import org.snipewind.coordination.routing.Organisation;
+import org.snipewind.protocol.BudgetGrant;
+import org.snipewind.router.lead.NoDocuments;
+import org.snipewind.router.log.DecisionLog;
+import org.snipewind.router.state.FleetTracker;
+
+/**
+ * Load pattern: all instances start at once and callers press on before there is a leader. Guards against refusals that
+ * bring the callers back on new connections at the worst time, and against waits that are in vain.
+ */
+final class RateDeskTest {
+
+    private static final long LONGEST_WAIT_MILLIS = 10_000;
+    private static final int REQUESTS = 5;
+
+    /** Longer than requests wait for a keeper. */
+    private static final long LASTING_ABSENCE_MILLIS = 900;
+
+    private static final class Outcome implements RateDesk.Decision {
+        private final long patience;
+        private volatile String told = "";
+
+        Outcome(long patience) {
+            this.patience = patience;
+        }
+
+        @Override
+        public void admitted() {
+            told = "admitted";
+        }
+
+        @Override
+        public void refused(boolean overLimit, long retryAfterMillis) {
+            told = overLimit ? "over the limit" : "no keeper";
+        }
+
+        @Override
+        public long patienceMillis() {
+            return patience;
+        }
+    }
+
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final ManualMillisClock clock = new ManualMillisClock(100_000);
+    private final Organisation organisation = new Organisation("north", List.of("key"), 10, 10);
+    private volatile boolean keeperPresent;
+    private final RateDesk desk = new RateDesk(
+            new FleetTracker(new NoDocuments(), clock, new DecisionLog("test", clock)),
+            clock,
+            loop,
+            (name, wanted) ->
+                    CompletableFuture.completedFuture(new BudgetGrant(keeperPresent, keeperPresent ? wanted : 0, 0)));
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownNow();
+    }
+
+    private List<Outcome> admit(long patience) throws Exception {
+        List<Outcome> outcomes = new ArrayList<>();
+        for (int request = 0; request < REQUESTS; request++) {
+            Outcome outcome = new Outcome(patience);
+            outcomes.add(outcome);
+            loop.submit(() -> desk.admit(organisation, outcome)).get();
+        }
+        return outcomes;
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_WAIT_MILLIS);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).isLessThan(end);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    @Test
+    void requestsWaitForAKeeperThatIsAwayForAShortTime() throws Exception {
+        List<Outcome> outcomes = admit(400);
+        assertThat(outcomes.stream().allMatch(outcome -> outcome.told.isEmpty()))
+                .isTrue();
+        keeperPresent = true;
+        clock.advance(150);
+        await(() -> outcomes.stream().allMatch(outcome -> outcome.told.equals("admitted")));
+    }
+
+    @Test
+    void aRequestThatCouldNotBeServedInTimeAnyMoreIsRefused() throws Exception {
+        List<Outcome> outcomes = admit(60);
+        clock.advance(61);
+        await(() -> outcomes.stream().allMatch(outcome -> outcome.told.equals("no keeper")));
+    }
+
+    @Test
+    void requestsAreRefusedAtOnceWhileTheKeeperIsAwayForLong() throws Exception {
+        admit(60);
+        clock.advance(LASTING_ABSENCE_MILLIS);
+        List<Outcome> later = admit(2_000);
+        await(() -> later.stream().allMatch(outcome -> outcome.told.equals("no keeper")));
+    }
+}
