--- a/router/src/test/java/org/snipewind/router/lead/LeadershipTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/LeadershipTest.java
@@ -1,12 +1,11 @@
 package org.snipewind.router.lead;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.snipewind.router.Conditions.await;
 
 import io.netty.channel.DefaultEventLoop;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -20,8 +19,6 @@
 /** Guards against a time without a leader that nobody can end, and against two leaders at the end of one. */
 final class LeadershipTest {
 
-    private static final long LONGEST_WAIT_MILLIS = 10_000;
-
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final ManualMillisClock clock = new ManualMillisClock(100_000);
     private final DecisionLog log = new DecisionLog("test", clock);
@@ -47,14 +44,6 @@
         loop.shutdownNow();
     }
 
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_WAIT_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).isLessThan(end);
-            TimeUnit.MILLISECONDS.sleep(5);
-        }
-    }
-
     private void stop() throws Exception {
         loop.submit(leadership::stop).get();
     }
--- a/router/src/test/java/org/snipewind/router/path/RateDeskTest.java
+++ b/router/src/test/java/org/snipewind/router/path/RateDeskTest.java
@@ -1,13 +1,12 @@
 package org.snipewind.router.path;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.snipewind.router.Conditions.await;
 
 import io.netty.channel.DefaultEventLoop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.snipewind.coordination.clock.ManualMillisClock;
@@ -23,7 +22,6 @@
  */
 final class RateDeskTest {
 
-    private static final long LONGEST_WAIT_MILLIS = 10_000;
     private static final int REQUESTS = 5;
 
     /** Longer than requests wait for a keeper. */
@@ -79,14 +77,6 @@
         return outcomes;
     }
 
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_WAIT_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).isLessThan(end);
-            TimeUnit.MILLISECONDS.sleep(5);
-        }
-    }
-
     @Test
     void requestsWaitForAKeeperThatIsAwayForAShortTime() throws Exception {
         List<Outcome> outcomes = admit(400);
--- a/router/src/test/java/org/snipewind/router/state/StoreMirrorTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreMirrorTest.java
@@ -1,6 +1,7 @@
 package org.snipewind.router.state;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.snipewind.router.Conditions.await;
 
 import io.netty.channel.DefaultEventLoop;
 import java.nio.charset.StandardCharsets;
@@ -9,8 +10,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,7 +25,6 @@
 final class StoreMirrorTest {
 
     private static final long START_REVISION = 7;
-    private static final long LONGEST_WAIT_MILLIS = 10_000;
 
     /** Longer than a feed may be silent. */
     private static final long SILENCE_MILLIS = 1_300;
@@ -101,14 +99,6 @@
         loop.shutdownNow();
     }
 
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONGEST_WAIT_MILLIS);
-        while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).isLessThan(end);
-            TimeUnit.MILLISECONDS.sleep(5);
-        }
-    }
-
     private void follow(long from, long to, long ageMillis, StoreChanges.Change... changes) throws Exception {
         loop.submit(() -> mirror.follow(from, to, ageMillis, List.of(changes))).get();
     }
