--- a/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -30,8 +30,7 @@
  * Assigns the keys of one pool while this instance leads. A range changes its holder in three steps: the table with the
  * new and the previous holder is written to the store; the previous holder releases the keys, or its hold runs out; the
  * new holder gets them under a higher epoch. A successor finds each unfinished move in the table. Belongs to the
- * control
- * loop.
+ * control loop.
  */
 final class KeyGrantor {
 
--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -23,8 +23,7 @@
 
 /**
  * Elects this instance as the leader through a leased item of the store and gives the office up in time. A successor
- * may
- * end the lease of a leader that peers can't reach; how long the former one may still act is bounded by its lease.
+ * may end the lease of a leader that peers can't reach; how long the former one may still act is bounded by its lease.
  * Belongs to the control loop.
  */
 public final class Leadership {
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -26,8 +26,7 @@
 
     /**
      * A loop that is late by this much has more requests than processor time. Requests that are read then are refused
-     * at
-     * once, since their callers may have left before an answer is ready.
+     * at once, since their callers may have left before an answer is ready.
      */
     private static final long OVERLOAD_MILLIS = 125;
 
--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -28,8 +28,7 @@
 
     /**
      * Targets whose entries lapsed while the store was away write them again within two seconds of its return; until
-     * then
-     * they stay in service.
+     * then they stay in service.
      */
     private static final long LAPSE_MILLIS = 2_500;
 
