Test the limits under eight times an organisation's rate and a burst of 1.7

Guards the parts of rates that depend on the size of the fleet: at 1, 9 and 84 instances, what runs never exceeds rate and burst by the measure of a bucket that drains at the rate.

--- a/coordination/src/test/java/org/snipewind/coordination/quota/SpreadCallersTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/quota/SpreadCallersTest.java
@@ -14,8 +14,9 @@
 import org.snipewind.coordination.routing.Organisation;
 
 /**
- * Load pattern: callers of one organisation are spread over all instances, so that each sees only few of its requests.
- * Guards against wrongful refusals by tokens that expire unused and by parts of a rate that lie at the wrong instance.
+ * Load patterns: callers of one organisation are spread over all instances, so that each sees only few of its requests;
+ * one organisation sends eight times its rate; a burst of 1.7 times the usual load. Guards against wrongful refusals by
+ * tokens that expire unused and by parts of a rate that lie at the wrong instance, and against work above a limit.
  */
 final class SpreadCallersTest {
 
@@ -27,7 +28,20 @@
     private final ManualMillisClock clock = new ManualMillisClock(1_000);
     private final Random random = new Random(7);
 
+    /**
+     * What became of the requests of a run.
+     *
+     * @param refusedPart part of the requests that were refused
+     * @param largestExcess most requests that ran above the rate at any time, counted as the level of a bucket that
+     *     drains at the rate
+     */
+    private record Result(double refusedPart, double largestExcess) {}
+
     private double refusedPart(int fleetSize, double rate, double demandPart, boolean keeperPresent) {
+        return run(fleetSize, rate, demandPart, keeperPresent).refusedPart();
+    }
+
+    private Result run(int fleetSize, double rate, double demandPart, boolean keeperPresent) {
         Organisation organisation = new Organisation("north", List.of(), rate, rate);
         double keptRate = QuotaRules.keptRate(organisation, fleetSize);
         int keptBurst = QuotaRules.keptBurst(organisation, fleetSize);
@@ -45,8 +59,11 @@
         }
         int sent = 0;
         int refused = 0;
+        double level = 0;
+        double largestExcess = 0;
         for (int milli = 0; milli < SECONDS * 1_000; milli++) {
             clock.advance(1);
+            level = Math.max(0, level - rate / 1_000);
             if (random.nextDouble() >= rate * demandPart / 1_000) {
                 continue;
             }
@@ -57,8 +74,10 @@
                 served = useToken(accounts.get(instance), keeper);
             }
             refused += served ? 0 : 1;
+            level += served ? 1 : 0;
+            largestExcess = Math.max(largestExcess, level);
         }
-        return refused / (double) sent;
+        return new Result(refused / (double) sent, largestExcess);
     }
 
     private boolean useToken(BudgetAccount account, BudgetKeeper keeper) {
@@ -90,6 +109,30 @@
         }
     }
 
+    @Test
+    void anOrganisationAtEightTimesItsRateIsHeldToRateAndBurstAtAnyTime() {
+        for (int fleetSize : List.of(1, 9, 84)) {
+            for (double rate : List.of(15.0, 49.0, 120.0)) {
+                Result result = run(fleetSize, rate, 8, true);
+                assertWithMessage("rate %s at %s instances", rate, fleetSize)
+                        .that(result.largestExcess())
+                        .isAtMost(rate);
+                // Seven of eight requests are above the rate; the burst of the start is served on top of it.
+                assertThat(result.refusedPart()).isAtMost(0.95);
+            }
+        }
+    }
+
+    @Test
+    void aBurstOfSeventeenTenthsOfTheUsualLoadIsServedFromTheBurst() {
+        // The usual load is five eighths of the rate, so the burst is 1.06 times the rate.
+        for (int fleetSize : List.of(9, 84)) {
+            assertWithMessage("%s instances", fleetSize)
+                    .that(refusedPart(fleetSize, 120, 1.7 * 0.625, true))
+                    .isAtMost(0.07);
+        }
+    }
+
     @Test
     void mostRequestsAreServedWhileThereIsNoKeeper() {
         // The fixed part is three fifths of the rate and the demand five eighths of it.
