Read the store anew if a watch does not tell of all changes

A request reached a target 5,027 ms after its data centre was evacuated, while the store's watches were silent and its history was dropped. A watch that ends in such a time names a newer revision without the changes, and the copy went on from there. The feeding instance watches in steps of 0.6 s, so its watches end within the silence, where those of 5 s are cut. Change: an answer whose revision lies above its newest change is followed by a reading of the whole store. The new test fails on the old code.

--- a/router/src/main/java/org/snipewind/router/state/StoreMirror.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreMirror.java
@@ -321,6 +321,12 @@
         store.watch("", from, wait).whenComplete((changes, failure) -> {
             if (failure == null) {
                 noteContact();
+                if (changes.revision() > newestRevision(changes, from)) {
+                    // Each revision is a change, so the watch did not tell of all; going on from there would lose them.
+                    log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + from + " store=" + changes.revision());
+                    reload();
+                    return;
+                }
                 applyAll(changes);
                 completeMillis = clock.nowMillis();
                 boolean feedsOthers = feeding.getAsBoolean();
@@ -343,6 +349,12 @@
         });
     }
 
+    private static long newestRevision(StoreChanges changes, long from) {
+        return changes.changes().stream()
+                .mapToLong(change -> change.item().revision())
+                .reduce(from, Math::max);
+    }
+
     /**
      * Finds what is known about a failed call.
      *
--- a/router/src/test/java/org/snipewind/router/state/StoreMirrorTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreMirrorTest.java
@@ -33,10 +33,11 @@
     private static final class WatchedStore implements CoordinationStore {
         private final List<CompletableFuture<StoreChanges>> watches = new CopyOnWriteArrayList<>();
         private final List<Long> watchedFrom = new CopyOnWriteArrayList<>();
+        private volatile StorePage page = new StorePage(List.of(), false, START_REVISION);
 
         @Override
         public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
-            return CompletableFuture.completedFuture(new StorePage(List.of(), false, START_REVISION));
+            return CompletableFuture.completedFuture(page);
         }
 
         @Override
@@ -153,6 +154,16 @@
         await(() -> store.watches.size() == 2);
     }
 
+    @Test
+    void changesOfWhichAWatchDoesNotTellAreRead() throws Exception {
+        store.page = new StorePage(List.of(written("evacuated", 9).item()), false, 9);
+        CompletableFuture<StoreChanges> first = store.watches.get(0);
+        loop.submit(() -> first.complete(new StoreChanges(List.of(), 9))).get();
+        await(() -> store.watches.size() == 2);
+        assertThat(seen).containsExactly("evacuated=9");
+        assertThat(store.watchedFrom.get(1)).isEqualTo(9);
+    }
+
     @Test
     void theFeedingInstanceWatchesTheStoreAndPassesItsChangesOn() throws Exception {
         List<String> passedOn = new ArrayList<>();
