Translate store items in one place, and refuse waiting requests by one loop

The conversion between an item of the store and its message stood in four places, and the application of a feed's message lay in the class of the connections; both have a class of their own now. RateDesk had two loops that differed only in which waiting requests they refuse.

--- a/router/src/main/java/org/snipewind/router/path/RateDesk.java
+++ b/router/src/main/java/org/snipewind/router/path/RateDesk.java
@@ -192,9 +192,9 @@
             desk.checkScheduled |= schedule;
         }
         if (lasting) {
-            refuseAll(desk, false, UNAVAILABLE_RETRY_MILLIS);
+            refuseWaiting(desk, Long.MAX_VALUE, false, UNAVAILABLE_RETRY_MILLIS);
         } else {
-            refuseImpatient(desk);
+            refuseWaiting(desk, clock.nowMillis(), false, UNAVAILABLE_RETRY_MILLIS);
         }
         if (schedule) {
             control.schedule(() -> checkKeeper(organisation, desk), KEEPER_CHECK_MILLIS, TimeUnit.MILLISECONDS);
@@ -210,20 +210,6 @@
         fetch(organisation, desk);
     }
 
-    private void refuseImpatient(Desk desk) {
-        while (true) {
-            Waiting first;
-            synchronized (desk) {
-                first = desk.waiting.peekFirst();
-                if (first == null || first.untilMillis() > clock.nowMillis()) {
-                    return;
-                }
-                desk.waiting.removeFirst();
-            }
-            first.decision().refused(false, UNAVAILABLE_RETRY_MILLIS);
-        }
-    }
-
     private void serveWaiting(Desk desk) {
         while (true) {
             Waiting next;
@@ -241,20 +227,22 @@
     private void refuseIfPaused(Desk desk) {
         long pause = desk.account.retryNotBeforeMillis() - clock.nowMillis();
         if (pause > 0) {
-            refuseAll(desk, true, pause);
+            refuseWaiting(desk, Long.MAX_VALUE, true, pause);
         }
     }
 
-    private void refuseAll(Desk desk, boolean overLimit, long retryAfterMillis) {
+    /** Refuses the requests at the head of the queue that wait until a time or less long. */
+    private void refuseWaiting(Desk desk, long untilMillis, boolean overLimit, long retryAfterMillis) {
         while (true) {
-            Waiting next;
+            Waiting first;
             synchronized (desk) {
-                next = desk.waiting.pollFirst();
-            }
-            if (next == null) {
-                return;
+                first = desk.waiting.peekFirst();
+                if (first == null || first.untilMillis() > untilMillis) {
+                    return;
+                }
+                desk.waiting.removeFirst();
             }
-            next.decision().refused(overLimit, retryAfterMillis);
+            first.decision().refused(overLimit, retryAfterMillis);
         }
     }
 }
--- a/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
+++ b/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
@@ -206,9 +206,8 @@
 
     private void adopt(PeerMessage answer) {
         if (answer instanceof MirrorAnswer copy) {
-            List<StoreItem> items = copy.items().stream()
-                    .map(item -> new StoreItem(item.key(), item.value(), item.revision(), item.lease()))
-                    .toList();
+            List<StoreItem> items =
+                    copy.items().stream().map(MirrorItems::toStore).toList();
             mirror.adopt(copy.revision(), copy.storeAgeMillis(), items);
         }
     }
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/peer/MirrorItems.java
@@ -0,0 +1,18 @@
+package org.snipewind.router.peer;
+
+import org.snipewind.protocol.MirrorAnswer;
+import org.snipewind.router.port.StoreItem;
+
+/** Translates items of the store into messages between instances and back. */
+final class MirrorItems {
+
+    private MirrorItems() {}
+
+    static MirrorAnswer.Item toMessage(StoreItem item) {
+        return new MirrorAnswer.Item(item.key(), item.revision(), item.lease(), item.value());
+    }
+
+    static StoreItem toStore(MirrorAnswer.Item item) {
+        return new StoreItem(item.key(), item.value(), item.revision(), item.lease());
+    }
+}
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -3,11 +3,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.security.SecureRandom;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -26,13 +23,11 @@
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.CoordinationStore;
-import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StoreWrite;
 import org.snipewind.router.state.MemberRecord;
 import org.snipewind.router.state.StoreKeys;
 import org.snipewind.router.state.StoreMirror;
-import org.snipewind.router.state.TablePatch;
 
 /** Connections to the other instances, which know each other by a secret in the store. */
 public final class PeerNetwork {
@@ -43,6 +38,7 @@
 
     private final CoordinationStore store;
     private final StoreMirror mirror;
+    private final DeltaReader deltas;
     private final LeaderDuties duties;
     private final EventLoop loop;
     private final EventLoopGroup loops;
@@ -75,6 +71,7 @@
             int port) {
         this.store = store;
         this.mirror = mirror;
+        this.deltas = new DeltaReader(mirror);
         this.duties = duties;
         this.loop = loop;
         this.loops = loops;
@@ -152,15 +149,13 @@
             return Optional.of(duties.issue(request));
         }
         if (message instanceof MirrorDelta delta) {
-            follow(delta);
+            deltas.follow(delta);
             return Optional.empty();
         }
         if (message instanceof MirrorRequest request) {
             List<MirrorAnswer.Item> items = request.knownRevision() >= mirror.revision()
                     ? List.of()
-                    : mirror.snapshot().stream()
-                            .map(item -> new MirrorAnswer.Item(item.key(), item.revision(), item.lease(), item.value()))
-                            .toList();
+                    : mirror.snapshot().stream().map(MirrorItems::toMessage).toList();
             return Optional.of(
                     new MirrorAnswer(mirror.revision(), mirror.ageMillis(), now() - leaderHeardMillis, items));
         }
@@ -171,35 +166,6 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
-    private void follow(MirrorDelta delta) {
-        List<StoreChanges.Change> changes = new ArrayList<>();
-        delta.written().forEach(item -> changes.add(change(item, false)));
-        delta.removed().forEach(item -> changes.add(change(item, true)));
-        Map<String, StoreItem> tables = new HashMap<>();
-        changes.forEach(change -> tables.put(change.item().key(), change.item()));
-        for (MirrorDelta.Patch patch : delta.patches()) {
-            Optional<StoreItem> base =
-                    Optional.ofNullable(tables.get(patch.key())).or(() -> mirror.item(patch.key()));
-            if (base.isPresent() && base.get().revision() >= patch.revision()) {
-                continue;
-            }
-            Optional<StoreItem> patched = base.filter(item -> item.revision() == patch.baseRevision())
-                    .flatMap(item -> TablePatch.apply(item.value(), patch.content()))
-                    .map(value -> new StoreItem(patch.key(), value, patch.revision(), 0));
-            if (patched.isEmpty()) {
-                mirror.missedChanges();
-                return;
-            }
-            tables.put(patch.key(), patched.get());
-            changes.add(new StoreChanges.Change(patched.get(), false));
-        }
-        mirror.follow(delta.fromRevision(), delta.toRevision(), delta.storeAgeMillis(), changes);
-    }
-
-    private static StoreChanges.Change change(MirrorAnswer.Item item, boolean removed) {
-        return new StoreChanges.Change(new StoreItem(item.key(), item.value(), item.revision(), item.lease()), removed);
-    }
-
     /**
      * Sends a message to all other instances and awaits no answer.
      *
--- a/router/src/main/java/org/snipewind/router/peer/StoreFeed.java
+++ b/router/src/main/java/org/snipewind/router/peer/StoreFeed.java
@@ -77,7 +77,7 @@
             if (patch.isPresent()) {
                 patches.add(patch.get());
             } else {
-                (change.removed() ? removed : written).add(item(change.item()));
+                (change.removed() ? removed : written).add(MirrorItems.toMessage(change.item()));
             }
         }
         MirrorDelta delta =
@@ -94,8 +94,4 @@
                 .flatMap(base -> TablePatch.difference(base.value(), item.value())
                         .map(content -> new MirrorDelta.Patch(item.key(), base.revision(), item.revision(), content)));
     }
-
-    private static MirrorAnswer.Item item(StoreItem item) {
-        return new MirrorAnswer.Item(item.key(), item.revision(), item.lease(), item.value());
-    }
 }
