--- a/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyGrantor.java
@@ -309,7 +309,7 @@
                     RouterEvent.STORE_CALL_FAILED,
                     () -> "call=write of the table pool=" + pool + " revision=" + expectedRevision + " cause="
                             + failure.getMessage());
-            if (opened && StoreMirror.kindOf(failure) == StoreException.Kind.CONFLICT) {
+            if (opened && StoreException.kindOf(failure) == StoreException.Kind.CONFLICT) {
                 // Another leader wrote; its table counts, under a new epoch if this instance still leads.
                 opened = false;
                 tasks.forEach(MoveTask::drop);
--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -132,7 +132,7 @@
         vacating = true;
         store.endLease(lease).whenComplete((done, failure) -> {
             vacating = false;
-            if (failure != null && StoreMirror.kindOf(failure) == StoreException.Kind.REFUSED) {
+            if (failure != null && StoreException.kindOf(failure) == StoreException.Kind.REFUSED) {
                 log.write(
                         RouterEvent.STORE_CALL_FAILED,
                         () -> "call=end of the leader's lease valid=" + (validUntilMillis - clock.nowMillis())
@@ -179,7 +179,7 @@
             if (failure == null) {
                 mirror.noteContact();
                 validUntilMillis = now + LeaderTimes.LEASE_MILLIS - LeaderTimes.LEASE_MARGIN_MILLIS;
-            } else if (StoreMirror.kindOf(failure) == StoreException.Kind.LEASE_ENDED && leading) {
+            } else if (StoreException.kindOf(failure) == StoreException.Kind.LEASE_ENDED && leading) {
                 end("the lease has ended");
             } else {
                 log.write(
@@ -243,7 +243,7 @@
 
     private void abandonClaim(Throwable failure) {
         claimAtMillis = clock.nowMillis() + CLAIM_PAUSE_MILLIS;
-        if (lease != 0 && StoreMirror.kindOf(failure) != StoreException.Kind.CONFLICT) {
+        if (lease != 0 && StoreException.kindOf(failure) != StoreException.Kind.CONFLICT) {
             // The write may have taken effect or may do so later; without its lease it can't.
             endLease(lease);
         }
--- a/router/src/main/java/org/snipewind/router/lead/TableWriter.java
+++ b/router/src/main/java/org/snipewind/router/lead/TableWriter.java
@@ -47,7 +47,7 @@
     }
 
     private static boolean isRefused(Throwable failure) {
-        return StoreMirror.kindOf(failure) == StoreException.Kind.REFUSED;
+        return StoreException.kindOf(failure) == StoreException.Kind.REFUSED;
     }
 
     private CompletableFuture<Long> readBack(byte[] value, long expectedRevision) {
--- a/router/src/main/java/org/snipewind/router/port/StoreException.java
+++ b/router/src/main/java/org/snipewind/router/port/StoreException.java
@@ -40,4 +40,21 @@
     public Kind kind() {
         return kind;
     }
+
+    /**
+     * Finds what is known about a failed call.
+     *
+     * @param failure failure of a store call, possibly wrapped
+     * @return the kind
+     */
+    public static Kind kindOf(Throwable failure) {
+        Throwable cause = failure;
+        while (cause != null) {
+            if (cause instanceof StoreException known) {
+                return known.kind();
+            }
+            cause = cause.getCause();
+        }
+        return Kind.UNKNOWN;
+    }
 }
--- a/router/src/main/java/org/snipewind/router/state/Membership.java
+++ b/router/src/main/java/org/snipewind/router/state/Membership.java
@@ -98,7 +98,7 @@
             if (failure == null) {
                 mirror.noteContact();
                 loop.schedule(this::renew, RENEW_MILLIS, TimeUnit.MILLISECONDS);
-            } else if (StoreMirror.kindOf(failure) == StoreException.Kind.LEASE_ENDED) {
+            } else if (StoreException.kindOf(failure) == StoreException.Kind.LEASE_ENDED) {
                 mirror.noteContact();
                 join();
             } else {
--- a/router/src/main/java/org/snipewind/router/state/StoreMirror.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreMirror.java
@@ -2,12 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -55,10 +51,7 @@
     private final EventLoop loop;
     private final MillisClock clock;
     private final DecisionLog log;
-    private final MirrorListener listener;
-    private final Map<String, StoreItem> items = new HashMap<>();
-    private final Map<String, Long> removals = new HashMap<>();
-    private long revision;
+    private final ItemCopy copy;
     private boolean loaded;
     private long contactMillis;
     private long relayMillis;
@@ -97,7 +90,7 @@
         this.loop = loop;
         this.clock = clock;
         this.log = log;
-        this.listener = listener;
+        this.copy = new ItemCopy(listener);
         this.contactMillis = clock.nowMillis();
         this.relayMillis = contactMillis - LOST_MILLIS;
     }
@@ -125,7 +118,7 @@
         if (lost) {
             lost = false;
             regainedMillis = contactMillis;
-            log.write(RouterEvent.STORE_REGAINED, () -> "revision=" + revision);
+            log.write(RouterEvent.STORE_REGAINED, () -> "revision=" + copy.revision());
         }
     }
 
@@ -180,7 +173,7 @@
      * @return the revision
      */
     public long revision() {
-        return revision;
+        return copy.revision();
     }
 
     /**
@@ -190,7 +183,7 @@
      * @return the item, or empty
      */
     public Optional<StoreItem> item(String key) {
-        return Optional.ofNullable(items.get(key));
+        return copy.item(key);
     }
 
     /**
@@ -199,7 +192,7 @@
      * @return a copy of the list
      */
     public List<StoreItem> snapshot() {
-        return List.copyOf(items.values());
+        return copy.snapshot();
     }
 
     /**
@@ -208,8 +201,7 @@
      * @param item the item with its revision
      */
     public void noteWritten(StoreItem item) {
-        apply(item);
-        listener.settled();
+        copy.write(item);
     }
 
     /**
@@ -221,11 +213,13 @@
      */
     public void adopt(long peerRevision, long ageMillis, List<StoreItem> peerItems) {
         relayMillis = Math.max(relayMillis, clock.nowMillis() - ageMillis);
-        if (peerRevision <= revision || peerItems.isEmpty()) {
+        long before = copy.revision();
+        if (peerRevision <= before || peerItems.isEmpty()) {
             return;
         }
-        log.write(RouterEvent.MIRROR_RELAYED, () -> "revision=" + peerRevision + " before=" + revision);
-        replaceAll(peerItems, peerRevision);
+        log.write(RouterEvent.MIRROR_RELAYED, () -> "revision=" + peerRevision + " before=" + before);
+        copy.replaceAll(peerItems, peerRevision);
+        loaded = true;
     }
 
     /**
@@ -238,14 +232,14 @@
      * @param changes the changes
      */
     public void follow(long from, long to, long ageMillis, List<StoreChanges.Change> changes) {
-        if (!loaded || from > revision) {
+        if (!loaded || from > copy.revision()) {
             missedChanges();
             return;
         }
         long confirmed = clock.nowMillis() - ageMillis;
         fedMillis = Math.max(fedMillis, confirmed);
         relayMillis = Math.max(relayMillis, confirmed);
-        applyAll(new StoreChanges(changes, to));
+        copy.applyAll(new StoreChanges(changes, to));
     }
 
     /** Notes that changes of another instance are missing, so that the own watch brings them. */
@@ -260,7 +254,7 @@
     private void checkContact() {
         if (!lost && contactAgeMillis() > LOST_MILLIS) {
             lost = true;
-            log.write(RouterEvent.STORE_LOST, () -> "age=" + contactAgeMillis() + "ms revision=" + revision);
+            log.write(RouterEvent.STORE_LOST, () -> "age=" + contactAgeMillis() + "ms revision=" + copy.revision());
         }
     }
 
@@ -283,8 +277,9 @@
             if (page.more() && !page.items().isEmpty()) {
                 return readPages(read, Optional.of(lastKey(page)), from);
             }
-            if (from >= revision) {
-                replaceAll(read, from);
+            if (from >= copy.revision()) {
+                copy.replaceAll(read, from);
+                loaded = true;
                 completeMillis = clock.nowMillis();
             }
             return CompletableFuture.completedFuture(null);
@@ -295,28 +290,12 @@
         return page.items().get(page.items().size() - 1).key();
     }
 
-    private void replaceAll(List<StoreItem> all, long newRevision) {
-        Set<String> present = new HashSet<>();
-        for (StoreItem item : all) {
-            present.add(item.key());
-            apply(item);
-        }
-        for (String key : List.copyOf(items.keySet())) {
-            if (!present.contains(key) && items.get(key).revision() <= newRevision) {
-                remove(key, newRevision);
-            }
-        }
-        revision = Math.max(revision, newRevision);
-        loaded = true;
-        listener.settled();
-    }
-
     private void watch() {
         if (isFed()) {
             loop.schedule(this::watch, FED_CHECK_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        long from = revision;
+        long from = copy.revision();
         store.watch("", from, WATCH_MILLIS).whenComplete((changes, failure) -> {
             if (failure == null) {
                 noteContact();
@@ -326,7 +305,7 @@
                     reload();
                     return;
                 }
-                applyAll(changes);
+                copy.applyAll(changes);
                 completeMillis = clock.nowMillis();
                 boolean feedsOthers = feeding.getAsBoolean();
                 if (feedsOthers) {
@@ -338,7 +317,7 @@
                     long pause = feedsOthers ? FEEDING_COALESCE_MILLIS : COALESCE_MILLIS;
                     loop.schedule(this::watch, pause, TimeUnit.MILLISECONDS);
                 }
-            } else if (kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
+            } else if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
                 noteContact();
                 log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + from);
                 reload();
@@ -354,60 +333,6 @@
                 .reduce(from, Math::max);
     }
 
-    /**
-     * Finds what is known about a failed call.
-     *
-     * @param failure failure of a store call, possibly wrapped
-     * @return the kind
-     */
-    public static StoreException.Kind kindOf(Throwable failure) {
-        Throwable cause = failure;
-        while (cause != null) {
-            if (cause instanceof StoreException known) {
-                return known.kind();
-            }
-            cause = cause.getCause();
-        }
-        return StoreException.Kind.UNKNOWN;
-    }
-
-    private void applyAll(StoreChanges changes) {
-        for (StoreChanges.Change change : changes.changes()) {
-            if (change.removed()) {
-                remove(change.item().key(), change.item().revision());
-            } else {
-                apply(change.item());
-            }
-        }
-        revision = Math.max(revision, changes.revision());
-        if (!changes.changes().isEmpty()) {
-            listener.settled();
-        }
-    }
-
-    private void apply(StoreItem item) {
-        StoreItem known = items.get(item.key());
-        boolean older = known != null && known.revision() >= item.revision();
-        if (older || removals.getOrDefault(item.key(), 0L) >= item.revision()) {
-            return;
-        }
-        items.put(item.key(), item);
-        removals.remove(item.key());
-        listener.changed(item);
-    }
-
-    private void remove(String key, long removedAt) {
-        StoreItem known = items.get(key);
-        if (known != null && known.revision() > removedAt) {
-            return;
-        }
-        // Remembered so that an older state that arrives by another way does not bring the item back.
-        removals.merge(key, removedAt, Math::max);
-        if (items.remove(key) != null) {
-            listener.removed(key);
-        }
-    }
-
     private void retry(Runnable task) {
         long delay = ThreadLocalRandom.current().nextLong(RETRY_MILLIS / 2, RETRY_MILLIS * 2);
         loop.schedule(task, delay, TimeUnit.MILLISECONDS);
