Split the choice of a target from the life of a request

TargetRouting finds the owner of a key or a target of an undivided pool, or says why there is none and whether a short wait may help. No behaviour changes; the tests of the router pass.

--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -1,5 +1,6 @@
 package org.snipewind.router.path;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -10,8 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Execution;
-import org.snipewind.coordination.keyspace.KeyAssignment;
-import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.routing.Organisation;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.routing.Route;
@@ -31,13 +30,9 @@
     /** Longest wait for keys that are on their way to a new holder; moves mostly take less than half of it. */
     private static final long OWNER_WAIT_MILLIS = 400;
 
-    /** A caller is told to come back after this time if keys have no holder. */
-    private static final long OWNER_RETRY_MILLIS = 500;
-
     /** Part of the remaining time for which a request may wait for tokens; the rest is for the work itself. */
     private static final double TOKEN_WAIT_PART = 1.0 / 3;
 
-    private static final long POOL_RETRY_MILLIS = 200;
     private static final long START_RETRY_MILLIS = 500;
 
     /** A target that refused a keyed request is asked again after this time, as no other target may run it. */
@@ -46,17 +41,9 @@
     /** Sends to the owner of a key, which counts as one target, before the caller is told to come back. */
     private static final int MAX_SENDS_TO_OWNER = 4;
 
-    /** Waiting requests for each slot of a target that are accepted; longer queues only grow old. */
-    private static final double QUEUE_FACTOR = 2.5;
-
     /** Part of the latency objective after which an idempotent request is also sent to a second target. */
     private static final double HEDGE_PART = 0.6;
 
-    /** Part of a target's connections that requests use, so that other uses and uneven shares do not exceed it. */
-    private static final double CONNECTION_PART = 0.8;
-
-    private static final int MIN_CONNECTIONS = 2;
-
     private final Worker worker;
     private final PathContext context;
     private final CallerRequest request;
@@ -149,7 +136,7 @@
                 .pool(route.poolFor(ThreadLocalRandom.current().nextDouble()))
                 .orElse(null);
         if (pool == null) {
-            refuse(ErrorKind.POOL_UNAVAILABLE, POOL_RETRY_MILLIS, "pool is not configured");
+            refuse(ErrorKind.POOL_UNAVAILABLE, TargetRouting.POOL_RETRY_MILLIS, "pool is not configured");
             return;
         }
         if (pool.keyed() && headers.shardKey().isEmpty()) {
@@ -200,87 +187,34 @@
         if (done || !active.isEmpty()) {
             return;
         }
-        if (pool.keyed()) {
-            routeToOwner();
-        } else {
-            routeToPool();
-        }
-    }
-
-    private void routeToPool() {
-        FleetView view = context.tracker().view();
-        long now = context.clock().nowMillis();
-        List<TargetState> targets = view.inService().getOrDefault(pool.name(), List.of());
-        int limit = connectionLimit(view);
-        Optional<TargetState> chosen = worker.chooser().choose(targets, now, target -> canTake(target, now, limit));
-        if (chosen.isEmpty()) {
-            endWithout(
-                    targets.isEmpty() ? ErrorKind.POOL_UNAVAILABLE : ErrorKind.OVERLOADED,
-                    POOL_RETRY_MILLIS,
-                    "targets=" + targets.size() + " tried=" + tried.size());
-            return;
-        }
-        if (chosen.get().isCold(now)
-                && !context.tables().pace(pool, chosen.get()).tryTake()) {
-            endWithout(
-                    ErrorKind.OVERLOADED,
-                    POOL_RETRY_MILLIS,
-                    "cold target=" + chosen.get().entry().id());
-            return;
-        }
-        send(chosen.get());
+        routeOnce();
     }
 
-    private boolean canTake(TargetState target, long now, int limit) {
-        return !tried.contains(target.entry().life())
-                && !target.isFull(now, QUEUE_FACTOR)
-                && worker.connections().hasRoom(target.entry(), limit)
-                && (!target.isCold(now) || context.tables().pace(pool, target).hasRoom());
+    /** Sends the request to the target that its pool has for it now, or ends it or lets it wait for one. */
+    private void routeOnce() {
+        Either<TargetRouting.Unrouted, TargetState> found = pool.keyed()
+                ? worker.routing().toOwner(pool, headers.shardKey().getAsInt())
+                : worker.routing().toPool(pool, tried);
+        found.peek(this::send).peekLeft(this::notRouted);
     }
 
-    private int connectionLimit(FleetView view) {
-        return Math.max(MIN_CONNECTIONS, (int) (pool.maxConnections() * CONNECTION_PART / view.fleetSize()));
-    }
-
-    private void routeToOwner() {
-        FleetView view = context.tracker().view();
-        long now = context.clock().nowMillis();
-        int key = headers.shardKey().getAsInt();
-        Optional<KeyAssignment> assignment =
-                view.tables().getOrDefault(pool.name(), KeyTable.EMPTY).find(key);
-        if (assignment.isEmpty() || assignment.get().isMoving()) {
-            waitForOwner(now, "key=" + key + " moving=" + assignment.isPresent());
-            return;
-        }
-        KeyAssignment owner = assignment.get();
-        Optional<TargetState> target = view.serving(owner.holder());
-        if (target.isEmpty()) {
-            waitForOwner(now, "key=" + key + " holder=" + owner.holder() + " is not in service");
-            return;
-        }
-        TargetState state = target.get();
-        String inputs = "key=" + key + " holder=" + owner.holder() + " epoch=" + owner.epoch() + " in-flight="
-                + state.inFlight() + " expected=" + Math.round(state.expectedMillis(now)) + "ms";
-        if (state.isUnanswering(now)) {
-            endWithout(ErrorKind.TARGET_UNREACHABLE, OWNER_RETRY_MILLIS, inputs);
-        } else if (state.isFull(now, QUEUE_FACTOR)
-                || !worker.connections().hasRoom(state.entry(), connectionLimit(view))) {
-            endWithout(ErrorKind.OVERLOADED, (long) state.serviceMillis(), inputs);
-        } else if (state.isCold(now) && !context.tables().pace(pool, state).tryTake()) {
-            endWithout(ErrorKind.OVERLOADED, POOL_RETRY_MILLIS, inputs + " cold=true");
+    private void notRouted(TargetRouting.Unrouted unrouted) {
+        if (unrouted.ownerMayCome()) {
+            waitForOwner(unrouted);
         } else {
-            send(state);
+            endWithout(unrouted.kind(), unrouted.retryAfterMillis(), unrouted.inputs());
         }
     }
 
-    private void waitForOwner(long now, String inputs) {
+    private void waitForOwner(TargetRouting.Unrouted unrouted) {
+        long now = context.clock().nowMillis();
         if (ownerWaitUntilMillis < 0) {
             // Half of the time is kept for the work itself.
             ownerWaitUntilMillis = now + Math.min(OWNER_WAIT_MILLIS, remainingMillis() / 2);
             schedule(this::endOwnerWait, ownerWaitUntilMillis - now);
         }
         if (now >= ownerWaitUntilMillis) {
-            endWithout(ErrorKind.OWNER_UNAVAILABLE, OWNER_RETRY_MILLIS, inputs);
+            endWithout(unrouted.kind(), unrouted.retryAfterMillis(), unrouted.inputs());
         } else {
             worker.waitForOwner(this);
         }
@@ -318,7 +252,7 @@
 
     private void hedge() {
         if (!done && active.size() == 1 && attempts < route.maxAttempts() && takeRepeat("hedge")) {
-            routeToPool();
+            routeOnce();
         }
     }
 
@@ -367,7 +301,7 @@
             attempts--;
         }
         // The owner of a key may run the request as soon as a slot is free; no other target can.
-        long retryMillis = pool.keyed() ? (long) attempt.target().serviceMillis() : POOL_RETRY_MILLIS;
+        long retryMillis = pool.keyed() ? (long) attempt.target().serviceMillis() : TargetRouting.POOL_RETRY_MILLIS;
         if (!repeatable || !mayRepeat()) {
             endWithout(kind, retryMillis, detail);
         } else if (arrived && !takeRepeat(kind.wireName())) {
@@ -397,7 +331,7 @@
         active.clear();
         refuse(
                 mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : ErrorKind.OVERLOADED,
-                POOL_RETRY_MILLIS,
+                TargetRouting.POOL_RETRY_MILLIS,
                 "time is up after " + (context.clock().nowMillis() - arrivedMillis) + "ms attempts=" + attempts);
     }
 
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -33,7 +33,7 @@
     private final EventLoop loop;
     private final PathContext context;
     private final TargetConnections connections;
-    private final TargetChooser chooser;
+    private final TargetRouting routing;
     private final Set<RoutedRequest> waiting = new LinkedHashSet<>();
     private long tickedAtMillis;
     private final AtomicInteger inProgress = new AtomicInteger();
@@ -42,11 +42,14 @@
         this.loop = loop;
         this.context = context;
         this.connections = new TargetConnections(loop, context.clock());
-        this.chooser = new TargetChooser(
-                context.dataCentre(),
-                REMOTE_FACTOR,
-                REMOTE_MILLIS,
-                () -> ThreadLocalRandom.current().nextDouble());
+        this.routing = new TargetRouting(
+                context,
+                connections,
+                new TargetChooser(
+                        context.dataCentre(),
+                        REMOTE_FACTOR,
+                        REMOTE_MILLIS,
+                        () -> ThreadLocalRandom.current().nextDouble()));
         this.tickedAtMillis = context.clock().nowMillis();
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::tidy, TIDY_MILLIS, TIDY_MILLIS, TimeUnit.MILLISECONDS);
@@ -74,8 +77,8 @@
         return connections;
     }
 
-    TargetChooser chooser() {
-        return chooser;
+    TargetRouting routing() {
+        return routing;
     }
 
     int inProgress() {
