--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/ActivityLog.java
@@ -0,0 +1,66 @@
+package org.snipewind.router;
+
+import com.codahale.metrics.Counter;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.router.log.DecisionLog;
+import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.metrics.DaemonMetrics;
+
+/**
+ * Writes at a fixed interval what the instance did, so that a failure can be explained from the log alone: processor
+ * time and the growth of each counter since the last line. Belongs to the control loop.
+ */
+final class ActivityLog {
+
+    /** Time between lines: one line is cheap, and a failure of a few seconds still shows. */
+    static final long INTERVAL_MILLIS = 5_000;
+
+    private final DaemonMetrics metrics;
+    private final DecisionLog log;
+    private final MillisClock clock;
+    private final Map<String, Long> written = new HashMap<>();
+    private long writtenAtMillis;
+    private long processorMillis;
+
+    ActivityLog(DaemonMetrics metrics, DecisionLog log, MillisClock clock) {
+        this.metrics = metrics;
+        this.log = log;
+        this.clock = clock;
+        this.writtenAtMillis = clock.nowMillis();
+    }
+
+    /** Writes a line for the time since the last one. */
+    void write() {
+        Map<String, Long> grown = new TreeMap<>();
+        metrics.registry().getCounters().forEach((name, counter) -> addGrowth(grown, name, counter));
+        long now = clock.nowMillis();
+        long interval = now - writtenAtMillis;
+        long processor = ProcessHandle.current()
+                .info()
+                .totalCpuDuration()
+                .map(Duration::toMillis)
+                .orElse(0L);
+        long used = processor - processorMillis;
+        writtenAtMillis = now;
+        processorMillis = processor;
+        log.write(RouterEvent.INSTANCE_ACTIVITY, () -> {
+            StringBuilder line = new StringBuilder("interval=" + interval + "ms processor=" + used + "ms");
+            grown.forEach(
+                    (name, growth) -> line.append(' ').append(name).append('=').append(growth.longValue()));
+            return line.toString();
+        });
+    }
+
+    private void addGrowth(Map<String, Long> grown, String name, Counter counter) {
+        long count = counter.getCount();
+        long before = written.getOrDefault(name, 0L);
+        if (count != before) {
+            written.put(name, count);
+            grown.put(name, count - before);
+        }
+    }
+}
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -67,7 +67,9 @@
     private final SharedTables tables;
     private final CallerServer callers;
     private volatile boolean stopping;
+    private final ActivityLog activity;
     private boolean wasReady;
+    private long tickedAtMillis;
 
     /**
      * Creates an instance that does nothing yet.
@@ -104,6 +106,7 @@
                 control,
                 controlGroup,
                 log,
+                metrics,
                 self,
                 settings.peers().getPort());
         duties.attach(leadership);
@@ -117,6 +120,7 @@
                 controlGroup,
                 workerGroup,
                 new PathContext(tracker, tables, rates, dialect, clock, metrics, log, settings.dataCentre()));
+        activity = new ActivityLog(metrics, log, clock);
         registerGauges();
     }
 
@@ -151,7 +155,10 @@
         leadership.start();
         reporter.start();
         feed.start();
+        tickedAtMillis = clock.nowMillis();
         control.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        control.scheduleAtFixedRate(
+                activity::write, ActivityLog.INTERVAL_MILLIS, ActivityLog.INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         new TextServer(controlGroup, uri -> readiness()).start(settings.readiness());
         new TextServer(controlGroup, uri -> new TextServer.Text(OK, PrometheusText.write(metrics.registry())))
                 .start(settings.metrics());
@@ -191,6 +198,9 @@
     }
 
     private void tick() {
+        long now = clock.nowMillis();
+        metrics.countDelay("loops.control-late-millis", now - tickedAtMillis - TICK_MILLIS);
+        tickedAtMillis = now;
         tracker.removeLapsed();
         duties.tick();
         boolean ready = isReady();
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -19,6 +19,8 @@
     SETTINGS_RELOADED(5006, Level.INFO),
     /** The settings file can't be used; the settings in force stay. */
     SETTINGS_REJECTED(5007, Level.WARNING),
+    /** What the instance did since the last such line, as the growth of its counters. */
+    INSTANCE_ACTIVITY(5008, Level.INFO),
     /** The store does not answer. */
     STORE_LOST(5101, Level.WARNING),
     /** The store answers again. */
--- a/router/src/main/java/org/snipewind/router/metrics/DaemonMetrics.java
+++ b/router/src/main/java/org/snipewind/router/metrics/DaemonMetrics.java
@@ -64,6 +64,18 @@
         registry.counter(name).inc();
     }
 
+    /**
+     * Adds up the time by which the ticks of a loop are late; its growth is the time in which the loop could not run.
+     *
+     * @param name metric name
+     * @param lateMillis milliseconds by which a tick is late, 0 or less if it is not
+     */
+    public void countDelay(String name, long lateMillis) {
+        if (lateMillis > 0) {
+            registry.counter(name).inc(lateMillis);
+        }
+    }
+
     /**
      * Records the time of an answered request.
      *
--- a/router/src/main/java/org/snipewind/router/path/TargetConnections.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetConnections.java
@@ -13,6 +13,7 @@
 import org.snipewind.coordination.target.TargetEntry;
 import org.snipewind.router.http.HttpConnection;
 import org.snipewind.router.http.HttpConnector;
+import org.snipewind.router.metrics.DaemonMetrics;
 
 /** Kept connections of one worker to the targets, at most a fixed number to each; belongs to the worker's loop. */
 final class TargetConnections {
@@ -38,11 +39,13 @@
 
     private final EventLoop loop;
     private final MillisClock clock;
+    private final DaemonMetrics metrics;
     private final Map<String, Kept> byLife = new HashMap<>();
 
-    TargetConnections(EventLoop loop, MillisClock clock) {
+    TargetConnections(EventLoop loop, MillisClock clock, DaemonMetrics metrics) {
         this.loop = loop;
         this.clock = clock;
+        this.metrics = metrics;
     }
 
     /** Tells whether a request could be sent to the target now. */
@@ -56,10 +59,12 @@
         Kept kept = byLife.computeIfAbsent(target.life(), life -> new Kept());
         Optional<HttpConnection> idle = takeIdle(kept, onceOnly);
         if (idle.isPresent()) {
+            metrics.count("connections.reused");
             opened.accept(idle.get());
             return;
         }
         kept.open++;
+        metrics.count("connections.opened");
         HttpConnector.open(
                 loop,
                 new InetSocketAddress(target.host(), target.port()),
@@ -69,6 +74,7 @@
                 opened,
                 cause -> {
                     kept.open--;
+                    metrics.count("connections.refused");
                     refused.accept(cause);
                 });
     }
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -41,7 +41,7 @@
     Worker(EventLoop loop, PathContext context) {
         this.loop = loop;
         this.context = context;
-        this.connections = new TargetConnections(loop, context.clock());
+        this.connections = new TargetConnections(loop, context.clock(), context.metrics());
         this.routing = new TargetRouting(
                 context,
                 connections,
@@ -117,7 +117,9 @@
     }
 
     private void tick() {
-        tickedAtMillis = context.clock().nowMillis();
+        long now = context.clock().nowMillis();
+        context.metrics().countDelay("loops.worker-late-millis", now - tickedAtMillis - TICK_MILLIS);
+        tickedAtMillis = now;
     }
 
     /** Tells whether this instance has too little processor time for its requests. */
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -22,6 +22,7 @@
 import org.snipewind.router.lead.LeaderDuties;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.metrics.DaemonMetrics;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StoreWrite;
@@ -43,6 +44,7 @@
     private final EventLoop loop;
     private final EventLoopGroup loops;
     private final DecisionLog log;
+    private final DaemonMetrics metrics;
     private final MemberRecord self;
     private final int port;
     private Optional<NettyPeerConnections> connections = Optional.empty();
@@ -57,6 +59,7 @@
      * @param loop the control loop
      * @param loops event loops of the connections
      * @param log the log
+     * @param metrics counters of messages by type
      * @param self this instance
      * @param port port to listen on
      */
@@ -67,6 +70,7 @@
             EventLoop loop,
             EventLoopGroup loops,
             DecisionLog log,
+            DaemonMetrics metrics,
             MemberRecord self,
             int port) {
         this.store = store;
@@ -76,6 +80,7 @@
         this.loop = loop;
         this.loops = loops;
         this.log = log;
+        this.metrics = metrics;
         this.self = self;
         this.port = port;
     }
@@ -129,6 +134,7 @@
     }
 
     private CompletionStage<Optional<PeerMessage>> handle(String senderId, PeerMessage message) {
+        metrics.count("peers.received." + message.getClass().getSimpleName());
         CompletableFuture<Optional<PeerMessage>> answer = new CompletableFuture<>();
         loop.execute(() -> {
             try {
@@ -173,6 +179,7 @@
      * @param members the instances
      */
     void broadcast(PeerMessage message, Collection<MemberRecord> members) {
+        metrics.count("peers.sent." + message.getClass().getSimpleName(), members.size());
         connections.ifPresent(open -> members.stream()
                 .filter(member -> !member.name().equals(self.name()))
                 .forEach(member -> open.send(member.peerAddress(), message)));
@@ -197,6 +204,8 @@
             result.completeExceptionally(new PeerException("the network is not open yet", false, null));
             return result;
         }
+        String type = message.getClass().getSimpleName();
+        metrics.count("peers.sent." + type);
         connections
                 .get()
                 .call(address, message, timeoutMillis)
@@ -204,6 +213,7 @@
                     if (failure == null) {
                         result.complete(answer);
                     } else {
+                        metrics.count("peers.failed." + type);
                         result.completeExceptionally(failure);
                     }
                 }));
