Apply changes of a table of holders in one pass

What callers saw: on the grown deployments instances with 0.3 cores are late while keys move.

Cause: an instance that takes a change of a table cut and sorted the whole table once for each changed range, and looked each life up in a list, so the price of a change grew with ranges times changes. This falls on every instance for each change. The class of fault is work on the state of the whole fleet that each instance repeats.

Ruled out: decoding, which is linear.

Change: withAll merges both lists in one pass, with is a case of it, and the codec numbers lives by a map.

KeyTableTest compares key by key.

--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyTable.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyTable.java
@@ -1,7 +1,6 @@
 package org.snipewind.coordination.keyspace;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -71,22 +70,7 @@
      * @return the changed table
      */
     public KeyTable with(KeyAssignment replacement) {
-        List<KeyAssignment> changed = new ArrayList<>();
-        for (KeyAssignment each : assignments) {
-            if (each.to() < replacement.from() || each.from() > replacement.to()) {
-                changed.add(each);
-                continue;
-            }
-            if (each.from() < replacement.from()) {
-                changed.add(each.part(each.from(), replacement.from() - 1));
-            }
-            if (each.to() > replacement.to()) {
-                changed.add(each.part(replacement.to() + 1, each.to()));
-            }
-        }
-        changed.add(replacement);
-        changed.sort(Comparator.comparingInt(KeyAssignment::from));
-        return new KeyTable(changed);
+        return withAll(List.of(replacement));
     }
 
     /**
@@ -109,11 +93,28 @@
      * @return the changed table
      */
     public KeyTable withAll(List<KeyAssignment> replacements) {
-        KeyTable changed = this;
-        for (KeyAssignment each : replacements) {
-            changed = changed.with(each);
+        // One pass over both lists: each instance does this for each change of a table.
+        List<KeyAssignment> changed = new ArrayList<>(assignments.size() + 2 * replacements.size());
+        int next = 0;
+        int replacedTo = -1;
+        for (KeyAssignment each : assignments) {
+            int from = Math.max(each.from(), replacedTo + 1);
+            while (next < replacements.size() && replacements.get(next).from() <= each.to()) {
+                KeyAssignment replacement = replacements.get(next);
+                if (replacement.from() > from) {
+                    changed.add(each.part(from, replacement.from() - 1));
+                }
+                changed.add(replacement);
+                replacedTo = replacement.to();
+                from = Math.max(from, replacedTo + 1);
+                next++;
+            }
+            if (from <= each.to()) {
+                changed.add(from == each.from() ? each : each.part(from, each.to()));
+            }
         }
-        return changed;
+        changed.addAll(replacements.subList(next, replacements.size()));
+        return new KeyTable(changed);
     }
 
     /**
--- a/coordination/src/test/java/org/snipewind/coordination/keyspace/KeyTableTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/keyspace/KeyTableTest.java
@@ -1,9 +1,13 @@
 package org.snipewind.coordination.keyspace;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 /** Guards against keys that are lost or counted twice when ranges are cut. */
@@ -51,6 +55,41 @@
         assertThat(table.find(19).orElseThrow().from()).isEqualTo(0);
     }
 
+    @Test
+    void manyRangesThatChangeAtOnceLeaveEveryOtherKeyWithItsHolder() {
+        Random random = new Random(5);
+        for (int round = 0; round < 100; round++) {
+            KeyTable table = new KeyTable(randomRanges(random, 40, "old"));
+            List<KeyAssignment> changes = randomRanges(random, 12, "new");
+            KeyTable changed = table.withAll(changes);
+            KeyTable onlyChanges = new KeyTable(changes);
+            for (int key = 0; key <= KeyTable.LAST_KEY; key += 7) {
+                Optional<KeyAssignment> before = table.find(key);
+                Optional<String> holder = onlyChanges.find(key).or(() -> before).map(KeyAssignment::holder);
+                assertWithMessage("round %s key %s", round, key)
+                        .that(changed.find(key).map(KeyAssignment::holder))
+                        .isEqualTo(holder);
+            }
+        }
+    }
+
+    private static List<KeyAssignment> randomRanges(Random random, int count, String prefix) {
+        List<Integer> bounds = random.ints(2L * count, 0, KeyTable.LAST_KEY + 1)
+                .distinct()
+                .sorted()
+                .boxed()
+                .toList();
+        List<KeyAssignment> ranges = new ArrayList<>();
+        for (int index = 0; index + 1 < bounds.size(); index += 2) {
+            // Every second range begins where the one before ends.
+            int from = random.nextBoolean() && !ranges.isEmpty()
+                    ? ranges.get(ranges.size() - 1).to() + 1
+                    : bounds.get(index);
+            ranges.add(new KeyAssignment(from, bounds.get(index + 1), prefix + index, 1, List.of()));
+        }
+        return ranges;
+    }
+
     @Test
     void overlappingRangesAreRejected() {
         assertThrows(
--- a/router/src/main/java/org/snipewind/router/state/RecordCodec.java
+++ b/router/src/main/java/org/snipewind/router/state/RecordCodec.java
@@ -2,9 +2,10 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Stream;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -60,24 +61,27 @@
      * @return bytes for the store
      */
     public static byte[] encode(KeyTable table) {
-        List<String> lives = table.assignments().stream()
-                .flatMap(each -> Stream.concat(Stream.of(each.holder()), each.previous().stream()))
-                .distinct()
-                .toList();
+        Map<String, Integer> lives = new LinkedHashMap<>();
+        for (KeyAssignment each : table.assignments()) {
+            lives.putIfAbsent(each.holder(), lives.size());
+            for (String life : each.previous()) {
+                lives.putIfAbsent(life, lives.size());
+            }
+        }
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packArrayHeader(lives.size());
-            for (String life : lives) {
+            for (String life : lives.keySet()) {
                 packer.packString(life);
             }
             packer.packArrayHeader(table.assignments().size());
             for (KeyAssignment each : table.assignments()) {
                 packer.packInt(each.from());
                 packer.packInt(each.to());
-                packer.packInt(lives.indexOf(each.holder()));
+                packer.packInt(lives.get(each.holder()));
                 packer.packLong(each.epoch());
                 packer.packArrayHeader(each.previous().size());
                 for (String life : each.previous()) {
-                    packer.packInt(lives.indexOf(life));
+                    packer.packInt(lives.get(life));
                 }
             }
             return packer.toByteArray();
