--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -10,6 +10,7 @@
 import java.util.function.Function;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.clock.SystemMillisClock;
+import org.snipewind.coordination.election.CandidateOrder;
 import org.snipewind.router.http.HttpCaller;
 import org.snipewind.router.lead.LeaderDuties;
 import org.snipewind.router.lead.Leadership;
@@ -92,7 +93,11 @@
         HttpCaller caller = new HttpCaller(control);
         CoordinationStore store = storeFactory.apply(caller);
         MemberRecord self = new MemberRecord(
-                settings.name(), UUID.randomUUID().toString(), address(settings.peers()), settings.dataCentre());
+                settings.name(),
+                UUID.randomUUID().toString(),
+                address(settings.peers()),
+                settings.dataCentre(),
+                CandidateOrder.capacity(settings.processorCores(), settings.linkMegabits()));
         tracker = new FleetTracker(documents, clock, log);
         mirror = new StoreMirror(store, control, clock, log, tracker);
         tracker.observeStore(mirror::regainedAgeMillis);
--- a/router/src/main/java/org/snipewind/router/RouterSettings.java
+++ b/router/src/main/java/org/snipewind/router/RouterSettings.java
@@ -13,6 +13,8 @@
  * @param metrics address of its metrics
  * @param peers address for other instances
  * @param workers number of threads that serve callers
+ * @param processorCores processor time of this instance, in cores
+ * @param linkMegabits bandwidth of its network link, in Mbit/s
  * @param graceMillis time from the signal to end until the process is killed
  * @param limits limits over all instances
  */
@@ -24,5 +26,7 @@
         InetSocketAddress metrics,
         InetSocketAddress peers,
         int workers,
+        double processorCores,
+        double linkMegabits,
         long graceMillis,
         RouterLimits limits) {}
--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.election.CandidateOrder;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.CoordinationStore;
@@ -30,9 +31,6 @@
 
     private static final long TICK_MILLIS = 50;
 
-    /** Candidates wait a random part of this time, so that mostly one of them writes. */
-    private static final long CLAIM_SPREAD_MILLIS = 100;
-
     private static final long CLAIM_PAUSE_MILLIS = 500;
 
     /** Time between attempts to end the lease of a leader that stops while the store refuses calls. */
@@ -199,13 +197,26 @@
         if (!vacant || !mirror.isLoaded() || mirror.contactAgeMillis() > FRESH_MILLIS) {
             claimAtMillis = Long.MAX_VALUE;
         } else if (claimAtMillis == Long.MAX_VALUE) {
-            claimAtMillis =
-                    now + (ownFormerLife ? 0 : ThreadLocalRandom.current().nextLong(CLAIM_SPREAD_MILLIS));
+            claimAtMillis = now + (ownFormerLife ? 0 : claimDelayMillis());
         } else if (now >= claimAtMillis) {
             claim();
         }
     }
 
+    private long claimDelayMillis() {
+        return CandidateOrder.claimDelayMillis(
+                self.capacity(),
+                otherCapacities(),
+                () -> ThreadLocalRandom.current().nextDouble());
+    }
+
+    private List<Double> otherCapacities() {
+        return tracker.view().members().values().stream()
+                .filter(member -> !member.name().equals(self.name()))
+                .map(MemberRecord::capacity)
+                .toList();
+    }
+
     private void claim() {
         claiming = true;
         claimAtMillis = Long.MAX_VALUE;
--- a/router/src/main/java/org/snipewind/router/state/MemberRecord.java
+++ b/router/src/main/java/org/snipewind/router/state/MemberRecord.java
@@ -1,5 +1,7 @@
 package org.snipewind.router.state;
 
+import org.snipewind.coordination.election.CandidateOrder;
+
 /**
  * An instance of the router.
  *
@@ -7,8 +9,9 @@
  * @param boot id of the running process
  * @param peerAddress address for other instances
  * @param dataCentre its data centre
+ * @param capacity how much work of a leader it can carry, see {@link CandidateOrder#capacity}
  */
-public record MemberRecord(String name, String boot, String peerAddress, String dataCentre) {
+public record MemberRecord(String name, String boot, String peerAddress, String dataCentre, double capacity) {
 
     /**
      * Tells whether a record is of the same running process.
--- a/router/src/main/java/org/snipewind/router/state/RecordCodec.java
+++ b/router/src/main/java/org/snipewind/router/state/RecordCodec.java
@@ -30,6 +30,7 @@
             packer.packString(member.boot());
             packer.packString(member.peerAddress());
             packer.packString(member.dataCentre());
+            packer.packDouble(member.capacity());
             return packer.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("a member record can't be encoded", e);
@@ -48,7 +49,9 @@
                     unpacker.unpackString(),
                     unpacker.unpackString(),
                     unpacker.unpackString(),
-                    unpacker.unpackString()));
+                    unpacker.unpackString(),
+                    // Records of an earlier version end here.
+                    unpacker.hasNext() ? unpacker.unpackDouble() : 0));
         } catch (IOException | MessagePackException e) {
             return Optional.empty();
         }
--- a/router/src/test/java/org/snipewind/router/lead/LeadershipTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/LeadershipTest.java
@@ -25,7 +25,7 @@
     private final SimulatedStore store = new SimulatedStore(clock, new Random(1));
     private final FleetTracker tracker = new FleetTracker(new NoDocuments(), clock, log);
     private final StoreMirror mirror = new StoreMirror(store, loop, clock, log, tracker);
-    private final MemberRecord self = new MemberRecord("entry", "boot", "127.0.0.1:1", "dc-1");
+    private final MemberRecord self = new MemberRecord("entry", "boot", "127.0.0.1:1", "dc-1", 1);
     private final Leadership leadership =
             new Leadership(store, mirror, tracker, loop, clock, log, self, formerUntil -> {}, () -> {});
 
