Refill a budget from the start of the keeper's term

Cause: a keeper is made when its organisation first asks, and counted the whole burst as used at that time, although nobody had issued tokens since the term began. Where the burst is below the number of instances, all tokens come from the keeper.

Ruled out: a rate above the limit; the organisations had been quiet for 15 s.

Change: the refill counts from the time at which the keeper may issue. The bound is unchanged: no token was issued between that time and the first call. BudgetKeeperTest.keeperThatIsAskedLateHasRefilledSinceItsTermBegan gave 0 tokens before and gives 20 after.

--- a/coordination/src/main/java/org/snipewind/coordination/budget/BudgetKeeper.java
+++ b/coordination/src/main/java/org/snipewind/coordination/budget/BudgetKeeper.java
@@ -51,7 +51,7 @@
      * @param clock the clock that refills the budget
      * @param ratePerSecond tokens per second over the whole fleet, not negative
      * @param burst tokens that may be used at once over the whole fleet, not negative
-     * @param activeFromMillis reading of the clock before which no token is issued
+     * @param activeFromMillis reading of the clock before which no token is issued, and from which the budget refills
      * @param startsFull whether the whole burst is available at once
      * @param tokenLifeMillis life of a token, the same as that of the accounts
      */
@@ -69,7 +69,8 @@
         this.burst = burst;
         this.activeFromMillis = activeFromMillis;
         this.undrained = startsFull ? 0 : burst;
-        this.drainedAtMillis = Math.max(activeFromMillis, clock.nowMillis());
+        // A keeper that nobody asked before has issued nothing since then.
+        this.drainedAtMillis = activeFromMillis;
     }
 
     /**
--- a/coordination/src/test/java/org/snipewind/coordination/budget/BudgetKeeperTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/budget/BudgetKeeperTest.java
@@ -20,6 +20,14 @@
         assertThat(keeper.issue(5)).isEqualTo(new BudgetDecision(1, 10));
     }
 
+    /** Guards against refusals of an organisation that was quiet since the keeper's term began. */
+    @Test
+    void keeperThatIsAskedLateHasRefilledSinceItsTermBegan() {
+        clock.advance(200);
+        BudgetKeeper keeper = new BudgetKeeper(clock, 100, 50, 1_000, false);
+        assertThat(keeper.issue(50).tokens()).isEqualTo(20);
+    }
+
     /** Guards against a change of rate that applies to the past or brings a new burst. */
     @Test
     void changeOfRateTakesEffectInOneStep() {
