Let the instances that can carry the work of a leader lead

Cause: the work of the leader (tokens, orders, reports, the feed) grows with the fleet, but any instance could take it; here 80 of 86 have a fifth of the processor time and a twentieth of the link of the others. And a successor that deposed a leader issued no tokens until the lease of the former one had run out, 4.25 s, which organisations with a burst below the number of instances saw as being over their rate. The class of fault: a single duty that grows with the fleet is placed without regard to what carries it, and its handover is bounded by the worst case alone.

Ruled out: the store (it answered all others within milliseconds), and the limits themselves (the same organisations were served before and after).

Change: instances list their capacity; larger ones claim first, a small leader gives the office to a larger instance that stays, and one that is only missed is replaced in the same order. A successor asks the former leader to end its term and need not wait once it has. While no keeper may issue, requests wait as for an election, or are refused at once as budget-unavailable with the time. At the end of a term the others are told to watch the store at once.

--- a/coordination/src/main/java/org/snipewind/coordination/election/CandidateOrder.java
+++ b/coordination/src/main/java/org/snipewind/coordination/election/CandidateOrder.java
@@ -3,7 +3,12 @@
 import java.util.Collection;
 import java.util.function.DoubleSupplier;
 
-/** Spreads the claims of the instances that could lead, so that mostly one of them writes. */
+/**
+ * Decides in which order instances claim a vacant office, and when a leader gives it away.
+ *
+ * <p>The work of a leader grows with the fleet, so it falls to the instances that can carry most of it. Small ones lead
+ * only while no larger one takes the office.
+ */
 public final class CandidateOrder {
 
     /** Candidates wait a random part of this time; a claim takes about a tenth of it. */
@@ -15,6 +20,18 @@
      */
     private static final double MEGABITS_PER_CORE = 100;
 
+    /** An instance with this many times the capacity counts as larger; lesser differences are not worth a handover. */
+    private static final double LARGER_FACTOR = 2;
+
+    /** Larger instances have this time to claim a vacant office: the spread of claims, the claim, and word of it. */
+    private static final long LARGER_FIRST_MILLIS = 300;
+
+    /**
+     * A leader gives the office away after a larger instance was listed for this time without a break. An entry lives
+     * for at most six seconds after its instance was last in touch with the store.
+     */
+    public static final long YIELD_AFTER_MILLIS = 7_000;
+
     private CandidateOrder() {}
 
     /**
@@ -37,6 +54,18 @@
      * @return milliseconds
      */
     public static long claimDelayMillis(double own, Collection<Double> others, DoubleSupplier random) {
-        return (long) (random.getAsDouble() * SPREAD_MILLIS);
+        long first = isOutranked(own, others) ? LARGER_FIRST_MILLIS : 0;
+        return first + (long) (random.getAsDouble() * SPREAD_MILLIS);
+    }
+
+    /**
+     * Tells whether another instance can carry clearly more of a leader's work.
+     *
+     * @param own capacity of the instance
+     * @param others capacities of the other instances
+     * @return true if another one is to go first
+     */
+    public static boolean isOutranked(double own, Collection<Double> others) {
+        return others.stream().anyMatch(other -> other >= own * LARGER_FACTOR && other > own);
     }
 }
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -202,7 +202,19 @@
                             in.number("storeAgeMillis"),
                             in.list("written", () -> readItem(in)),
                             in.list("removed", () -> readItem(in)),
-                            in.list("patches", () -> readPatch(in)))));
+                            in.list("patches", () -> readPatch(in)))),
+            new MessageLayout<>(
+                    22,
+                    TermEndRequest.class,
+                    1,
+                    (out, message) -> out.number(message.lease()),
+                    in -> new TermEndRequest(in.number("lease"))),
+            new MessageLayout<>(
+                    23,
+                    TermEndAnswer.class,
+                    1,
+                    (out, message) -> out.flag(message.ended()),
+                    in -> new TermEndAnswer(in.flag("ended"))));
 
     private MessageLayouts() {}
 
--- a/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
+++ b/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
@@ -22,4 +22,6 @@
                 RecordPush,
                 ReportAnswer,
                 TargetReport,
-                TargetReportAnswer {}
+                TargetReportAnswer,
+                TermEndAnswer,
+                TermEndRequest {}
--- a/router/src/main/java/org/snipewind/router/ActivityLog.java
+++ b/router/src/main/java/org/snipewind/router/ActivityLog.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.router.log.DecisionLog;
@@ -39,22 +40,27 @@
         metrics.registry().getCounters().forEach((name, counter) -> addGrowth(grown, name, counter));
         long now = clock.nowMillis();
         long interval = now - writtenAtMillis;
-        long processor = ProcessHandle.current()
-                .info()
-                .totalCpuDuration()
-                .map(Duration::toMillis)
-                .orElse(0L);
-        long used = processor - processorMillis;
         writtenAtMillis = now;
-        processorMillis = processor;
+        String processor = processorSince();
         log.write(RouterEvent.INSTANCE_ACTIVITY, () -> {
-            StringBuilder line = new StringBuilder("interval=" + interval + "ms processor=" + used + "ms");
+            StringBuilder line = new StringBuilder("interval=" + interval + "ms processor=" + processor);
             grown.forEach(
                     (name, growth) -> line.append(' ').append(name).append('=').append(growth.longValue()));
             return line.toString();
         });
     }
 
+    /** Not every platform tells a process of its processor time; the lateness of the loops shows a lack of it too. */
+    private String processorSince() {
+        Optional<Duration> total = ProcessHandle.current().info().totalCpuDuration();
+        if (total.isEmpty() || total.get().isZero()) {
+            return "unknown";
+        }
+        long before = processorMillis;
+        processorMillis = total.get().toMillis();
+        return (processorMillis - before) + "ms";
+    }
+
     private void addGrowth(Map<String, Long> grown, String name, Counter counter) {
         long count = counter.getCount();
         long before = written.getOrDefault(name, 0L);
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -103,7 +103,7 @@
         tracker.observeStore(mirror::regainedAgeMillis);
         membership = new Membership(store, mirror, control, log, self);
         duties = new LeaderDuties(store, mirror, tracker, ordersFactory.apply(caller), clock, log);
-        leadership = new Leadership(store, mirror, tracker, control, clock, log, self, duties::begin, duties::end);
+        leadership = new Leadership(store, mirror, tracker, control, clock, log, self, duties::begin, this::termEnded);
         network = new PeerNetwork(
                 store,
                 mirror,
@@ -115,6 +115,7 @@
                 self,
                 settings.peers().getPort());
         duties.attach(leadership);
+        leadership.attach(network::requestTermEnd, duties::formerEnded);
         feed = new StoreFeed(network, mirror, tracker, leadership, control);
         tables = new SharedTables(tracker, clock, settings.limits(), settings.name());
         reporter = new FleetReporter(network, tracker, mirror, leadership, duties, tables, control, clock, log, self);
@@ -129,6 +130,11 @@
         registerGauges();
     }
 
+    private void termEnded() {
+        duties.end();
+        feed.end();
+    }
+
     private static MultiThreadIoEventLoopGroup group(String name, int threads) {
         return new MultiThreadIoEventLoopGroup(
                 threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
--- a/router/src/main/java/org/snipewind/router/lead/LeaderDuties.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderDuties.java
@@ -8,6 +8,8 @@
 import org.snipewind.protocol.BudgetRequest;
 import org.snipewind.protocol.LoadSummary;
 import org.snipewind.protocol.ReportAnswer;
+import org.snipewind.protocol.TermEndAnswer;
+import org.snipewind.protocol.TermEndRequest;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.CoordinationStore;
@@ -76,6 +78,22 @@
         tokens.open(formerUntil);
     }
 
+    /** Notes that the former leader has ended sooner than was announced; its tokens live on for a short time. */
+    public void formerEnded() {
+        formerUntilMillis = Math.min(formerUntilMillis, clock.nowMillis());
+        tokens.formerEnded();
+    }
+
+    /**
+     * Ends a term of this instance for its successor.
+     *
+     * @param request names the lease
+     * @return whether this instance does not act under that lease any more
+     */
+    public TermEndAnswer endTerm(TermEndRequest request) {
+        return new TermEndAnswer(leadership.concede(request.lease()));
+    }
+
     /** Ends the term of office; orders on their way may still arrive. */
     public void end() {
         grantors.clear();
--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -36,6 +36,12 @@
     /** Time between attempts to end the lease of a leader that stops while the store refuses calls. */
     private static final long VACATE_RETRY_MILLIS = 200;
 
+    /** After this instance gave the office away, word of the next leader has this time to arrive. */
+    private static final long YIELD_PAUSE_MILLIS = 1_500;
+
+    /** Time between requests to a former leader to end its term. */
+    private static final long TERM_END_RETRY_MILLIS = 200;
+
     /** A copy of the store that is older says nothing about a missing leader. */
     private static final long FRESH_MILLIS = 1_500;
 
@@ -57,6 +63,22 @@
     private long validUntilMillis;
     private long nextRenewalMillis;
     private long claimAtMillis = Long.MAX_VALUE;
+    private long claimNotBeforeMillis;
+    private long outrankedSinceMillis;
+    private TermEnd termEnd = former -> CompletableFuture.completedFuture(false);
+    private Runnable onFormerEnded = () -> {};
+
+    /** Asks a former leader to end its term. */
+    @FunctionalInterface
+    public interface TermEnd {
+        /**
+         * Asks.
+         *
+         * @param former the former leader with the lease that was ended
+         * @return whether it does not act under that lease any more; fails if it gives no answer
+         */
+        CompletableFuture<Boolean> request(LeaderRecord former);
+    }
 
     /**
      * Creates an instance that does not lead.
@@ -97,6 +119,17 @@
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Sets how a former leader is asked to end its term.
+     *
+     * @param request asks it
+     * @param formerEnded called when the former leader can't act any more, if that is sooner than was announced
+     */
+    public void attach(TermEnd request, Runnable formerEnded) {
+        termEnd = request;
+        onFormerEnded = formerEnded;
+    }
+
     /**
      * Tells whether this instance may give orders now.
      *
@@ -106,23 +139,51 @@
         return leading && !vacating && clock.nowMillis() < validUntilMillis;
     }
 
-    /** Takes the office from a leader that can't be reached. */
-    public void replaceLeader() {
-        if (!leading && !claiming && !stopped && mirror.contactAgeMillis() < FRESH_MILLIS) {
+    /**
+     * Takes the office from a leader that can't be reached, unless an instance that is to go first does.
+     *
+     * @param missed the leader
+     */
+    public void replaceLeader(MemberRecord missed) {
+        loop.schedule(() -> replaceIfStillLeading(missed), claimDelayMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void replaceIfStillLeading(MemberRecord missed) {
+        boolean same = tracker.view()
+                .leader()
+                .map(record -> record.member().isSameProcess(missed))
+                .orElse(false);
+        if (same && !leading && !claiming && !stopped && mirror.contactAgeMillis() < FRESH_MILLIS) {
             claim();
         }
     }
 
+    /**
+     * Ends the term of this instance because a successor has ended its lease.
+     *
+     * @param ended the lease
+     * @return whether this instance does not act under that lease any more and never will
+     */
+    public boolean concede(long ended) {
+        if (leading && lease == ended) {
+            // The item of the successor may not have arrived yet.
+            claimNotBeforeMillis = clock.nowMillis() + YIELD_PAUSE_MILLIS;
+            end("a successor has ended the lease");
+        }
+        // The claim under that lease may be in the store while its answer is still on its way.
+        return !(claiming && lease == ended);
+    }
+
     /**
      * Gives the office up for good, so that a successor need not wait for the end of the lease. While the store refuses
      * to end the lease, there can be no successor, and this instance leads on as long as its lease is valid.
      */
     public void stop() {
         stopped = true;
-        vacate();
+        vacate("the instance stops");
     }
 
-    private void vacate() {
+    private void vacate(String reason) {
         if (!leading || vacating) {
             return;
         }
@@ -135,9 +196,9 @@
                         RouterEvent.STORE_CALL_FAILED,
                         () -> "call=end of the leader's lease valid=" + (validUntilMillis - clock.nowMillis())
                                 + "ms cause=" + failure.getMessage());
-                loop.schedule(this::vacate, VACATE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+                loop.schedule(() -> vacate(reason), VACATE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
             } else if (leading) {
-                end("the instance stops");
+                end(reason);
             }
         });
     }
@@ -160,11 +221,21 @@
             end("another instance leads");
         } else if (now >= validUntilMillis) {
             end("the lease may have ended");
+        } else if (isToYield(now)) {
+            claimNotBeforeMillis = now + YIELD_PAUSE_MILLIS;
+            vacate("a larger instance is to lead");
         } else if (now >= nextRenewalMillis && !renewing && !vacating) {
             renew(now);
         }
     }
 
+    private boolean isToYield(long now) {
+        if (!isOutranked()) {
+            outrankedSinceMillis = now;
+        }
+        return !vacating && now - outrankedSinceMillis >= CandidateOrder.YIELD_AFTER_MILLIS;
+    }
+
     private void renew(long now) {
         renewing = true;
         nextRenewalMillis = now + LeaderTimes.LEASE_RENEWAL_MILLIS;
@@ -194,10 +265,10 @@
         boolean ownFormerLife =
                 leader.map(record -> record.member().name().equals(self.name())).orElse(false);
         boolean vacant = leader.isEmpty() || ownFormerLife;
-        if (!vacant || !mirror.isLoaded() || mirror.contactAgeMillis() > FRESH_MILLIS) {
+        if (!vacant || now < claimNotBeforeMillis || !mirror.isLoaded() || mirror.contactAgeMillis() > FRESH_MILLIS) {
             claimAtMillis = Long.MAX_VALUE;
         } else if (claimAtMillis == Long.MAX_VALUE) {
-            claimAtMillis = now + (ownFormerLife ? 0 : claimDelayMillis());
+            claimAtMillis = now + (ownFormerLife && !isOutranked() ? 0 : claimDelayMillis());
         } else if (now >= claimAtMillis) {
             claim();
         }
@@ -210,6 +281,10 @@
                 () -> ThreadLocalRandom.current().nextDouble());
     }
 
+    private boolean isOutranked() {
+        return CandidateOrder.isOutranked(self.capacity(), otherCapacities());
+    }
+
     private List<Double> otherCapacities() {
         return tracker.view().members().values().stream()
                 .filter(member -> !member.name().equals(self.name()))
@@ -225,8 +300,8 @@
                 .orElseGet(() -> CompletableFuture.completedFuture(null));
         // A leader whose lease ran out has stopped before, and an own earlier process has ended; another one may not
         // know.
-        boolean deposed = former.map(record -> !record.member().name().equals(self.name()))
-                .orElse(false);
+        Optional<LeaderRecord> deposed =
+                former.filter(record -> !record.member().name().equals(self.name()));
         long[] sentAt = new long[1];
         vacated.thenCompose(done -> {
                     // Renewals of the former lease succeeded before this time only.
@@ -261,14 +336,42 @@
         lease = 0;
     }
 
-    private void begin(long sentAtMillis, long revision, boolean deposed) {
+    private void begin(long sentAtMillis, long revision, Optional<LeaderRecord> deposed) {
         leading = true;
+        outrankedSinceMillis = clock.nowMillis();
         validUntilMillis = sentAtMillis + LeaderTimes.LEASE_MILLIS - LeaderTimes.LEASE_MARGIN_MILLIS;
         nextRenewalMillis = clock.nowMillis() + LeaderTimes.LEASE_RENEWAL_MILLIS;
         mirror.noteContact();
         mirror.noteWritten(new StoreItem(StoreKeys.LEADER, RecordCodec.encode(self), revision, lease));
         log.write(RouterEvent.LEADERSHIP_TAKEN, () -> "revision=" + revision + " lease=" + lease);
-        onElected.accept(deposed ? sentAtMillis + LeaderTimes.LEASE_MILLIS : clock.nowMillis());
+        if (deposed.isPresent()) {
+            long formerUntilMillis = sentAtMillis + LeaderTimes.LEASE_MILLIS;
+            onElected.accept(formerUntilMillis);
+            requestTermEnd(deposed.get(), lease, formerUntilMillis);
+        } else {
+            onElected.accept(clock.nowMillis());
+        }
+    }
+
+    /** A former leader that has ended need not be waited for, and callers are refused as long as it is. */
+    private void requestTermEnd(LeaderRecord former, long ownLease, long formerUntilMillis) {
+        termEnd.request(former).whenComplete((ended, failure) -> {
+            if (!leading || lease != ownLease || clock.nowMillis() >= formerUntilMillis) {
+                return;
+            }
+            if (failure == null && ended) {
+                log.write(
+                        RouterEvent.FORMER_LEADER_ENDED,
+                        () -> "former=" + former.member().name() + " earlier=" + (formerUntilMillis - clock.nowMillis())
+                                + "ms");
+                onFormerEnded.run();
+            } else {
+                loop.schedule(
+                        () -> requestTermEnd(former, ownLease, formerUntilMillis),
+                        TERM_END_RETRY_MILLIS,
+                        TimeUnit.MILLISECONDS);
+            }
+        });
     }
 
     private void end(String reason) {
--- a/router/src/main/java/org/snipewind/router/lead/TokenDesk.java
+++ b/router/src/main/java/org/snipewind/router/lead/TokenDesk.java
@@ -28,7 +28,20 @@
         activeFromMillis = formerUntilMillis + QuotaRules.TOKEN_LIFE_MILLIS;
     }
 
+    /** Issues tokens as soon as the last ones of the former leader have run out. */
+    void formerEnded() {
+        long active = clock.nowMillis() + QuotaRules.TOKEN_LIFE_MILLIS;
+        if (active < activeFromMillis) {
+            activeFromMillis = active;
+        }
+    }
+
     BudgetGrant issue(FleetView view, String name, int wanted) {
+        long waitMillis = activeFromMillis - clock.nowMillis();
+        if (waitMillis > 0) {
+            // The organisation is not over its rate, there is nobody yet who may issue its tokens.
+            return new BudgetGrant(false, 0, waitMillis);
+        }
         Optional<Organisation> organisation =
                 view.configuration().flatMap(configuration -> configuration.organisation(name));
         if (organisation.isEmpty()) {
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -55,6 +55,8 @@
     HOLDER_FENCED(5307, Level.WARNING),
     /** A call to the store failed. */
     STORE_CALL_FAILED(5308, Level.WARNING),
+    /** A former leader can't act any more, sooner than its lease allowed. */
+    FORMER_LEADER_ENDED(5309, Level.INFO),
     /** A request was refused. */
     REQUEST_REFUSED(5401, Level.INFO),
     /** A request was sent once more. */
--- a/router/src/main/java/org/snipewind/router/path/RateDesk.java
+++ b/router/src/main/java/org/snipewind/router/path/RateDesk.java
@@ -67,6 +67,7 @@
         private final Deque<Waiting> waiting = new ArrayDeque<>();
         private Optional<Long> keeperAwaySince = Optional.empty();
         private boolean checkScheduled;
+        private long keeperBackAtMillis;
 
         Desk(MillisClock clock, long startedAtMillis) {
             account = new BudgetAccount(clock, QuotaRules.TOKEN_LIFE_MILLIS);
@@ -168,7 +169,9 @@
                 desk.keeperAwaySince = Optional.empty();
             } else {
                 desk.account.failed();
-                desk.keeperAwaySince = desk.keeperAwaySince.or(() -> Optional.of(clock.nowMillis()));
+                long now = clock.nowMillis();
+                desk.keeperAwaySince = desk.keeperAwaySince.or(() -> Optional.of(now));
+                desk.keeperBackAtMillis = failure == null ? now + grant.retryAfterMillis() : 0;
             }
         }
         serveWaiting(desk);
@@ -183,18 +186,22 @@
     private boolean awaitKeeper(String organisation, Desk desk) {
         boolean lasting;
         boolean schedule;
+        long retryMillis;
         synchronized (desk) {
             if (desk.keeperAwaySince.isEmpty()) {
                 return false;
             }
-            lasting = clock.nowMillis() - desk.keeperAwaySince.get() > KEEPER_ABSENCE_MILLIS;
+            long now = clock.nowMillis();
+            long comingMillis = desk.keeperBackAtMillis - now;
+            lasting = now - desk.keeperAwaySince.get() > KEEPER_ABSENCE_MILLIS || comingMillis > KEEPER_ABSENCE_MILLIS;
+            retryMillis = Math.max(UNAVAILABLE_RETRY_MILLIS, comingMillis);
             schedule = !lasting && !desk.waiting.isEmpty() && !desk.checkScheduled;
             desk.checkScheduled |= schedule;
         }
         if (lasting) {
-            refuseWaiting(desk, Long.MAX_VALUE, false, UNAVAILABLE_RETRY_MILLIS);
+            refuseWaiting(desk, Long.MAX_VALUE, false, retryMillis);
         } else {
-            refuseWaiting(desk, clock.nowMillis(), false, UNAVAILABLE_RETRY_MILLIS);
+            refuseWaiting(desk, clock.nowMillis(), false, retryMillis);
         }
         if (schedule) {
             control.schedule(() -> checkKeeper(organisation, desk), KEEPER_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
+++ b/router/src/main/java/org/snipewind/router/peer/FleetReporter.java
@@ -189,7 +189,7 @@
                         .leader()
                         .map(record -> record.member().isSameProcess(leader))
                         .orElse(false)) {
-            leadership.replaceLeader();
+            leadership.replaceLeader(leader);
         }
     }
 
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -19,6 +19,8 @@
 import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.PeerServer;
 import org.snipewind.protocol.PeerSettings;
+import org.snipewind.protocol.TermEndAnswer;
+import org.snipewind.protocol.TermEndRequest;
 import org.snipewind.router.lead.LeaderDuties;
 import org.snipewind.router.log.DecisionLog;
 import org.snipewind.router.log.RouterEvent;
@@ -26,6 +28,7 @@
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StoreWrite;
+import org.snipewind.router.state.LeaderRecord;
 import org.snipewind.router.state.MemberRecord;
 import org.snipewind.router.state.StoreKeys;
 import org.snipewind.router.state.StoreMirror;
@@ -35,6 +38,10 @@
 
     private static final int SECRET_BYTES = 32;
     private static final long RETRY_MILLIS = 200;
+
+    /** Longest wait for a former leader, which may be short of processor time. */
+    private static final long TERM_END_MILLIS = 500;
+
     private static final String BOOT_SEPARATOR = "#";
 
     private final CoordinationStore store;
@@ -154,6 +161,9 @@
         if (message instanceof BudgetRequest request) {
             return Optional.of(duties.issue(request));
         }
+        if (message instanceof TermEndRequest request) {
+            return Optional.of(duties.endTerm(request));
+        }
         if (message instanceof MirrorDelta delta) {
             deltas.follow(delta);
             return Optional.empty();
@@ -172,6 +182,17 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    /**
+     * Asks a former leader to end its term.
+     *
+     * @param former the former leader
+     * @return whether it has ended; fails if it gives no answer
+     */
+    public CompletableFuture<Boolean> requestTermEnd(LeaderRecord former) {
+        return call(former.member().peerAddress(), new TermEndRequest(former.lease()), TERM_END_MILLIS)
+                .thenApply(answer -> answer instanceof TermEndAnswer term && term.ended());
+    }
+
     /**
      * Sends a message to all other instances and awaits no answer.
      *
--- a/router/src/main/java/org/snipewind/router/peer/StoreFeed.java
+++ b/router/src/main/java/org/snipewind/router/peer/StoreFeed.java
@@ -68,6 +68,18 @@
         }
     }
 
+    /**
+     * Tells the others that changes may be missing from now on, so that they watch the store themselves at once. Called
+     * at the end of a term, which is itself a change that this instance can't pass on.
+     */
+    public void end() {
+        long next = mirror.revision() + 1;
+        sentTables.clear();
+        network.broadcast(
+                new MirrorDelta(next, next, mirror.completeAgeMillis(), List.of(), List.of(), List.of()),
+                tracker.view().members().values());
+    }
+
     private void changed(long fromRevision, long toRevision, List<StoreChanges.Change> changes) {
         List<MirrorAnswer.Item> written = new ArrayList<>();
         List<MirrorAnswer.Item> removed = new ArrayList<>();
--- /dev/null
+++ b/router/src/test/java/org/snipewind/router/lead/TokenDeskTest.java
@@ -0,0 +1,87 @@
+package org.snipewind.router.lead;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.ManualMillisClock;
+import org.snipewind.coordination.quota.QuotaRules;
+import org.snipewind.coordination.routing.CallerLimits;
+import org.snipewind.coordination.routing.Organisation;
+import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.protocol.BudgetGrant;
+import org.snipewind.router.state.FleetView;
+
+/**
+ * Load pattern: a fleet with more instances than the burst of an organisation has tokens changes its leader, so all
+ * requests of the organisation depend on the successor. Guards against callers that are refused as over their rate
+ * although they are within it, and against more tokens than the rate allows.
+ */
+final class TokenDeskTest {
+
+    private static final int RATE = 40;
+    private static final long LEASE_REST_MILLIS = 4_000;
+
+    private final ManualMillisClock clock = new ManualMillisClock(100_000);
+    private final TokenDesk desk = new TokenDesk(clock);
+    private final Organisation organisation = new Organisation("north", List.of("key"), RATE, RATE);
+    private final FleetView view = new FleetView(
+            Optional.of(new RoutingConfiguration(1, List.of(), List.of(), List.of(organisation), CallerLimits.DEFAULT)),
+            Map.of(),
+            Map.of(),
+            Set.of(),
+            Map.of(),
+            Map.of(),
+            Optional.empty(),
+            86);
+
+    private BudgetGrant issue(int wanted) {
+        return desk.issue(view, organisation.name(), wanted);
+    }
+
+    @Test
+    void anOrganisationThatWasQuietSinceTheLeaderBeganHasItsWholeBurst() {
+        desk.open(clock.nowMillis());
+        clock.advance(15_000);
+        assertThat(issue(RATE).tokens()).isEqualTo(RATE);
+    }
+
+    @Test
+    void aLeaderThatBeganJustNowIssuesNoMoreThanTheRateSinceThen() {
+        desk.open(clock.nowMillis());
+        clock.advance(QuotaRules.TOKEN_LIFE_MILLIS + 500);
+        assertThat(issue(RATE).tokens()).isEqualTo(RATE / 2);
+    }
+
+    @Test
+    void noTokenIsIssuedWhileTheFormerLeaderMayAct() {
+        desk.open(clock.nowMillis() + LEASE_REST_MILLIS);
+        BudgetGrant grant = issue(1);
+        assertThat(grant.holder()).isFalse();
+        assertThat(grant.tokens()).isEqualTo(0);
+        assertThat(grant.retryAfterMillis()).isEqualTo(LEASE_REST_MILLIS + QuotaRules.TOKEN_LIFE_MILLIS);
+    }
+
+    @Test
+    void tokensAreIssuedSoonAfterTheFormerLeaderIsKnownToHaveEnded() {
+        desk.open(clock.nowMillis() + LEASE_REST_MILLIS);
+        clock.advance(20);
+        desk.formerEnded();
+        assertThat(issue(1).holder()).isFalse();
+        clock.advance(QuotaRules.TOKEN_LIFE_MILLIS);
+        assertThat(issue(1).holder()).isTrue();
+        clock.advance(25);
+        assertThat(issue(1).tokens()).isEqualTo(1);
+    }
+
+    @Test
+    void wordOfAnEndThatCameLateDoesNotDelayTheTokens() {
+        desk.open(clock.nowMillis());
+        clock.advance(QuotaRules.TOKEN_LIFE_MILLIS + 1_000);
+        desk.formerEnded();
+        assertThat(issue(1).tokens()).isEqualTo(1);
+    }
+}
--- a/router/src/test/java/org/snipewind/router/path/RateDeskTest.java
+++ b/router/src/test/java/org/snipewind/router/path/RateDeskTest.java
@@ -30,6 +30,7 @@
     private static final class Outcome implements RateDesk.Decision {
         private final long patience;
         private volatile String told = "";
+        private volatile long retryAfter;
 
         Outcome(long patience) {
             this.patience = patience;
@@ -42,6 +43,7 @@
 
         @Override
         public void refused(boolean overLimit, long retryAfterMillis) {
+            retryAfter = retryAfterMillis;
             told = overLimit ? "over the limit" : "no keeper";
         }
 
@@ -55,12 +57,13 @@
     private final ManualMillisClock clock = new ManualMillisClock(100_000);
     private final Organisation organisation = new Organisation("north", List.of("key"), 10, 10);
     private volatile boolean keeperPresent;
+    private volatile BudgetGrant absent = new BudgetGrant(false, 0, 0);
     private final RateDesk desk = new RateDesk(
             new FleetTracker(new NoDocuments(), clock, new DecisionLog("test", clock)),
             clock,
             loop,
             (name, wanted) ->
-                    CompletableFuture.completedFuture(new BudgetGrant(keeperPresent, keeperPresent ? wanted : 0, 0)));
+                    CompletableFuture.completedFuture(keeperPresent ? new BudgetGrant(true, wanted, 0) : absent));
 
     @AfterEach
     void stopLoop() {
@@ -101,4 +104,23 @@
         List<Outcome> later = admit(2_000);
         await(() -> later.stream().allMatch(outcome -> outcome.told.equals("no keeper")));
     }
+
+    @Test
+    void requestsAreRefusedAtOnceWithTheTimeIfTheKeeperMayIssueOnlyMuchLater() throws Exception {
+        absent = new BudgetGrant(false, 0, 4_250);
+        List<Outcome> outcomes = admit(2_000);
+        await(() -> outcomes.stream().allMatch(outcome -> outcome.told.equals("no keeper")));
+        assertThat(outcomes.get(0).retryAfter).isEqualTo(4_250);
+    }
+
+    @Test
+    void requestsWaitForAKeeperThatMayIssueSoon() throws Exception {
+        absent = new BudgetGrant(false, 0, 250);
+        List<Outcome> outcomes = admit(400);
+        assertThat(outcomes.stream().allMatch(outcome -> outcome.told.isEmpty()))
+                .isTrue();
+        keeperPresent = true;
+        clock.advance(250);
+        await(() -> outcomes.stream().allMatch(outcome -> outcome.told.equals("admitted")));
+    }
 }
