Let a new leader tell the others of itself

Cause: the successor had the office at 6.31 s, but the others learned of it by their own watches at 6.82 s, since the feed of the former leader had ended.

Ruled out: the election itself (0.4 s from the end of the term to the next).

Change: a leader sends its item when its term begins, and it counts at once at the others, even if changes before it are missing; all other items still wait for the watch. DeltaReaderTest.

--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -38,7 +38,10 @@
 /** One running instance: puts its parts together, starts them and ends them in order. */
 public final class Router {
 
-    private static final long TICK_MILLIS = 50;
+    /** Time between looks at what is due, short where orders to targets wait for it. */
+    private static final long LEADING_TICK_MILLIS = 50;
+
+    private static final long TICK_MILLIS = 200;
 
     /** The balancer takes an instance out after two missed checks a second apart; then idle connections may close. */
     private static final long OUT_OF_ROTATION_MILLIS = 2_300;
@@ -70,7 +73,7 @@
     private volatile boolean stopping;
     private final ActivityLog activity;
     private boolean wasReady;
-    private long tickedAtMillis;
+    private volatile long tickDueMillis;
 
     /**
      * Creates an instance that does nothing yet.
@@ -103,7 +106,8 @@
         tracker.observeStore(mirror::regainedAgeMillis);
         membership = new Membership(store, mirror, control, log, self);
         duties = new LeaderDuties(store, mirror, tracker, ordersFactory.apply(caller), clock, log);
-        leadership = new Leadership(store, mirror, tracker, control, clock, log, self, duties::begin, this::termEnded);
+        leadership =
+                new Leadership(store, mirror, tracker, control, clock, log, self, this::termBegan, this::termEnded);
         network = new PeerNetwork(
                 store,
                 mirror,
@@ -130,6 +134,11 @@
         registerGauges();
     }
 
+    private void termBegan(long formerUntilMillis) {
+        duties.begin(formerUntilMillis);
+        feed.begin();
+    }
+
     private void termEnded() {
         duties.end();
         feed.end();
@@ -166,8 +175,7 @@
         leadership.start();
         reporter.start();
         feed.start();
-        tickedAtMillis = clock.nowMillis();
-        control.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        scheduleTick();
         control.scheduleAtFixedRate(
                 activity::write, ActivityLog.INTERVAL_MILLIS, ActivityLog.INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         new TextServer(controlGroup, uri -> readiness()).start(settings.readiness());
@@ -208,10 +216,22 @@
         log.write(RouterEvent.SETTINGS_REJECTED, () -> problem);
     }
 
+    private void scheduleTick() {
+        long pause = leadership.isLeading() ? LEADING_TICK_MILLIS : TICK_MILLIS;
+        tickDueMillis = clock.nowMillis() + pause;
+        control.schedule(this::tick, pause, TimeUnit.MILLISECONDS);
+    }
+
     private void tick() {
-        long now = clock.nowMillis();
-        metrics.countDelay("loops.control-late-millis", now - tickedAtMillis - TICK_MILLIS);
-        tickedAtMillis = now;
+        metrics.countDelay("loops.control-late-millis", clock.nowMillis() - tickDueMillis);
+        try {
+            doWhatIsDue();
+        } finally {
+            scheduleTick();
+        }
+    }
+
+    private void doWhatIsDue() {
         tracker.removeLapsed();
         duties.tick();
         boolean ready = isReady();
--- a/router/src/main/java/org/snipewind/router/peer/DeltaReader.java
+++ b/router/src/main/java/org/snipewind/router/peer/DeltaReader.java
@@ -8,6 +8,7 @@
 import org.snipewind.protocol.MirrorDelta;
 import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.state.StoreKeys;
 import org.snipewind.router.state.StoreMirror;
 import org.snipewind.router.state.TablePatch;
 
@@ -22,6 +23,10 @@
 
     /** Takes changes into the copy; a patch of a table that is not the one at hand counts as a gap. */
     void follow(MirrorDelta delta) {
+        // A new leader tells of itself; requests wait for it, and changes before its item may still be missing.
+        delta.written().stream()
+                .filter(item -> item.key().equals(StoreKeys.LEADER))
+                .forEach(item -> mirror.noteWritten(MirrorItems.toStore(item)));
         List<StoreChanges.Change> changes = new ArrayList<>();
         delta.written().forEach(item -> changes.add(new StoreChanges.Change(MirrorItems.toStore(item), false)));
         delta.removed().forEach(item -> changes.add(new StoreChanges.Change(MirrorItems.toStore(item), true)));
--- a/router/src/main/java/org/snipewind/router/peer/StoreFeed.java
+++ b/router/src/main/java/org/snipewind/router/peer/StoreFeed.java
@@ -68,6 +68,13 @@
         }
     }
 
+    /** Tells the others at once that this instance leads, so that they ask it for tokens. */
+    public void begin() {
+        mirror.item(StoreKeys.LEADER)
+                .ifPresent(item ->
+                        changed(item.revision(), item.revision(), List.of(new StoreChanges.Change(item, false))));
+    }
+
     /**
      * Tells the others that changes may be missing from now on, so that they watch the store themselves at once. Called
      * at the end of a term, which is itself a change that this instance can't pass on.
--- /dev/null
+++ b/router/src/test/java/org/snipewind/router/peer/DeltaReaderTest.java
@@ -0,0 +1,107 @@
+package org.snipewind.router.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.snipewind.router.Conditions.await;
+
+import io.netty.channel.DefaultEventLoop;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.ManualMillisClock;
+import org.snipewind.protocol.MirrorAnswer;
+import org.snipewind.protocol.MirrorDelta;
+import org.snipewind.router.lead.NoDocuments;
+import org.snipewind.router.log.DecisionLog;
+import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.StoreChanges;
+import org.snipewind.router.port.StorePage;
+import org.snipewind.router.port.StoreWrite;
+import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.LeaderRecord;
+import org.snipewind.router.state.MemberRecord;
+import org.snipewind.router.state.RecordCodec;
+import org.snipewind.router.state.StoreKeys;
+import org.snipewind.router.state.StoreMirror;
+
+/**
+ * Load pattern: the leader is lost and requests of all organisations wait for the next one. Guards against callers that
+ * are refused because an instance hears of the new leader only by its own watch of the store.
+ */
+final class DeltaReaderTest {
+
+    private static final long START_REVISION = 7;
+
+    /** A store that is read once and then silent. */
+    private static final class SilentStore implements CoordinationStore {
+        @Override
+        public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
+            return CompletableFuture.completedFuture(new StorePage(List.of(), false, START_REVISION));
+        }
+
+        @Override
+        public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Long> commit(List<StoreWrite> writes) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Long> openLease(long lifetimeMillis) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Void> renewLease(long lease) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Void> endLease(long lease) {
+            return new CompletableFuture<>();
+        }
+    }
+
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final ManualMillisClock clock = new ManualMillisClock(100_000);
+    private final DecisionLog log = new DecisionLog("test", clock);
+    private final FleetTracker tracker = new FleetTracker(new NoDocuments(), clock, log);
+    private final StoreMirror mirror = new StoreMirror(new SilentStore(), loop, clock, log, tracker);
+    private final DeltaReader reader = new DeltaReader(mirror);
+    private final MemberRecord leader = new MemberRecord("entry", "boot", "127.0.0.1:1", "dc-1", 1);
+
+    @BeforeEach
+    void load() throws Exception {
+        mirror.start();
+        await(mirror::isLoaded);
+    }
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownNow();
+    }
+
+    private void follow(String key, long revision) throws Exception {
+        MirrorAnswer.Item item = new MirrorAnswer.Item(key, revision, 5, RecordCodec.encode(leader));
+        MirrorDelta delta = new MirrorDelta(revision, revision, 0, List.of(item), List.of(), List.of());
+        loop.submit(() -> reader.follow(delta)).get();
+    }
+
+    @Test
+    void aNewLeaderCountsAtOnceThoughChangesBeforeItAreMissing() throws Exception {
+        follow(StoreKeys.LEADER, 12);
+        assertThat(tracker.view().leader().map(LeaderRecord::member)).hasValue(leader);
+        assertThat(mirror.revision()).isEqualTo(START_REVISION);
+    }
+
+    @Test
+    void otherItemsWaitForTheChangesBeforeThem() throws Exception {
+        follow(StoreKeys.MEMBERS + leader.name(), 12);
+        assertThat(tracker.view().members()).isEmpty();
+    }
+}
