Keep the connections of all instances within a target's limit

Cause: an instance had at least two connections to each target. At 84 instances these are 168, and a target there accepts 120. A target takes the connection and then resets it with the request on it, so the request counts as possibly run.

Ruled out: the limit in the configuration (read correctly), connections of the leader's orders (one for each target).

Change: the part is at least one connection; ConnectionShare has the rule and ConnectionsOfALargeFleetTest the pattern (the former rule gives 168 of 120 at 84 instances). A fleet with more instances than a target accepts connections still goes beyond; CAPACITY.md says so.

--- a/router/src/main/java/org/snipewind/router/path/TargetRouting.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetRouting.java
@@ -8,6 +8,7 @@
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.routing.Pool;
+import org.snipewind.coordination.target.ConnectionShare;
 import org.snipewind.coordination.target.TargetChooser;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.state.FleetView;
@@ -27,11 +28,6 @@
     /** Waiting requests for each slot of a target that are accepted; longer queues only grow old. */
     private static final double QUEUE_FACTOR = 2.5;
 
-    /** Part of a target's connections that requests use, so that other uses and uneven shares do not exceed it. */
-    private static final double CONNECTION_PART = 0.8;
-
-    private static final int MIN_CONNECTIONS = 2;
-
     /**
      * Why there is no target now.
      *
@@ -99,7 +95,7 @@
     }
 
     private static int connectionLimit(Pool pool, FleetView view) {
-        return Math.max(MIN_CONNECTIONS, (int) (pool.maxConnections() * CONNECTION_PART / view.fleetSize()));
+        return ConnectionShare.limit(pool.maxConnections(), view.fleetSize());
     }
 
     /** Finds the owner of a key. */
