Try targets that join, and do not take unknown targets for fast ones

Ruled out: the load of the machine; the test waits for a condition that could not come.

Change: a target without an answer counts like the mean of those that the instance knows, and a new connection as no more than a tenth of the work. TargetChooserTest has both sides, each of which fails without the change.

--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetChooser.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetChooser.java
@@ -1,9 +1,11 @@
 package org.snipewind.coordination.target;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Chooses a target of an undivided pool by the time that a request is expected to take there.
@@ -21,6 +23,9 @@
      */
     private static final double CONNECT_MILLIS = 5;
 
+    /** A connection counts as no more than this part of the work, so that targets that join are tried. */
+    private static final double CONNECT_PART = 0.1;
+
     /** Relative width of the blur. */
     private static final double BLUR = 0.2;
 
@@ -69,24 +74,28 @@
             Predicate<TargetState> connected,
             boolean paused) {
         int start = targets.isEmpty() ? 0 : (int) (random.getAsDouble() * targets.size());
-        int comparedConnected = 0;
-        int comparedOthers = 0;
-        TargetState best = null;
-        double bestScore = Double.MAX_VALUE;
+        List<TargetState> connectedOnes = new ArrayList<>(MAX_COMPARED);
+        List<TargetState> others = new ArrayList<>(MAX_COMPARED);
         for (int offset = 0; offset < targets.size(); offset++) {
             TargetState candidate = targets.get((start + offset) % targets.size());
-            boolean isConnected = connected.test(candidate);
-            if ((isConnected ? comparedConnected : comparedOthers) >= MAX_COMPARED
-                    || candidate.isPaused(nowMillis) != paused
-                    || !allowed.test(candidate)) {
-                continue;
+            List<TargetState> compared = connected.test(candidate) ? connectedOnes : others;
+            if (compared.size() < MAX_COMPARED && candidate.isPaused(nowMillis) == paused && allowed.test(candidate)) {
+                compared.add(candidate);
             }
-            if (isConnected) {
-                comparedConnected++;
-            } else {
-                comparedOthers++;
+        }
+        double typical = typicalMillis(connectedOnes, others);
+        TargetState best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (TargetState candidate : connectedOnes) {
+            double score = score(candidate, nowMillis, typical);
+            if (score < bestScore) {
+                best = candidate;
+                bestScore = score;
             }
-            double score = score(candidate, nowMillis) + (isConnected ? 0 : CONNECT_MILLIS);
+        }
+        for (TargetState candidate : others) {
+            double score = score(candidate, nowMillis, typical);
+            score += Math.min(CONNECT_MILLIS, score * CONNECT_PART);
             if (score < bestScore) {
                 best = candidate;
                 bestScore = score;
@@ -95,8 +104,18 @@
         return Optional.ofNullable(best);
     }
 
-    private double score(TargetState candidate, long nowMillis) {
-        double expected = candidate.expectedMillis(nowMillis) * (1 + BLUR * (random.getAsDouble() - 0.5));
+    /** Gives the mean time of the targets that this instance knows; in a large pool it knows few of them. */
+    private static double typicalMillis(List<TargetState> connected, List<TargetState> others) {
+        return Stream.concat(connected.stream(), others.stream())
+                .filter(TargetState::isSampled)
+                .mapToDouble(TargetState::serviceMillis)
+                .average()
+                .orElse(TargetState.FIRST_ESTIMATE_MILLIS);
+    }
+
+    private double score(TargetState candidate, long nowMillis, double typicalMillis) {
+        double expected =
+                candidate.expectedMillis(nowMillis, typicalMillis) * (1 + BLUR * (random.getAsDouble() - 0.5));
         return candidate.entry().dataCentre().equals(dataCentre) ? expected : expected * remoteFactor + remoteMillis;
     }
 }
--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
@@ -14,7 +14,9 @@
 
     private static final long LONGEST_PAUSE_MILLIS = 2_000;
     private static final int FAILURES_BEFORE_PAUSE = 2;
-    private static final double FIRST_ESTIMATE_MILLIS = 50;
+
+    /** Time of an answer of a target before any target of its pool has answered. */
+    static final double FIRST_ESTIMATE_MILLIS = 50;
 
     private TargetEntry entry;
     private double serviceMillis = FIRST_ESTIMATE_MILLIS;
@@ -168,6 +170,15 @@
         return nowMillis < unansweringUntilMillis;
     }
 
+    /**
+     * Tells whether the target has answered a request of this instance.
+     *
+     * @return true once its time of an answer is known
+     */
+    synchronized boolean isSampled() {
+        return sampled;
+    }
+
     /**
      * Gives the number of own requests at the target.
      *
@@ -193,9 +204,21 @@
      * @return milliseconds
      */
     public synchronized double expectedMillis(long nowMillis) {
+        return expectedMillis(nowMillis, serviceMillis);
+    }
+
+    /**
+     * Estimates how long a request sent now would take, counting failures as lost time.
+     *
+     * @param nowMillis present time
+     * @param typicalMillis time of an answer that counts as long as the target has given none
+     * @return milliseconds
+     */
+    synchronized double expectedMillis(long nowMillis, double typicalMillis) {
+        double service = sampled ? serviceMillis : typicalMillis;
         double slowdown = isReportFresh(nowMillis) ? Math.max(1, report.slowdown()) : 1;
         double queued = Math.max(1, (load(nowMillis) + 1) / Math.max(1, entry.slots()));
-        return serviceMillis * queued * slowdown / Math.max(0.05, 1 - failureShare);
+        return service * queued * slowdown / Math.max(0.05, 1 - failureShare);
     }
 
     /**
--- a/coordination/src/test/java/org/snipewind/coordination/target/TargetChooserTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/target/TargetChooserTest.java
@@ -90,6 +90,33 @@
         assertThat(opened).isLessThan(200);
     }
 
+    /** Pattern: a target joins a pool of fast targets, whose answers take less than a new connection counts. */
+    @Test
+    void aTargetThatJoinsIsTriedSoonThoughAnotherOneIsConnected() {
+        TargetState connected = state("connected", "here");
+        TargetState joined = state("joined", "here");
+        teach(connected, 3);
+        long tries = IntStream.range(0, 200)
+                .filter(each -> chooser.choose(List.of(connected, joined), NOW, target -> true, connected::equals)
+                                .orElseThrow()
+                        == joined)
+                .count();
+        assertThat(tries).isAtLeast(5);
+    }
+
+    @Test
+    void aTargetWithoutAnAnswerYetIsNotTakenToBeFasterThanAllThatAreKnown() {
+        List<TargetState> targets = pool(20, "here");
+        targets.subList(0, 8).forEach(target -> teach(target, 140));
+        long unknown = IntStream.range(0, 300)
+                .filter(each -> targets.indexOf(
+                                chooser.choose(targets, NOW, target -> true, target -> targets.indexOf(target) < 8)
+                                        .orElseThrow())
+                        >= 8)
+                .count();
+        assertThat(unknown).isLessThan(150);
+    }
+
     @Test
     void aTargetThatIsClearlyFasterIsWorthANewConnection() {
         TargetState connected = state("connected", "here");
