Give the listener of terms and the call that ends one files of their own

Comments name reasons in place of a figure that was not measured, and say what the rule on followers does not see.

--- a/coordination/src/main/java/org/snipewind/coordination/election/CandidateOrder.java
+++ b/coordination/src/main/java/org/snipewind/coordination/election/CandidateOrder.java
@@ -15,8 +15,8 @@
     private static final double SPREAD_MILLIS = 100;
 
     /**
-     * Mbit/s of link that the work of a leader takes for each core of processor time. Measured at 86 instances, where a
-     * change of the configuration alone is 4 MB for the link of the leader.
+     * Mbit/s of link that count like one core. A leader sends each change of the store to every instance, so one with a
+     * narrow link is as unfit as one with little processor time.
      */
     private static final double MEGABITS_PER_CORE = 100;
 
--- a/coordination/src/main/java/org/snipewind/coordination/election/Followers.java
+++ b/coordination/src/main/java/org/snipewind/coordination/election/Followers.java
@@ -9,7 +9,9 @@
  * Which instances follow a leader, as their reports to it show; used by one thread.
  *
  * <p>An instance reports to one leader at a time and asks only that one for tokens. A leader that hears nobody issues
- * none, so a successor to which all others report need wait only that long for a former leader that fell silent.
+ * none, so a successor to which all others report need wait only that long for a former leader that fell silent. An
+ * instance that was not listed for want of contact to the store, and is cut off together with the former leader, is not
+ * seen by this rule; the end of the former leader's lease bounds what the two can use.
  */
 public final class Followers {
 
--- a/router/src/main/java/org/snipewind/router/lead/Leadership.java
+++ b/router/src/main/java/org/snipewind/router/lead/Leadership.java
@@ -54,7 +54,7 @@
     private final MillisClock clock;
     private final DecisionLog log;
     private final MemberRecord self;
-    private final TermBegin onElected;
+    private final TermListener onElected;
     private final Runnable onEnded;
     private boolean leading;
     private boolean claiming;
@@ -67,33 +67,9 @@
     private long claimAtMillis = Long.MAX_VALUE;
     private long claimNotBeforeMillis;
     private long outrankedSinceMillis;
-    private TermEnd termEnd = former -> CompletableFuture.completedFuture(false);
+    private TermEndCall termEnd = former -> CompletableFuture.completedFuture(false);
     private Runnable onFormerEnded = () -> {};
 
-    /** Is told of the beginning of a term. */
-    @FunctionalInterface
-    public interface TermBegin {
-        /**
-         * Begins a term.
-         *
-         * @param formerUntilMillis time until which a former leader may act
-         * @param deposed the former leader, if it may not know that its term has ended
-         */
-        void begin(long formerUntilMillis, Optional<MemberRecord> deposed);
-    }
-
-    /** Asks a former leader to end its term. */
-    @FunctionalInterface
-    public interface TermEnd {
-        /**
-         * Asks.
-         *
-         * @param former the former leader with the lease that was ended
-         * @return whether it does not act under that lease any more; fails if it gives no answer
-         */
-        CompletableFuture<Boolean> request(LeaderRecord former);
-    }
-
     /**
      * Creates an instance that does not lead.
      *
@@ -115,7 +91,7 @@
             MillisClock clock,
             DecisionLog log,
             MemberRecord self,
-            TermBegin onElected,
+            TermListener onElected,
             Runnable onEnded) {
         this.store = store;
         this.mirror = mirror;
@@ -148,7 +124,7 @@
      * @param request asks it
      * @param formerEnded called when the former leader can't act any more, if that is sooner than was announced
      */
-    public void attach(TermEnd request, Runnable formerEnded) {
+    public void attach(TermEndCall request, Runnable formerEnded) {
         termEnd = request;
         onFormerEnded = formerEnded;
     }
