Test that bytes without an end from a target end the request

Nothing was found: a first line, a header, a body without length and the line of a chunk that never end are cut at the limits of head and body, the request ends as failed and the connection is reset. The test passes on the code as it is.

--- a/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
@@ -1,6 +1,7 @@
 package org.snipewind.router.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -21,6 +22,9 @@
 
     private static final String OK = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok";
 
+    /** Kilobytes after which bytes without an end must have ended the connection; heads may have 8 KB here. */
+    private static final int ENDLESS_PARTS = 40;
+
     private final List<HttpAnswer> answers = new ArrayList<>();
     private final List<ExchangeException> failures = new ArrayList<>();
     private final AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig());
@@ -101,6 +105,41 @@
         assertThat(failures).hasSize(1);
     }
 
+    /** Pattern: a target in trouble sends bytes that are no answer until the caller closes. */
+    @Test
+    void bytesWithoutEndEndTheRequestAndTheConnection() {
+        for (String start : List.of(
+                "",
+                "HTTP/1.1 200 ",
+                "HTTP/1.1 200 OK\r\nId: 1\r\nEndless: ",
+                "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;")) {
+            List<ExchangeException> ended = new ArrayList<>();
+            AnswerDecoder endlessDecoder = new AnswerDecoder(new HttpDecoderConfig());
+            HttpConnection endless = new HttpConnection(endlessDecoder, 1_000, () -> {});
+            EmbeddedChannel wire = new EmbeddedChannel(endlessDecoder, new HttpRequestEncoder(), endless);
+            endless.exchange(request(), (status, headers) -> true, new ExchangeListener() {
+                @Override
+                public void answered(HttpAnswer answer) {
+                    answers.add(answer);
+                }
+
+                @Override
+                public void failed(ExchangeException cause) {
+                    ended.add(cause);
+                }
+            });
+            wire.releaseOutbound();
+            wire.writeInbound(Unpooled.copiedBuffer(start, StandardCharsets.US_ASCII));
+            for (int part = 0; part < ENDLESS_PARTS && wire.isActive(); part++) {
+                wire.writeInbound(Unpooled.copiedBuffer("x".repeat(1_000), StandardCharsets.US_ASCII));
+            }
+            assertWithMessage("after <%s>", start).that(wire.isActive()).isFalse();
+            assertThat(ended).hasSize(1);
+            assertThat(answers).isEmpty();
+        }
+    }
+
     @Test
     void anAnswerThatExceedsTheLimitIsAFailure() {
         send("1");
@@ -125,9 +164,11 @@
     }
 
     private void send(String id) {
-        FullHttpRequest request =
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER);
-        connection.exchange(request, (status, headers) -> id.equals(headers.get("Id")), listener);
+        connection.exchange(request(), (status, headers) -> id.equals(headers.get("Id")), listener);
+    }
+
+    private static FullHttpRequest request() {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER);
     }
 
     private void receive(String text) {
