--- a/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
@@ -140,6 +140,16 @@
         }
     }
 
+    @Test
+    void emptyLinesWithoutEndEndTheRequestAndTheConnection() {
+        send("1");
+        for (int part = 0; part < ENDLESS_PARTS && channel.isActive(); part++) {
+            receive("\r\n".repeat(500));
+        }
+        assertThat(channel.isActive()).isFalse();
+        assertThat(failures).hasSize(1);
+    }
+
     @Test
     void anAnswerThatExceedsTheLimitIsAFailure() {
         send("1");
