--- a/review/2/LateRequests.java
+++ b/review/1/LateRequests.java
@@ -61,7 +61,7 @@
     }
 
     private int run(Path root, boolean trouble) throws IOException {
-        Path directory = Files.createTempDirectory("case-2-");
+        Path directory = Files.createTempDirectory("review-");
         Store store = new Store();
         Site site = new Site();
         site.service("order-desk", false);
--- a/review/3/UnreadableEntry.java
+++ b/review/2/UnreadableEntry.java
@@ -41,7 +41,7 @@
     }
 
     private int run(Path root, boolean trouble) throws IOException {
-        Path directory = Files.createTempDirectory("case-3-");
+        Path directory = Files.createTempDirectory("review-");
         Store store = new Store();
         Site site = new Site();
         site.service("order-desk", false);
--- a/review/lib/Daemons.java
+++ b/review/lib/Daemons.java
@@ -180,5 +180,18 @@
                 return;
             }
         }
+        deleteDirectory();
+    }
+
+    /** Deletes the settings and logs, unless KEEP is set. */
+    private void deleteDirectory() {
+        if (System.getenv("KEEP") != null) {
+            return;
+        }
+        for (Daemon daemon : all) {
+            daemon.settings.toFile().delete();
+            daemon.log.toFile().delete();
+        }
+        directory.toFile().delete();
     }
 }
