--- a/review/2/UnreadableEntry.java
+++ b/review/2/UnreadableEntry.java
@@ -28,13 +28,13 @@
     }
 
     public static void main(String[] arguments) throws Exception {
-        Record.open(Path.of(arguments[1], "record.txt"));
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int status = 2;
         try {
+            Record.open(Path.of(arguments[1], "record.txt"));
             status = new UnreadableEntry().run(Path.of(arguments[0]).toAbsolutePath(), trouble);
-        } catch (IOException e) {
-            Record.line("could not run: " + e);
+        } catch (Throwable e) {
+            System.out.println("could not run: " + e);
         }
         System.out.println("exit " + status);
         System.exit(status);
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,8 @@
 #!/usr/bin/env bash
 # Exits with 1 if a withdrawn key went on working after the deadline, 0 if not, 2 if the case couldn't run.
 cd "$(dirname "$0")" || exit 2
-[ -d ../../target/review ] || ../build.sh || exit 2
-exec timeout -k 5 115 java -cp ../../target/review UnreadableEntry ../.. .
+[ -f ../../target/review/UnreadableEntry.class ] || ../build.sh || exit 2
+timeout -k 5 115 java -cp ../../target/review UnreadableEntry ../.. .
+status=$?
+[ $status -le 2 ] || status=2
+exit $status
