Refuse requests that can't end before a stopping process does

Cause: a stopping instance listened, read requests and passed them on until no connection was open. With fewer than half of a zone's instances in rotation the platform sends callers to all of them, so that moment never came, and the process halted 5.5 s after the signal in the middle of requests that it had started milliseconds before. Ruled out: slow work that is cut (the requests took 80 ms) and the kill at the end of the grace period (the process ended by itself before it).

Change: ShutdownSchedule serves everything for at most half of the grace period and 3 s. After that a request starts only if its whole allowed time ends before the process does; others get 503 shutting-down with Retry-After, which is true, as nothing was sent. The listener closes 0.5 s before the end, and what is still in progress 0.2 s before it is answered.

Measured: PlannedStopTest (a real process, 12 callers that keep coming) failed before with 12 requests that ran and were not answered; it passes. PlatformFleetTest and PipelinedRequestsTest pass.

--- a/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
+++ b/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
@@ -72,6 +72,8 @@
     CONFIGURATION_STALE(503, Execution.NOT_RUN, false),
     /** The daemon has not yet loaded the configuration and the assignments. */
     NOT_READY(503, Execution.NOT_RUN, false),
+    /** The daemon is shutting down and may end before the request would. */
+    SHUTTING_DOWN(503, Execution.NOT_RUN, false),
     /** An internal error of the daemon. */
     INTERNAL(500, Execution.UNKNOWN, false);
 
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -9,6 +9,7 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.snipewind.coordination.admission.ShutdownSchedule;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.coordination.election.CandidatePriority;
@@ -52,9 +53,6 @@
      */
     private static final long LOAD_BALANCER_REMOVAL_MILLIS = 2_300;
 
-    /** Time between the end of {@link #stop()} and the end of the grace period, at which the process is killed. */
-    private static final long EXIT_MARGIN_MILLIS = 500;
-
     /** Fraction of the heap for responses; connections, the store cache and the garbage collector need the rest. */
     private static final double RESPONSE_MEMORY_FRACTION = 0.25;
 
@@ -298,28 +296,35 @@
 
     /**
      * Stops the instance: reports that it is not ready, hands over the leadership, waits for requests in progress and
-     * returns before the end of the grace period.
+     * returns before the end of the grace period. Callers may come to the last moment, so requests that can't end in
+     * time are refused, and the listener closes before the end.
      */
     public void stop() {
-        long deadlineMillis = clock.nowMillis() + settings.graceMillis() - EXIT_MARGIN_MILLIS;
-        long removedMillis = clock.nowMillis() + LOAD_BALANCER_REMOVAL_MILLIS;
+        ShutdownSchedule schedule = new ShutdownSchedule(clock.nowMillis(), settings.graceMillis());
+        long removedMillis = Math.min(clock.nowMillis() + LOAD_BALANCER_REMOVAL_MILLIS, schedule.listenerCloseMillis());
         stopping = true;
         log.write(
                 RouterEvent.STOPPING,
                 () -> "grace=" + settings.graceMillis() + "ms connections=" + callers.connections());
         controlLoop.execute(leaderElection::stop);
+        sharedState.beginShutdown(schedule);
         callers.drain();
         while (clock.nowMillis() < removedMillis) {
             sleepBetweenStopChecks();
         }
         boolean listening = true;
-        while (clock.nowMillis() < deadlineMillis && (listening || callers.isBusy() || callers.connections() > 0)) {
+        while (clock.nowMillis() < schedule.endMillis()
+                && (listening || callers.isBusy() || callers.connections() > 0)) {
             callers.closeIdle();
-            if (listening && !callers.isBusy() && callers.connections() == 0) {
+            boolean unused = !callers.isBusy() && callers.connections() == 0;
+            if (listening && (unused || clock.nowMillis() >= schedule.listenerCloseMillis())) {
                 // The next iteration still waits for connections that were accepted just before.
                 callers.closeListener();
                 listening = false;
             }
+            if (clock.nowMillis() >= schedule.requestEndMillis()) {
+                callers.endRequests();
+            }
             sleepBetweenStopChecks();
         }
         controlLoop.execute(membership::leave);
--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -315,6 +315,11 @@
         }
     }
 
+    /** Answers the requests in progress, because the process is about to end. */
+    void endRequests() {
+        List.copyOf(exchanges).forEach(CallerExchange::endForShutdown);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
--- a/router/src/main/java/org/snipewind/router/path/CallerExchange.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerExchange.java
@@ -51,6 +51,11 @@
         routedRequest = Optional.of(channel.worker().serve(request, this));
     }
 
+    /** Answers the request if it is in progress, because the process is about to end. */
+    void endForShutdown() {
+        routedRequest.ifPresent(RoutedRequest::endForShutdown);
+    }
+
     /** Cancels the request, or drops its response, because the caller has disconnected. */
     void cancel() {
         response.ifPresent(CallerResponse::releaseMemory);
--- a/router/src/main/java/org/snipewind/router/path/CallerServer.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerServer.java
@@ -135,6 +135,11 @@
         channels.forEach(channel -> channel.worker().loop().execute(channel::closeIfIdle));
     }
 
+    /** Answers all requests in progress with what is known of them, because the process is about to end. */
+    public void endRequests() {
+        channels.forEach(channel -> channel.worker().loop().execute(channel::endRequests));
+    }
+
     /**
      * Returns whether requests are in progress or responses are being written.
      *
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -161,6 +161,10 @@
         long allowedMillis =
                 Math.min(route.timeoutMillis(), headers.remainingMillis().orElse(Long.MAX_VALUE));
         deadlineMillis = arrivedMillis + allowedMillis;
+        if (!context.sharedState().mayStart(allowedMillis)) {
+            refuse(ErrorKind.SHUTTING_DOWN, TargetResolver.POOL_RETRY_AFTER_MILLIS, "allowed=" + allowedMillis + "ms");
+            return;
+        }
         schedule(this::onDeadline, allowedMillis);
         Optional<Organisation> limitedOrganisation = organisation.filter(Organisation::isLimited);
         if (limitedOrganisation.isPresent()) {
@@ -390,6 +394,16 @@
     }
 
     private void onDeadline() {
+        end(ErrorKind.OVERLOADED);
+    }
+
+    /** Ends the request before the process ends, so that its caller learns whether it may have run. */
+    void endForShutdown() {
+        end(ErrorKind.SHUTTING_DOWN);
+    }
+
+    /** Ends the request with the given kind, or as one of unknown outcome if it was sent to a target. */
+    private void end(ErrorKind kindIfNotSent) {
         if (done) {
             return;
         }
@@ -397,7 +411,7 @@
         activeAttempts.forEach(Attempt::abort);
         activeAttempts.clear();
         refuse(
-                mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : ErrorKind.OVERLOADED,
+                mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : kindIfNotSent,
                 TargetResolver.POOL_RETRY_AFTER_MILLIS,
                 "time is up after " + (context.clock().nowMillis() - arrivedMillis) + "ms attempts=" + attempts);
     }
--- a/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
+++ b/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import org.snipewind.coordination.admission.ShutdownSchedule;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.target.ColdStartRateLimiter;
@@ -15,8 +17,9 @@
 import org.snipewind.router.state.FleetView;
 
 /**
- * The state that all workers share: retry budgets of pools, cold-start rate limits of targets, and the counts for the
- * next load summary. Each of them has its own lock; no lock is taken while another one is held.
+ * The state that all workers share: retry budgets of pools, cold-start rate limits of targets, the schedule of a
+ * shutdown, and the counts for the next load summary. Each of them has its own lock; no lock is taken while another one
+ * is held.
  */
 public final class SharedRoutingState {
 
@@ -30,6 +33,7 @@
     private final MillisClock clock;
     private volatile RouterLimits limits;
     private final String instanceName;
+    private volatile Optional<ShutdownSchedule> shutdown = Optional.empty();
     private final Map<String, WindowedRetryBudget> retryBudgets = new ConcurrentHashMap<>();
     private final Map<String, ColdStartRateLimiter> coldStartLimiters = new ConcurrentHashMap<>();
     private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
@@ -60,6 +64,21 @@
         limits = changed;
     }
 
+    /**
+     * Refuses requests from now on that would not end before the process does.
+     *
+     * @param schedule times of the shutdown
+     */
+    public void beginShutdown(ShutdownSchedule schedule) {
+        shutdown = Optional.of(schedule);
+    }
+
+    /** Returns whether a request that may take the given time may still start. */
+    boolean mayStart(long allowedMillis) {
+        return shutdown.map(schedule -> schedule.mayStart(clock.nowMillis(), allowedMillis))
+                .orElse(true);
+    }
+
     /** Removes the rate limits of targets that have left or completed their cold start; called on the control loop. */
     public void onViewChanged() {
         FleetView view = tracker.view();
