Keep new connections open until their request arrives during a stop

Callers whose new connection reached a stopping instance found it closed without an answer and had to connect again.

Change: a connection counts as idle for this only 200 ms after it was opened or last used.

--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -39,6 +39,9 @@
     /** Requests of one connection that are served at the same time, so that one caller can't fill the targets. */
     private static final int MAX_CONCURRENT_REQUESTS = 4;
 
+    /** Longest time that a caller's next request takes from a new connection or the last response to its arrival. */
+    private static final long REQUEST_IN_TRANSIT_MILLIS = 200;
+
     private final Worker worker;
     private final CallerServer server;
     private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
@@ -307,9 +310,9 @@
         return exchanges.isEmpty() && requestHead == null && messageStartMillis < 0;
     }
 
-    /** Closes the connection unless a request is being received or served. */
+    /** Closes the connection unless a request is being received or served, or may be on its way. */
     void closeIfIdle() {
-        if (isIdle()) {
+        if (isIdle() && nowMillis() - lastActivityMillis >= REQUEST_IN_TRANSIT_MILLIS) {
             closing = true;
             channelContext.close();
         }
--- a/router/src/main/java/org/snipewind/router/path/CallerServer.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerServer.java
@@ -130,7 +130,7 @@
         listenChannel.close().awaitUninterruptibly();
     }
 
-    /** Closes connections on which no request is being received or served. */
+    /** Closes connections on which no request is being received, served or on its way. */
     public void closeIdle() {
         channels.forEach(channel -> channel.worker().loop().execute(channel::closeIfIdle));
     }
--- a/router/src/test/java/org/snipewind/router/path/PipelinedRequestsTest.java
+++ b/router/src/test/java/org/snipewind/router/path/PipelinedRequestsTest.java
@@ -124,6 +124,29 @@
         assertThat(arrived).doesNotContain("/plain/not-read");
     }
 
+    /** Guards against a new connection that a stopping server closes while its first request is on the way. */
+    @Test
+    void aConnectionThatWasJustAcceptedIsNotClosedBeforeItsRequestArrives() throws Exception {
+        awaitConnections(1);
+        server.drain();
+        server.closeIdle();
+        TimeUnit.MILLISECONDS.sleep(50);
+        send("/plain/1");
+        assertThat(paths(readToEnd())).containsExactly("/plain/1");
+    }
+
+    @Test
+    void aConnectionThatStaysIdleIsClosedWhenTheServerDrains() throws Exception {
+        awaitConnections(1);
+        server.drain();
+        long end = fixture.clock.nowMillis() + RoutingFixture.MAX_WAIT_MILLIS;
+        while (server.connections() > 0 && fixture.clock.nowMillis() < end) {
+            server.closeIdle();
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        assertThat(readToEnd()).isEmpty();
+    }
+
     @Test
     void aRequestBehindOneThatClosesTheConnectionIsNotStarted() throws Exception {
         write("GET /plain/1 HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: close\r\n\r\n"
@@ -156,6 +179,13 @@
         }
     }
 
+    private void awaitConnections(int count) throws InterruptedException {
+        long end = fixture.clock.nowMillis() + RoutingFixture.MAX_WAIT_MILLIS;
+        while (server.connections() < count && fixture.clock.nowMillis() < end) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
     private void awaitArrivals(int count) throws InterruptedException {
         long end = fixture.clock.nowMillis() + RoutingFixture.MAX_WAIT_MILLIS;
         while (arrived.size() < count && fixture.clock.nowMillis() < end) {
