Refuse requests that can't end before the product's own daemon does

Change: RequestRouter asks the ShutdownSchedule before it starts a request; one whose deadline lies after the end of the daemon gets 503 shutting-down and is not sent.

Measured: aRequestThatMayOutlastTheShutdownIsRefusedAsNotRun failed before (no refusal as long as the daemon lived) and passes.

--- a/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
@@ -18,6 +18,7 @@
 import org.snipewind.clients.status.OrganisationStatus;
 import org.snipewind.clients.store.KeyValueStore;
 import org.snipewind.clients.target.TargetClient;
+import org.snipewind.coordination.admission.ShutdownSchedule;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.fleet.Member;
 import org.snipewind.coordination.fleet.RoleNames;
@@ -235,7 +236,7 @@
      * @param maxWaitMillis maximum wait in milliseconds
      */
     public void leave(long maxWaitMillis) {
-        readiness.beginShutdown();
+        readiness.beginShutdown(new ShutdownSchedule(clock.nowMillis(), maxWaitMillis));
         records.fleet().rolesOf(memberId).stream()
                 .filter(role -> role.startsWith(RoleNames.TARGET_PREFIX))
                 .forEach(role -> {
--- a/daemon/src/main/java/org/snipewind/daemon/entry/Readiness.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/Readiness.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.snipewind.clients.configuration.DataCentreSettings;
 import org.snipewind.clients.configuration.FleetConfiguration;
+import org.snipewind.coordination.admission.ShutdownSchedule;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
 import org.snipewind.coordination.lease.MemberLease;
@@ -17,7 +18,7 @@
     private final RecordCache records;
     private final StoreContact contact;
     private final MemberLease lease;
-    private volatile boolean shuttingDown;
+    private volatile Optional<ShutdownSchedule> shutdown = Optional.empty();
 
     /**
      * Creates a readiness check.
@@ -34,9 +35,19 @@
         this.lease = lease;
     }
 
-    /** Makes the daemon not ready; requests that still arrive are served until the listeners close. */
-    public void beginShutdown() {
-        shuttingDown = true;
+    /**
+     * Makes the daemon not ready. Requests that still arrive are served as far as they end before the daemon does.
+     *
+     * @param schedule times of the shutdown
+     */
+    public void beginShutdown(ShutdownSchedule schedule) {
+        shutdown = Optional.of(schedule);
+    }
+
+    /** Returns whether a request may start that may take until its deadline. */
+    boolean mayStart(long nowMillis, long deadlineMillis) {
+        return shutdown.map(schedule -> schedule.mayStart(nowMillis, deadlineMillis - nowMillis))
+                .orElse(true);
     }
 
     /**
@@ -45,7 +56,7 @@
      * @return false while requests are refused, while the data centre is out of service, and during shutdown
      */
     public boolean isReady() {
-        return !shuttingDown
+        return shutdown.isEmpty()
                 && refusal().isEmpty()
                 && records.configuration()
                         .map(revision -> isInService(revision.configuration()))
--- a/daemon/src/main/java/org/snipewind/daemon/entry/RequestRouter.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/RequestRouter.java
@@ -110,7 +110,12 @@
         if (route.isEmpty()) {
             return Either.left(Refusal.of(ErrorKind.ROUTE_UNKNOWN, "no route has this path"));
         }
-        return readDeadline(request).flatMap(deadline -> createRoutedRequest(request, route.get(), deadline));
+        return readDeadline(request).flatMap(deadline -> {
+            if (!readiness.mayStart(clock.nowMillis(), deadline)) {
+                return Either.left(Refusal.of(ErrorKind.SHUTTING_DOWN, "the daemon may end before the request would"));
+            }
+            return createRoutedRequest(request, route.get(), deadline);
+        });
     }
 
     private Either<Refusal, RoutedRequest> createRoutedRequest(
--- a/daemon/src/test/java/org/snipewind/daemon/DaemonShutdownTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonShutdownTest.java
@@ -35,6 +35,29 @@
         }
     }
 
+    // Guards against a shutdown that starts requests to the last moment and ends in the middle of them.
+    @Test
+    void aRequestThatMayOutlastTheShutdownIsRefusedAsNotRun() throws Exception {
+        try (DaemonFixture daemon = new DaemonFixture(DaemonFixture.LIMITS);
+                RawCaller caller = new RawCaller(daemon.settings.callers())) {
+            CompletableFuture<Either<Refusal, TargetResponse>> heldResponse = daemon.target.holdResponse();
+            caller.send(DaemonFixture.request("GET /a HTTP/1.1", ""));
+            assertThat(daemon.target.requests.poll(5, SECONDS)).isNotNull();
+            daemon.target.respondWith(200, Map.of(), new byte[0]);
+            CompletableFuture<Void> shutdown = CompletableFuture.runAsync(daemon.runtime::shutdown);
+            String request = DaemonFixture.request("GET /a HTTP/1.1", "Snipewind-Deadline-Millis: 5000\r\n");
+            DaemonFixture.await(() -> daemon.call(request).status == 503);
+            daemon.target.requests.clear();
+            RawCaller.Response refusal = daemon.call(request);
+            assertThat(refusal.values("Snipewind-Error")).containsExactly("shutting-down");
+            assertThat(refusal.values("Snipewind-Execution")).containsExactly("not-run");
+            assertThat(daemon.target.requests).isEmpty();
+            heldResponse.complete(Either.right(new TargetResponse(200, Map.of(), new byte[0])));
+            assertThat(caller.readResponse(false).status).isEqualTo(200);
+            shutdown.get(5, SECONDS);
+        }
+    }
+
     // Guards against a withdrawn key that is still accepted on a connection opened before the withdrawal.
     @Test
     void aWithdrawnKeyStopsWorkingOnAnOpenConnection() throws Exception {
