Follow the store past entries that can't be read

Cause: the JSON parser recurses, the threads have a stack of 256 KB, and the StackOverflowError passed the parser, the tracker and the copy of the store up to the callback of the watch. Futures drop what their callbacks throw, so no further watch was started. Ruled out: a lost connection or lease (readiness and membership went on).

--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -1,5 +1,6 @@
 package org.snipewind.router.state;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,11 +11,13 @@
 import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.routing.RoutingConfiguration;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.coordination.target.TargetState;
+import org.snipewind.router.log.GuardedTask;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.StoreItem;
@@ -160,8 +163,17 @@
         }
     }
 
+    /** Parses an item. A fault of the parser makes the item unreadable, like a problem that it reports. */
+    private static <T> Either<String, T> parse(Supplier<Either<String, T>> parsing) {
+        try {
+            return parsing.get();
+        } catch (RuntimeException | StackOverflowError e) {
+            return Either.left("the parser failed: " + e);
+        }
+    }
+
     private void applyConfiguration(StoreItem item) {
-        parser.parseConfiguration(item.value())
+        parse(() -> parser.parseConfiguration(item.value()))
                 .peek(parsed -> {
                     if (configuration.isPresent() && configuration.get().version() > parsed.version()) {
                         logUnreadable(item, "version " + parsed.version() + " is older than the one in force");
@@ -200,7 +212,7 @@
     }
 
     private void applyTarget(String id, StoreItem item) {
-        parser.parseTarget(id, item.value()).peek(this::addTarget).peekLeft(problem -> {
+        parse(() -> parser.parseTarget(id, item.value())).peek(this::addTarget).peekLeft(problem -> {
             logUnreadable(item, problem);
             targets.remove(id);
         });
@@ -290,6 +302,6 @@
                 Map.copyOf(keyTables),
                 leader,
                 Math.max(1, memberLastSeenMillis.size()));
-        observers.forEach(Runnable::run);
+        observers.forEach(observer -> new GuardedTask(log, "observer of the fleet view", observer).run());
     }
 }
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.router.log.GuardedTask;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
@@ -120,7 +121,11 @@
     /** Starts to read and watch the store. */
     public void start() {
         loop.execute(this::reload);
-        loop.scheduleAtFixedRate(this::checkContact, RETRY_DELAY_MILLIS, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                new GuardedTask(log, "check of the contact with the store", this::checkContact),
+                RETRY_DELAY_MILLIS,
+                RETRY_DELAY_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Records that the store has just responded to a call. */
@@ -307,6 +312,10 @@
     }
 
     private void reload() {
+        new GuardedTask(log, "read the store", this::startReading, () -> retry(this::reload)).run();
+    }
+
+    private void startReading() {
         readPages(new ArrayList<>(), Optional.empty(), -1).whenComplete((ignored, failure) -> {
             if (failure == null) {
                 watch();
@@ -340,6 +349,10 @@
     }
 
     private void watch() {
+        new GuardedTask(log, "watch the store", this::startWatch, () -> retry(this::watch)).run();
+    }
+
+    private void startWatch() {
         if (receivesBroadcasts()) {
             pausedWatch =
                     Optional.of(loop.schedule(this::watch, BROADCAST_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
@@ -347,38 +360,46 @@
         }
         pausedWatch = Optional.empty();
         long fromRevision = items.revision();
-        store.watch("", fromRevision, WATCH_TIMEOUT_MILLIS).whenComplete((changes, failure) -> {
-            if (failure == null) {
-                recordContact();
-                if (changes.revision() > newestRevision(changes, fromRevision)) {
-                    // Each revision is a change, so the watch did not return all changes up to its revision. Continuing
-                    // from there would lose them.
-                    log.write(
-                            RouterEvent.MIRROR_RELOADED,
-                            () -> "revision=" + fromRevision + " store=" + changes.revision());
-                    reload();
-                    return;
-                }
-                items.applyChanges(changes);
-                confirmedMillis = clock.nowMillis();
-                boolean broadcasting = isBroadcasting.getAsBoolean();
-                if (broadcasting) {
-                    changeForwarder.forward(fromRevision, changes.revision(), changes.changes());
-                }
-                if (changes.changes().isEmpty()) {
-                    watch();
-                } else {
-                    long delay = broadcasting ? BROADCASTER_COALESCE_MILLIS : COALESCE_MILLIS;
-                    loop.schedule(this::watch, delay, TimeUnit.MILLISECONDS);
-                }
-            } else if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
-                recordContact();
-                log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision);
+        store.watch("", fromRevision, WATCH_TIMEOUT_MILLIS)
+                // The watch that failed begins again behind the items that it has applied.
+                .whenComplete((changes, failure) -> new GuardedTask(
+                                log,
+                                "apply changes of the store",
+                                () -> onWatchCompleted(fromRevision, changes, failure),
+                                () -> retry(this::watch))
+                        .run());
+    }
+
+    private void onWatchCompleted(long fromRevision, StoreChanges changes, Throwable failure) {
+        if (failure == null) {
+            recordContact();
+            if (changes.revision() > newestRevision(changes, fromRevision)) {
+                // Each revision is a change, so the watch did not return all changes up to its revision. Continuing
+                // from there would lose them.
+                log.write(
+                        RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision + " store=" + changes.revision());
                 reload();
+                return;
+            }
+            items.applyChanges(changes);
+            confirmedMillis = clock.nowMillis();
+            boolean broadcasting = isBroadcasting.getAsBoolean();
+            if (broadcasting) {
+                changeForwarder.forward(fromRevision, changes.revision(), changes.changes());
+            }
+            if (changes.changes().isEmpty()) {
+                watch();
             } else {
-                retry(this::watch);
+                long delay = broadcasting ? BROADCASTER_COALESCE_MILLIS : COALESCE_MILLIS;
+                loop.schedule(this::watch, delay, TimeUnit.MILLISECONDS);
             }
-        });
+        } else if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
+            recordContact();
+            log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision);
+            reload();
+        } else {
+            retry(this::watch);
+        }
     }
 
     private static long newestRevision(StoreChanges changes, long fromRevision) {
--- /dev/null
+++ b/router/src/test/java/org/snipewind/router/state/FleetTrackerTest.java
@@ -0,0 +1,80 @@
+package org.snipewind.router.state;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.ManualMillisClock;
+import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.coordination.target.TargetRegistration;
+import org.snipewind.router.log.RouterEventLog;
+import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.port.StoreItemParser;
+
+/** Guards against an item or an observer whose fault keeps later changes from taking effect. */
+final class FleetTrackerTest {
+
+    private final ManualMillisClock clock = new ManualMillisClock(1_000);
+    private final FleetTracker tracker = new FleetTracker(new FaultyParser(), clock, new RouterEventLog("test", clock));
+
+    /** Parses targets, and fails on values that begin with a name of a fault. */
+    private static final class FaultyParser implements StoreItemParser {
+        @Override
+        public Optional<Kind> kindOf(String key) {
+            return Optional.of(Kind.TARGET);
+        }
+
+        @Override
+        public String entityIdOf(String key) {
+            return key;
+        }
+
+        @Override
+        public Either<String, RoutingConfiguration> parseConfiguration(byte[] value) {
+            return Either.left("not used");
+        }
+
+        @Override
+        public Either<String, TargetRegistration> parseTarget(String id, byte[] value) {
+            switch (new String(value, StandardCharsets.US_ASCII)) {
+                case "exception" -> throw new IllegalStateException("a fault of the parser");
+                case "overflow" -> throw new StackOverflowError();
+                default -> {
+                    return Either.right(new TargetRegistration(id, 1, 1, "pool", "127.0.0.1", 1, "dc-1", 2, false, 0));
+                }
+            }
+        }
+    }
+
+    private void put(String key, String value, long revision) {
+        tracker.itemChanged(new StoreItem(key, value.getBytes(StandardCharsets.US_ASCII), revision, 0));
+    }
+
+    @Test
+    void anItemOnWhichTheParserFailsNamesNoTargetAndTheOthersHold() {
+        put("a", "sound", 1);
+        put("b", "exception", 2);
+        put("c", "overflow", 3);
+        put("d", "sound", 4);
+        tracker.changesApplied();
+        assertThat(tracker.view().targets().keySet()).containsExactly("a", "d");
+        put("a", "overflow", 5);
+        tracker.changesApplied();
+        assertThat(tracker.view().targets().keySet()).containsExactly("d");
+    }
+
+    @Test
+    void anObserverThatFailsDoesNotKeepTheOthersFromBeingCalled() {
+        List<String> called = new ArrayList<>();
+        tracker.addObserver(() -> {
+            throw new IllegalStateException("a fault of the observer");
+        });
+        tracker.addObserver(() -> called.add("second"));
+        tracker.changesApplied();
+        assertThat(called).containsExactly("second");
+    }
+}
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -22,8 +22,8 @@
 import org.snipewind.router.port.StoreWrite;
 
 /**
- * Guards against changes that an instance misses because it relies on the broadcasts of another one, and against
- * unnecessary watches.
+ * Guards against changes that an instance misses because it relies on the broadcasts of another one or because a change
+ * can't be applied, and against unnecessary watches.
  */
 final class StoreCacheTest {
 
@@ -81,6 +81,9 @@
     private final StoreCacheListener listener = new StoreCacheListener() {
         @Override
         public void itemChanged(StoreItem item) {
+            if (item.key().startsWith("fault")) {
+                throw new StackOverflowError();
+            }
             receivedChanges.add(item.key() + "=" + item.revision());
         }
 
@@ -176,6 +179,19 @@
         assertThat(store.watchedRevisions.get(1)).isEqualTo(9);
     }
 
+    @Test
+    void anItemThatCannotBeAppliedDoesNotEndTheWatch() throws Exception {
+        StoreChanges changes = new StoreChanges(List.of(written("fault", 8), written("sound", 9)), 9);
+        CompletableFuture<StoreChanges> first = store.watches.get(0);
+        loop.submit(() -> first.complete(changes)).get();
+        await(() -> store.watches.size() == 2);
+        CompletableFuture<StoreChanges> second = store.watches.get(1);
+        loop.submit(() -> second.complete(changes)).get();
+        await(() -> store.watches.size() == 3);
+        assertThat(receivedChanges).containsExactly("sound=9");
+        assertThat(store.watchedRevisions.get(2)).isEqualTo(9);
+    }
+
     @Test
     void theBroadcastingInstanceWatchesTheStoreAndForwardsItsChanges() throws Exception {
         List<String> forwarded = new ArrayList<>();
