Require keys when the table of organisations is empty

Cause: a key was asked for only if there were organisations, so an empty table meant the same as a configuration without one. Ruled out: an old version that stays in force (the new version was, and other changes of it took effect).

--- a/coordination/src/main/java/org/snipewind/coordination/routing/RoutingConfiguration.java
+++ b/coordination/src/main/java/org/snipewind/coordination/routing/RoutingConfiguration.java
@@ -19,17 +19,18 @@
     private final Map<String, Pool> pools;
     private final Map<String, Organisation> organisations;
     private final Map<String, Organisation> organisationsByKey = new HashMap<>();
+    private final boolean keyRequired;
     private final CallerLimits limits;
     private final List<String> problems;
     private final Map<String, TreeSet<Integer>> prioritiesByPool = new HashMap<>();
 
     /**
-     * Creates a configuration without problems.
+     * Creates a configuration without problems that requires keys if there are organisations.
      *
      * @param version number of the version
      * @param routes all routes
      * @param pools all pools
-     * @param organisations all organisations; if there are none, requests need no key
+     * @param organisations all organisations
      * @param limits limits on callers
      */
     public RoutingConfiguration(
@@ -38,7 +39,7 @@
             Collection<Pool> pools,
             Collection<Organisation> organisations,
             CallerLimits limits) {
-        this(version, routes, pools, organisations, limits, List.of());
+        this(version, routes, pools, organisations, !organisations.isEmpty(), limits, List.of());
     }
 
     /**
@@ -47,7 +48,9 @@
      * @param version number of the version
      * @param routes all routes
      * @param pools all pools
-     * @param organisations all organisations; if there are none, requests need no key
+     * @param organisations all organisations
+     * @param keyRequired whether requests need the key of an organisation, except on routes that are open to all; no
+     *     key is valid if there are no organisations
      * @param limits limits on callers
      * @param problems descriptions of the parts that could not be read
      */
@@ -56,9 +59,11 @@
             Collection<Route> routes,
             Collection<Pool> pools,
             Collection<Organisation> organisations,
+            boolean keyRequired,
             CallerLimits limits,
             Collection<String> problems) {
         this.version = version;
+        this.keyRequired = keyRequired;
         // Sorted by descending length of the prefix, so that the first match has the longest prefix.
         this.routesByHost = routes.stream()
                 .sorted(Comparator.comparingInt(
@@ -123,6 +128,15 @@
         return Optional.ofNullable(organisations.get(name));
     }
 
+    /**
+     * Returns whether requests need the key of an organisation.
+     *
+     * @return false if all routes are open to all callers
+     */
+    public boolean isKeyRequired() {
+        return keyRequired;
+    }
+
     /**
      * Finds a pool.
      *
@@ -157,7 +171,7 @@
     /**
      * Lists the organisations.
      *
-     * @return all organisations
+     * @return all organisations; if there are none, keys may still be required
      */
     public Collection<Organisation> organisations() {
         return organisations.values();
--- a/router/src/main/java/org/snipewind/router/path/RequestClassifier.java
+++ b/router/src/main/java/org/snipewind/router/path/RequestClassifier.java
@@ -57,8 +57,7 @@
     private Either<EarlyRefusal, Classification> classify(
             Route route, RoutingConfiguration configuration, RequestHeaders headers) {
         Optional<Organisation> organisation = headers.organisationKey().flatMap(configuration::organisationOf);
-        boolean accessKeyRequired =
-                !route.anonymous() && !configuration.organisations().isEmpty();
+        boolean accessKeyRequired = !route.anonymous() && configuration.isKeyRequired();
         if (accessKeyRequired && organisation.isEmpty()) {
             return refuse(ErrorKind.KEY_REJECTED, 0, "route=" + route.name() + " version=" + configuration.version());
         }
