Keep periodic tasks running after a failure

The cause of the ended watch on related paths: a fixed-rate task of an event loop that throws once is never run again. For the checks of a worker that means that its loop counts as overloaded for good and refuses everything; for the load report, the broadcast of changes and the requests to peers that an instance falls silent.

Change: these tasks run as GuardedTask, which logs the failure (task-failed) and lets the schedule go on.

--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -17,6 +17,7 @@
 import org.snipewind.router.http.ResponseMemory;
 import org.snipewind.router.lead.LeaderElection;
 import org.snipewind.router.lead.LeaderService;
+import org.snipewind.router.log.GuardedTask;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
@@ -131,7 +132,7 @@
                 settings.peers().getPort());
         leaderService.setLeaderElection(leaderElection);
         leaderElection.setFormerLeaderCallbacks(network::requestTermEnd, leaderService::onFormerLeaderEnded);
-        changeBroadcaster = new StoreChangeBroadcaster(network, storeCache, tracker, leaderElection, controlLoop);
+        changeBroadcaster = new StoreChangeBroadcaster(network, storeCache, tracker, leaderElection, controlLoop, log);
         sharedState = new SharedRoutingState(tracker, clock, settings.limits(), settings.name());
         leaderClient = new LeaderClient(
                 network,
@@ -216,7 +217,10 @@
         changeBroadcaster.start();
         scheduleTick();
         controlLoop.scheduleAtFixedRate(
-                activityLog::write, ActivityLog.INTERVAL_MILLIS, ActivityLog.INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                new GuardedTask(log, "log of the activity", activityLog::write),
+                ActivityLog.INTERVAL_MILLIS,
+                ActivityLog.INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
         new TextServer(controlGroup, uri -> readiness()).start(settings.readiness());
         new TextServer(controlGroup, uri -> new TextServer.Page(OK, PrometheusText.write(metrics.registry())))
                 .start(settings.metrics());
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.snipewind.coordination.routing.Route;
 import org.snipewind.coordination.target.LeastResponseTimeSelector;
+import org.snipewind.router.log.GuardedTask;
 
 /** An event loop that serves callers over its own connections to targets; its state is confined to that loop. */
 final class Worker {
@@ -63,7 +64,11 @@
                         () -> ThreadLocalRandom.current().nextDouble()));
         this.classifier = new RequestClassifier(context);
         this.lastTickMillis = context.clock().nowMillis();
-        loop.scheduleAtFixedRate(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                new GuardedTask(context.log(), "checks of the worker", this::tick),
+                TICK_INTERVAL_MILLIS,
+                TICK_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
         context.tracker().addObserver(() -> loop.execute(this::onViewChanged));
     }
 
--- a/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
+++ b/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
@@ -18,6 +18,7 @@
 import org.snipewind.protocol.ReportAnswer;
 import org.snipewind.router.lead.LeaderElection;
 import org.snipewind.router.lead.LeaderService;
+import org.snipewind.router.log.GuardedTask;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.path.SharedRoutingState;
@@ -106,9 +107,12 @@
     /** Starts the periodic load reports and checks of the store contact. */
     public void start() {
         loop.scheduleAtFixedRate(
-                this::reportLoad, REPORT_INTERVAL_MILLIS, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                new GuardedTask(log, "load report", this::reportLoad),
+                REPORT_INTERVAL_MILLIS,
+                REPORT_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
-                this::requestPeerSnapshots,
+                new GuardedTask(log, "request for the caches of peers", this::requestPeerSnapshots),
                 PEER_SNAPSHOT_INTERVAL_MILLIS,
                 PEER_SNAPSHOT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
--- a/router/src/main/java/org/snipewind/router/peer/StoreChangeBroadcaster.java
+++ b/router/src/main/java/org/snipewind/router/peer/StoreChangeBroadcaster.java
@@ -10,6 +10,8 @@
 import org.snipewind.protocol.MirrorAnswer;
 import org.snipewind.protocol.MirrorDelta;
 import org.snipewind.router.lead.LeaderElection;
+import org.snipewind.router.log.GuardedTask;
+import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetTracker;
@@ -32,6 +34,7 @@
     private final FleetTracker tracker;
     private final LeaderElection leaderElection;
     private final EventLoop loop;
+    private final RouterEventLog log;
 
     /** The latest key table item that was broadcast for each pool, by key. */
     private final Map<String, StoreItem> sentTables = new HashMap<>();
@@ -44,25 +47,28 @@
      * @param tracker provides the current fleet view
      * @param leaderElection decides whether this instance broadcasts
      * @param loop the control event loop
+     * @param log the event log
      */
     public StoreChangeBroadcaster(
             PeerNetwork network,
             StoreCache cache,
             FleetTracker tracker,
             LeaderElection leaderElection,
-            EventLoop loop) {
+            EventLoop loop,
+            RouterEventLog log) {
         this.network = network;
         this.cache = cache;
         this.tracker = tracker;
         this.leaderElection = leaderElection;
         this.loop = loop;
+        this.log = log;
     }
 
     /** Starts to broadcast changes whenever this instance leads. */
     public void start() {
         cache.setChangeForwarding(leaderElection::isLeading, this::broadcastChanges);
         loop.scheduleAtFixedRate(
-                this::broadcastConfirmation,
+                new GuardedTask(log, "confirmation of the broadcast", this::broadcastConfirmation),
                 CONFIRMATION_INTERVAL_MILLIS,
                 CONFIRMATION_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
