Tie the answers to ownership requests to their requests

Cause: ownership requests had no id, and the client reused connections and took whatever response came. A second copy of the answer to a renewal that arrived on the connection of a release was taken for the end of the work. Ruled out: the target's early release (it answered when the work had ended) and the end of its hold.

A response with another id is skipped and its connection not used again; a response without an id counts only on the first exchange of a connection, which is closed then. The store's client is unchanged: the store answers in order and its connection is closed at each time-out.

--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
  * An HTTP client for requests of the router itself, to the platform and to targets. Reuses connections; all work runs
@@ -42,7 +44,7 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request to a server that responds to each request once, in their order on the connection.
      *
      * @param address address of the server
      * @param request the request
@@ -51,7 +53,24 @@
      */
     public CompletableFuture<BufferedResponse> call(
             InetSocketAddress address, FullHttpRequest request, long timeoutMillis) {
-        Call call = new Call(address, request);
+        return call(address, request, headers -> ResponseOrigin.THIS_REQUEST, timeoutMillis);
+    }
+
+    /**
+     * Sends a request to a server that may send responses late or more than once.
+     *
+     * @param address address of the server
+     * @param request the request
+     * @param originOf returns from the headers of a response to which request it belongs
+     * @param timeoutMillis longest time until the response is complete
+     * @return the response; fails with {@link ExchangeException}, in which case the connection has been reset
+     */
+    public CompletableFuture<BufferedResponse> call(
+            InetSocketAddress address,
+            FullHttpRequest request,
+            Function<HttpHeaders, ResponseOrigin> originOf,
+            long timeoutMillis) {
+        Call call = new Call(address, request, originOf);
         if (loop.inEventLoop()) {
             call.start(timeoutMillis);
         } else {
@@ -65,13 +84,15 @@
 
         private final InetSocketAddress address;
         private final FullHttpRequest request;
+        private final Function<HttpHeaders, ResponseOrigin> originOf;
         private final CompletableFuture<BufferedResponse> result = new CompletableFuture<>();
         private HttpConnection connection;
         private boolean ended;
 
-        Call(InetSocketAddress address, FullHttpRequest request) {
+        Call(InetSocketAddress address, FullHttpRequest request, Function<HttpHeaders, ResponseOrigin> originOf) {
             this.address = address;
             this.request = request;
+            this.originOf = originOf;
         }
 
         void start(long timeoutMillis) {
@@ -118,7 +139,15 @@
                 return;
             }
             connection = opened;
-            opened.exchange(request, ResponseMatcher.ANY, this);
+            opened.exchange(request, (status, headers) -> isResponseToRequest(headers), this);
+        }
+
+        private boolean isResponseToRequest(HttpHeaders headers) {
+            return switch (originOf.apply(headers)) {
+                case THIS_REQUEST -> true;
+                case OTHER_REQUEST -> false;
+                case UNKNOWN -> connection.isFirstExchange();
+            };
         }
 
         private void onTimeout(long timeoutMillis) {
@@ -139,7 +168,9 @@
                 return;
             }
             ended = true;
-            if (connection.isReusable()) {
+            if (originOf.apply(response.headers()) == ResponseOrigin.UNKNOWN) {
+                connection.abort();
+            } else if (connection.isReusable()) {
                 Deque<IdleConnection> idleToAddress =
                         idleConnections.computeIfAbsent(address, key -> new ArrayDeque<>());
                 idleToAddress.addLast(new IdleConnection(connection, System.nanoTime()));
