Don't take a rejection without an id on a used connection as "not run"

A caller of an idempotent request could be told 503 "not run" although the request may have run.

Cause: on a connection with earlier exchanges, a rejection without an id may be a late second copy. For idempotent requests it was still taken for the target's word, since a retry is allowed either way; but the refusal that followed then claimed that nothing had run.

Change: such a rejection ends the attempt with an unknown outcome and closes the connection; the retry stays allowed.

Measured: aRejectionWithoutAnIdOnAUsedConnectionDoesNotShowThatTheRequest- DidNotRun failed before (NOT_RUN) and passes, with RoutedRequestTest and PipelinedRequestsTest.

--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -113,7 +113,8 @@
     /**
      * Returns whether a response belongs to this request. A response without a request id can be a rejection that the
      * target sent before it read the request. On a connection with earlier exchanges it can also be a second rejection
-     * of one of those, which says nothing about this request; it is then accepted only if the request is idempotent.
+     * of one of those, which says nothing about this request; it then ends the attempt only if the request is
+     * idempotent, and not as one that did not run.
      */
     private boolean isResponseToRequest(int status, HttpHeaders headers) {
         ResponseHeaders response = context.headerCodec().readResponse(status, headers);
@@ -141,6 +142,11 @@
         headers.coldStartRemainingMillis().ifPresent(millis -> target.setColdStartRemaining(millis, now));
         double elapsed = elapsedMillis();
         markEnded();
+        if (isUnattributable(headers)) {
+            connection.abort();
+            fail(ErrorKind.TARGET_LOST, response, "rejection without an id on a used connection");
+            return;
+        }
         routedRequest.worker().connections().release(target.registration(), connection);
         boolean success = response.status() >= SUCCESS_STATUS && response.status() < REDIRECTION_STATUS;
         if (headers.misdirected()) {
@@ -162,6 +168,10 @@
         }
     }
 
+    private boolean isUnattributable(ResponseHeaders headers) {
+        return headers.requestId().isEmpty() && routedRequest.requestId().isPresent() && !connection.isFirstExchange();
+    }
+
     private void fail(ErrorKind kind, BufferedResponse response, String outcome) {
         response.memory().release();
         routedRequest.attemptFailed(this, kind, true, describe(outcome));
--- a/router/src/test/java/org/snipewind/router/path/DuplicateResponsesTest.java
+++ b/router/src/test/java/org/snipewind/router/path/DuplicateResponsesTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.error.Execution;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
 
@@ -47,6 +48,21 @@
         assertThat(requestsRun.get()).isEqualTo(1);
     }
 
+    /** An idempotent request may be sent again, but its caller must not be told that it did not run. */
+    @Test
+    void aRejectionWithoutAnIdOnAUsedConnectionDoesNotShowThatTheRequestDidNotRun() throws Exception {
+        fixture.addSocketTarget("a", RoutingFixture.PLAIN_POOL, connection -> {
+            for (int exchange = 0; RoutingFixture.readHead(connection); exchange++) {
+                boolean first = requestsReceived.getAndIncrement() == 0;
+                RoutingFixture.write(connection, first ? SUCCESS.formatted("Id: 1\r\n") : REJECTION.formatted(""));
+            }
+        });
+        assertThat(fixture.send("/plain/x", Optional.of("1")).await()).isEqualTo("200");
+        RoutingFixture.Outcome second = fixture.send("/plain/x", Optional.of("2"));
+        second.await();
+        assertThat(second.refusal().orElseThrow().execution()).isEqualTo(Execution.UNKNOWN);
+    }
+
     /** Starts a target that rejects the first request and sends the rejection again when it gets the next one. */
     private void startTarget(String idHeader) throws Exception {
         fixture.addSocketTarget("a", RoutingFixture.KEYED_POOL, connection -> serve(connection, idHeader));
