Let renewals of targets that give no ids share a connection

Cause: the users' targets don't repeat ids in their answers to ownership requests, so each renewal opened a connection, which takes a slot and counts against the target's limit.

Change: once a target has acknowledged all its grants to this leader, its renewals may share a connection and take an answer without an id, as a sign that the target responds: no key is moved or given up for it. Releases, grants of moves, probes and the first renewals of a term stay tied: by id, or on a connection of their own.

Measured: onlyTheRenewalsOfATargetThatGivesNoIdsShareAConnection and the other cases of PlatformKeyOwnershipClientTest pass, with KeyAssignerTest and PlatformFleetTest.

--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -25,7 +26,12 @@
     /** Connections are reused only if they were idle for less than this fraction of the server's idle timeout. */
     private static final double IDLE_REUSE_FRACTION = 0.6;
 
-    private record IdleConnection(HttpConnection connection, long idleSinceNanos) {}
+    /**
+     * A connection that is not in use.
+     *
+     * @param namesRequests whether the last response named its request, so that the next one is expected to do so
+     */
+    private record IdleConnection(HttpConnection connection, long idleSinceNanos, boolean namesRequests) {}
 
     private final EventLoop loop;
 
@@ -53,7 +59,7 @@
      */
     public CompletableFuture<BufferedResponse> call(
             InetSocketAddress address, FullHttpRequest request, long timeoutMillis) {
-        return call(address, request, headers -> ResponseOrigin.THIS_REQUEST, timeoutMillis);
+        return call(address, request, headers -> ResponseOrigin.THIS_REQUEST, true, timeoutMillis);
     }
 
     /**
@@ -62,6 +68,8 @@
      * @param address address of the server
      * @param request the request
      * @param originOf returns from the headers of a response to which request it belongs
+     * @param tied whether the response must be tied to the request; one of unknown origin is then accepted only on the
+     *     first exchange of a connection, which is closed after it
      * @param timeoutMillis longest time until the response is complete
      * @return the response; fails with {@link ExchangeException}, in which case the connection has been reset
      */
@@ -69,8 +77,9 @@
             InetSocketAddress address,
             FullHttpRequest request,
             Function<HttpHeaders, ResponseOrigin> originOf,
+            boolean tied,
             long timeoutMillis) {
-        Call call = new Call(address, request, originOf);
+        Call call = new Call(address, request, originOf, tied);
         if (loop.inEventLoop()) {
             call.start(timeoutMillis);
         } else {
@@ -85,14 +94,20 @@
         private final InetSocketAddress address;
         private final FullHttpRequest request;
         private final Function<HttpHeaders, ResponseOrigin> originOf;
+        private final boolean tied;
         private final CompletableFuture<BufferedResponse> result = new CompletableFuture<>();
         private HttpConnection connection;
         private boolean ended;
 
-        Call(InetSocketAddress address, FullHttpRequest request, Function<HttpHeaders, ResponseOrigin> originOf) {
+        Call(
+                InetSocketAddress address,
+                FullHttpRequest request,
+                Function<HttpHeaders, ResponseOrigin> originOf,
+                boolean tied) {
             this.address = address;
             this.request = request;
             this.originOf = originOf;
+            this.tied = tied;
         }
 
         void start(long timeoutMillis) {
@@ -119,9 +134,14 @@
         }
 
         private HttpConnection takeIdle() {
-            Deque<IdleConnection> idleToAddress = idleConnections.getOrDefault(address, new ArrayDeque<>());
-            while (!idleToAddress.isEmpty()) {
-                IdleConnection newest = idleToAddress.pollLast();
+            Iterator<IdleConnection> newestFirst =
+                    idleConnections.getOrDefault(address, new ArrayDeque<>()).descendingIterator();
+            while (newestFirst.hasNext()) {
+                IdleConnection newest = newestFirst.next();
+                if (tied && !newest.namesRequests()) {
+                    continue;
+                }
+                newestFirst.remove();
                 long idleMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - newest.idleSinceNanos());
                 if (newest.connection().isReusable()
                         && idleMillis < newest.connection().serverIdleTimeoutMillis() * IDLE_REUSE_FRACTION) {
@@ -146,7 +166,7 @@
             return switch (originOf.apply(headers)) {
                 case THIS_REQUEST -> true;
                 case OTHER_REQUEST -> false;
-                case UNKNOWN -> connection.isFirstExchange();
+                case UNKNOWN -> !tied || connection.isFirstExchange();
             };
         }
 
@@ -168,12 +188,13 @@
                 return;
             }
             ended = true;
-            if (originOf.apply(response.headers()) == ResponseOrigin.UNKNOWN) {
+            boolean namesRequests = originOf.apply(response.headers()) == ResponseOrigin.THIS_REQUEST;
+            if (tied && !namesRequests) {
                 connection.abort();
             } else if (connection.isReusable()) {
                 Deque<IdleConnection> idleToAddress =
                         idleConnections.computeIfAbsent(address, key -> new ArrayDeque<>());
-                idleToAddress.addLast(new IdleConnection(connection, System.nanoTime()));
+                idleToAddress.addLast(new IdleConnection(connection, System.nanoTime(), namesRequests));
                 if (idleToAddress.size() > MAX_IDLE_CONNECTIONS) {
                     idleToAddress.pollFirst().connection().abort();
                 }
--- a/router/src/main/java/org/snipewind/router/http/ResponseOrigin.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseOrigin.java
@@ -6,9 +6,6 @@
     THIS_REQUEST,
     /** Another request. The response is skipped. */
     OTHER_REQUEST,
-    /**
-     * The response names no request. It belongs to the request in progress only if that is the first one on the
-     * connection, and the connection is not used again, since a later response could be a second copy of this one.
-     */
+    /** The response names no request, so only that it is the first one on its connection can show where it belongs. */
     UNKNOWN
 }
