Obey targets that say that they are leaving or want nothing for a while

New rules of the users (DRAIN, BUDGET): an instance sends nothing more to a worker that answered it with Server-Leaving: 1, and nothing to one that answered 503 with Retry-After until that time. Neither was read.

Change: TargetNotices keeps both by incarnation, apart from the registration, so that no entry of the store and no outage takes them back. TargetResolver leaves such targets out of pools, and refuses or briefly holds requests for the owner of a key; Attempt checks again before it sends. The control loop takes a leaving target out of service, tells the leader until it confirms (LeavingTargets), and the leader moves its keys. Answers to ownership requests count too. After a pause requests are paced for a second.

--- a/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
+++ b/coordination/src/main/java/org/snipewind/coordination/error/ErrorKind.java
@@ -54,6 +54,8 @@
     TARGET_UNREACHABLE(503, Execution.NOT_RUN, true),
     /** The target shed the request and reported that it did not run it. */
     TARGET_SHED(503, Execution.NOT_RUN, true),
+    /** The target has asked for no requests until a later time. */
+    TARGET_PAUSED(503, Execution.NOT_RUN, true),
     /** The connection to the target was lost after the request was sent. */
     TARGET_LOST(502, Execution.UNKNOWN, true),
     /** The target reported an internal error, and no other target returned a response. */
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -233,7 +233,13 @@
                     TermEndAnswer.class,
                     1,
                     (out, message) -> out.writeBoolean(message.ended()),
-                    in -> new TermEndAnswer(in.readBoolean("ended"))));
+                    in -> new TermEndAnswer(in.readBoolean("ended"))),
+            new MessageLayout<>(
+                    24,
+                    LeavingTargets.class,
+                    1,
+                    (out, message) -> out.writeList(message.incarnations(), out::writeString),
+                    in -> new LeavingTargets(in.readList("incarnations", () -> in.readString("incarnations")))));
 
     private MessageLayouts() {}
 
--- a/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
+++ b/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
@@ -11,6 +11,7 @@
                 ForwardRequest,
                 Heartbeat,
                 HeartbeatAcknowledgement,
+                LeavingTargets,
                 LoadAnswer,
                 LoadProbe,
                 LoadSummary,
--- a/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
@@ -127,6 +127,7 @@
                 yield bytes;
             }
             case "java.lang.String" -> randomText(random);
+            case "java.util.List<java.lang.String>" -> List.of(randomText(random), randomText(random));
             case "java.util.OptionalInt" ->
                 random.nextBoolean() ? OptionalInt.of(random.nextInt(1024)) : OptionalInt.empty();
             case "java.util.Map<java.lang.Integer, java.lang.Long>" ->
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -112,11 +112,13 @@
                 settings.dataCentre(),
                 CandidatePriority.capacity(settings.processorCores(), settings.linkMegabits()));
         tracker = new FleetTracker(itemParser, clock, log);
+        tracker.setControlLoop(controlLoop);
         storeCache = new StoreCache(store, controlLoop, clock, log, tracker);
         tracker.setReconnectAgeSupplier(storeCache::reconnectAgeMillis);
         membership = new Membership(store, storeCache, controlLoop, log, self);
-        leaderService = new LeaderService(
-                store, storeCache, tracker, ownershipClientFactory.apply(httpClient), clock, log, self);
+        KeyOwnershipClient ownershipClient = ownershipClientFactory.apply(httpClient);
+        ownershipClient.setLeavingListener(tracker::recordLeaving);
+        leaderService = new LeaderService(store, storeCache, tracker, ownershipClient, clock, log, self);
         leaderElection = new LeaderElection(
                 store, storeCache, tracker, controlLoop, clock, log, self, this::onTermStart, this::onTermEnd);
         network = new PeerNetwork(
--- a/router/src/main/java/org/snipewind/router/lead/LeaderService.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderService.java
@@ -9,6 +9,7 @@
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.protocol.BudgetGrant;
 import org.snipewind.protocol.BudgetRequest;
+import org.snipewind.protocol.LeavingTargets;
 import org.snipewind.protocol.LoadSummary;
 import org.snipewind.protocol.ReportAnswer;
 import org.snipewind.protocol.TermEndAnswer;
@@ -213,6 +214,19 @@
         return new ReportAnswer(true);
     }
 
+    /**
+     * Records targets that have said to another instance that they are leaving, so that their keys move.
+     *
+     * @param message the targets
+     * @return whether this instance leads and moves their keys
+     */
+    public ReportAnswer handleLeavingTargets(LeavingTargets message) {
+        message.incarnations().stream()
+                .filter(incarnation -> tracker.view().findInService(incarnation).isPresent())
+                .forEach(tracker::recordLeaving);
+        return new ReportAnswer(leaderElection.isLeading());
+    }
+
     /** Returns whether a pool is configured; a report for any other name must not create state for it. */
     private boolean isKeyedPool(String pool) {
         return tracker.view()
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -41,6 +41,8 @@
     MEMBERS_CHANGED(5205, Level.INFO),
     /** A part of the configuration is invalid; it is not served or takes a strict value. */
     CONFIGURATION_PART_UNREADABLE(5206, Level.WARNING),
+    /** A target said in a response, or to another instance, that it is leaving. */
+    TARGET_LEAVING(5207, Level.INFO),
     /** This instance became the leader. */
     LEADERSHIP_TAKEN(5301, Level.INFO),
     /** This instance is no longer the leader. */
--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
 import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.target.TargetNotices;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.http.BufferedResponse;
 import org.snipewind.router.http.ExchangeException;
@@ -72,11 +73,25 @@
             routedRequest.worker().connections().release(target.registration(), opened);
             return;
         }
+        if (mayNotSend()) {
+            routedRequest.worker().connections().release(target.registration(), opened);
+            markEnded();
+            routedRequest.attemptFailed(
+                    this, ErrorKind.TARGET_PAUSED, false, describe("the target left or paused before the request"));
+            return;
+        }
         connection = opened;
         routedRequest.connectionUsed(opened);
         opened.exchange(buildTargetRequest(), this::isResponseToRequest, this);
     }
 
+    /** Returns whether the target has said that it takes no requests while the connection was being opened. */
+    private boolean mayNotSend() {
+        String incarnation = target.registration().incarnation();
+        TargetNotices notices = context.tracker().notices();
+        return notices.isLeaving(incarnation) || notices.pauseRemainingMillis(incarnation) > 0;
+    }
+
     private void connectFailed(Throwable cause) {
         if (!ended) {
             target.onNoResponse(context.clock().nowMillis(), true);
@@ -147,12 +162,16 @@
             fail(ErrorKind.TARGET_LOST, response, "rejection without an id on a used connection");
             return;
         }
+        recordNotices(headers);
         routedRequest.worker().connections().release(target.registration(), connection);
         boolean success = response.status() >= SUCCESS_STATUS && response.status() < REDIRECTION_STATUS;
         if (headers.misdirected()) {
             fail(ErrorKind.FENCED, response, "status=" + response.status());
         } else if (headers.notExecuted()) {
-            target.onErrorResponse(now);
+            // A pause is no failure, and the target is not avoided beyond it.
+            if (headers.pauseMillis().isEmpty()) {
+                target.onErrorResponse(now);
+            }
             fail(ErrorKind.TARGET_SHED, response, "status=" + response.status());
         } else if (success && !headers.signed()) {
             target.onNoResponse(now, false);
@@ -168,6 +187,26 @@
         }
     }
 
+    /** Records what the target says about further requests. An answer of another process says nothing about it. */
+    private void recordNotices(ResponseHeaders headers) {
+        String incarnation = target.registration().incarnation();
+        if (headers.misdirected()) {
+            return;
+        }
+        if (headers.leaving()) {
+            context.tracker().recordLeaving(incarnation);
+        }
+        if (headers.pauseMillis().isPresent()) {
+            context.metrics().count("targets.pauses");
+            context.tracker()
+                    .notices()
+                    .recordPause(incarnation, headers.pauseMillis().getAsLong());
+        }
+        if (headers.pauseUnreadable()) {
+            context.metrics().count("targets.pauses-unreadable");
+        }
+    }
+
     private boolean isUnattributable(ResponseHeaders headers) {
         return headers.requestId().isEmpty() && routedRequest.requestId().isPresent() && !connection.isFirstExchange();
     }
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -227,28 +227,33 @@
     }
 
     private void handleNoTarget(TargetResolver.NoTarget noTarget) {
-        if (noTarget.ownerExpected()) {
-            awaitOwner(noTarget);
+        if (noTarget.ownerExpectedMillis().isPresent()) {
+            awaitOwner(noTarget, noTarget.ownerExpectedMillis().getAsLong());
         } else {
             refuseIfNoneActive(noTarget.kind(), noTarget.retryAfterMillis(), noTarget.detail());
         }
     }
 
-    private void awaitOwner(TargetResolver.NoTarget noTarget) {
+    /** Waits for the owner of the key, or a pause of all targets to end, unless the wait would be too long. */
+    private void awaitOwner(TargetResolver.NoTarget noTarget, long leastWaitMillis) {
         long now = context.clock().nowMillis();
         if (ownerWaitUntilMillis < 0) {
             // At least half of the remaining time is reserved for processing the request.
             ownerWaitUntilMillis = now + Math.min(MAX_OWNER_WAIT_MILLIS, remainingMillis() / 2);
-            schedule(this::onOwnerWaitTimeout, ownerWaitUntilMillis - now);
+            schedule(this::routeIfWaiting, ownerWaitUntilMillis - now);
         }
-        if (now >= ownerWaitUntilMillis) {
+        if (now + leastWaitMillis >= ownerWaitUntilMillis) {
             refuseIfNoneActive(noTarget.kind(), noTarget.retryAfterMillis(), noTarget.detail());
-        } else {
-            worker.waitForOwner(this);
+            return;
+        }
+        worker.waitForOwner(this);
+        if (noTarget.kind() == ErrorKind.TARGET_PAUSED) {
+            // The end of a pause is no change of the view.
+            schedule(this::routeIfWaiting, leastWaitMillis);
         }
     }
 
-    private void onOwnerWaitTimeout() {
+    private void routeIfWaiting() {
         if (worker.isWaiting(this)) {
             worker.stopWaiting(this);
             routeIfNoneActive();
@@ -344,7 +349,6 @@
      * @param detail outcome of the attempt, for the log
      */
     void attemptFailed(Attempt attempt, ErrorKind kind, boolean possiblyReceived, String detail) {
-        long now = context.clock().nowMillis();
         activeAttempts.remove(attempt);
         mayHaveRun |= kind.execution() != Execution.NOT_RUN;
         if (done || !activeAttempts.isEmpty()) {
@@ -358,14 +362,12 @@
         // Only the owner of the key can run the request, and it can do so as soon as one of its slots is free.
         long retryAfterMillis =
                 pool.keyed() ? (long) attempt.target().meanServiceMillis() : TargetResolver.POOL_RETRY_AFTER_MILLIS;
+        Optional<TargetResolver.NoTarget> ownerRefusal = pool.keyed() ? findOwnerRefusal() : Optional.empty();
         if (!retryable || !mayRetry()) {
             refuseIfNoneActive(kind, retryAfterMillis, detail);
-        } else if (pool.keyed() && isOwnerFull()) {
+        } else if (ownerRefusal.isPresent()) {
             // A retry would use up the budget and be refused by the owner.
-            refuseIfNoneActive(
-                    ErrorKind.OVERLOADED,
-                    (long) attempt.target().millisUntilRoom(now, queueLimit().allowedMillis()),
-                    detail);
+            refuseIfNoneActive(ownerRefusal.get().kind(), ownerRefusal.get().retryAfterMillis(), detail);
         } else if (possiblyReceived && !tryAcquireRetry(kind.wireName())) {
             refuseIfNoneActive(kind, retryAfterMillis, detail + " repeat-budget=empty");
         } else if (pool.keyed()) {
@@ -375,10 +377,12 @@
         }
     }
 
-    private boolean isOwnerFull() {
+    /** Returns why the owner of the key takes no requests now although it is in service, empty if it does. */
+    private Optional<TargetResolver.NoTarget> findOwnerRefusal() {
         return worker.targetResolver()
                 .findOwner(pool, headers.shardKey().getAsInt(), queueLimit())
-                .fold(TargetResolver.NoTarget::isOverloaded, owner -> false);
+                .fold(Optional::of, owner -> Optional.<TargetResolver.NoTarget>empty())
+                .filter(TargetResolver.NoTarget::isRefusedByOwner);
     }
 
     /**
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -3,13 +3,16 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.target.ConnectionQuota;
 import org.snipewind.coordination.target.LeastResponseTimeSelector;
+import org.snipewind.coordination.target.TargetNotices;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.state.FleetView;
 
@@ -25,6 +28,12 @@
     /** Time after which callers should retry if a pool has no available target. */
     static final long POOL_RETRY_AFTER_MILLIS = 200;
 
+    /**
+     * Least time in which keys move from a target that is leaving: the leader plans, writes the table and waits for the
+     * work in progress.
+     */
+    private static final long LEAST_MOVE_MILLIS = 250;
+
     /** Most requests that may wait for each slot of a target; in longer queues they would exceed their deadlines. */
     private static final double MAX_QUEUED_PER_SLOT = 2.5;
 
@@ -42,20 +51,30 @@
      * @param kind error kind for the caller
      * @param retryAfterMillis time after which the caller should retry
      * @param detail inputs of the decision, for the log
-     * @param ownerExpected whether the key is expected to get a holder soon, so that a short wait may help
+     * @param ownerExpectedMillis least time after which the owner of the key is expected to take requests, empty if
+     *     waiting does not help
      */
-    record NoTarget(ErrorKind kind, long retryAfterMillis, String detail, boolean ownerExpected) {
+    record NoTarget(ErrorKind kind, long retryAfterMillis, String detail, OptionalLong ownerExpectedMillis) {
 
-        boolean isOverloaded() {
-            return kind == ErrorKind.OVERLOADED;
+        /** Returns whether the owner of the key is known and takes no requests now. */
+        boolean isRefusedByOwner() {
+            return kind == ErrorKind.OVERLOADED || kind == ErrorKind.TARGET_PAUSED;
         }
 
         private static <T> Either<NoTarget, T> refuse(ErrorKind kind, long retryAfterMillis, String detail) {
-            return Either.left(new NoTarget(kind, retryAfterMillis, detail, false));
+            return Either.left(new NoTarget(kind, retryAfterMillis, detail, OptionalLong.empty()));
+        }
+
+        private static <T> Either<NoTarget, T> awaitOwner(long leastWaitMillis, String detail) {
+            return Either.left(new NoTarget(
+                    ErrorKind.OWNER_UNAVAILABLE, OWNER_RETRY_AFTER_MILLIS, detail, OptionalLong.of(leastWaitMillis)));
         }
 
-        private static <T> Either<NoTarget, T> awaitOwner(String detail) {
-            return Either.left(new NoTarget(ErrorKind.OWNER_UNAVAILABLE, OWNER_RETRY_AFTER_MILLIS, detail, true));
+        private static <T> Either<NoTarget, T> awaitEndOfPause(long pauseMillis, boolean waitHelps, String detail) {
+            // Callers that are refused come back at different times, so that they are no wave.
+            long spreadMillis = ThreadLocalRandom.current().nextLong(TargetNotices.RESUMPTION_MILLIS);
+            OptionalLong wait = waitHelps ? OptionalLong.of(pauseMillis) : OptionalLong.empty();
+            return Either.left(new NoTarget(ErrorKind.TARGET_PAUSED, pauseMillis + spreadMillis, detail, wait));
         }
     }
 
@@ -82,7 +101,9 @@
             Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueLimit queueLimit) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
-        List<TargetState> targets = view.inService().getOrDefault(pool.name(), List.of());
+        List<TargetState> targets = view.inService().getOrDefault(pool.name(), List.of()).stream()
+                .filter(target -> !isLeaving(target))
+                .toList();
         int limit = connectionLimit(pool, view);
         Optional<TargetState> chosen = selector.choose(
                 targets,
@@ -90,6 +111,14 @@
                 target -> !triedIncarnations.contains(target.registration().incarnation())
                         && canSendTo(pool, target, nowMillis, limit, queueLimit),
                 target -> connections.hasIdleConnection(target.registration(), nonIdempotent));
+        long leastPauseMillis =
+                targets.stream().mapToLong(this::pauseRemainingMillis).min().orElse(0);
+        if (leastPauseMillis > 0) {
+            boolean waitHelps = targets.stream()
+                    .anyMatch(target ->
+                            !triedIncarnations.contains(target.registration().incarnation()));
+            return NoTarget.awaitEndOfPause(leastPauseMillis, waitHelps, "targets=" + targets.size() + " pausing");
+        }
         if (chosen.isEmpty()) {
             return NoTarget.refuse(
                     targets.isEmpty() ? ErrorKind.POOL_UNAVAILABLE : ErrorKind.OVERLOADED,
@@ -108,9 +137,10 @@
 
     private boolean canSendTo(
             Pool pool, TargetState target, long nowMillis, int connectionLimit, QueueLimit queueLimit) {
-        return hasRoom(target, nowMillis, queueLimit)
+        return pauseRemainingMillis(target) == 0
+                && hasRoom(target, nowMillis, queueLimit)
                 && connections.hasCapacity(target.registration(), connectionLimit)
-                && (!target.isColdStarting(nowMillis)
+                && (!isPaced(pool, target, nowMillis)
                         || context.sharedState().coldStartLimiter(pool, target).canAcquire());
     }
 
@@ -122,9 +152,28 @@
                 context.tracker().view().fleetSize());
     }
 
-    /** Acquires a permit of the cold-start rate limit; returns true if a target in cold start has none left. */
-    private boolean exceedsColdStartRate(Pool pool, TargetState target, long nowMillis) {
+    private boolean isLeaving(TargetState target) {
+        return context.tracker().notices().isLeaving(target.registration().incarnation());
+    }
+
+    private long pauseRemainingMillis(TargetState target) {
+        return context.tracker()
+                .notices()
+                .pauseRemainingMillis(target.registration().incarnation());
+    }
+
+    /** Returns whether requests to a target are limited to the rate of a cold start, as they are after a pause. */
+    private boolean isPaced(Pool pool, TargetState target, long nowMillis) {
         return target.isColdStarting(nowMillis)
+                || pool.coldStartRatePerSecond() > 0
+                        && context.tracker()
+                                .notices()
+                                .isResuming(target.registration().incarnation());
+    }
+
+    /** Acquires a permit of the cold-start rate limit; returns true if a target that is paced has none left. */
+    private boolean exceedsColdStartRate(Pool pool, TargetState target, long nowMillis) {
+        return isPaced(pool, target, nowMillis)
                 && !context.sharedState().coldStartLimiter(pool, target).tryAcquire();
     }
 
@@ -162,14 +211,22 @@
         Optional<KeyAssignment> assignment =
                 view.keyTables().getOrDefault(pool.name(), KeyTable.EMPTY).find(key);
         if (assignment.isEmpty() || assignment.get().isMoving()) {
-            return NoTarget.awaitOwner("key=" + key + " moving=" + assignment.isPresent());
+            return NoTarget.awaitOwner(0, "key=" + key + " moving=" + assignment.isPresent());
         }
         KeyAssignment owner = assignment.get();
         Optional<TargetState> target = view.findInService(owner.holder());
+        if (context.tracker().notices().isLeaving(owner.holder())) {
+            return NoTarget.awaitOwner(LEAST_MOVE_MILLIS, "key=" + key + " holder=" + owner.holder() + " is leaving");
+        }
         if (target.isEmpty()) {
-            return NoTarget.awaitOwner("key=" + key + " holder=" + owner.holder() + " is not in service");
+            return NoTarget.awaitOwner(0, "key=" + key + " holder=" + owner.holder() + " is not in service");
         }
         TargetState state = target.get();
+        long pauseMillis = pauseRemainingMillis(state);
+        if (pauseMillis > 0) {
+            return NoTarget.awaitEndOfPause(
+                    pauseMillis, true, "key=" + key + " holder=" + owner.holder() + " pause=" + pauseMillis + "ms");
+        }
         String detail = "key=" + key + " holder=" + owner.holder() + " epoch=" + owner.epoch() + " in-flight="
                 + state.inFlight() + " expected=" + Math.round(state.expectedResponseMillis(nowMillis)) + "ms";
         if (state.isUnresponsive(nowMillis)) {
--- a/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
+++ b/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
@@ -3,14 +3,20 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.target.TargetRegistration;
+import org.snipewind.coordination.target.TargetState;
 import org.snipewind.protocol.BudgetGrant;
 import org.snipewind.protocol.BudgetRequest;
+import org.snipewind.protocol.LeavingTargets;
 import org.snipewind.protocol.LoadSummary;
 import org.snipewind.protocol.MirrorAnswer;
 import org.snipewind.protocol.MirrorRequest;
@@ -25,6 +31,7 @@
 import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.FleetView;
 import org.snipewind.router.state.LeaderRecord;
 import org.snipewind.router.state.MemberRecord;
 import org.snipewind.router.state.StoreCache;
@@ -64,6 +71,11 @@
     private final RouterEventLog log;
     private final MemberRecord self;
     private String leaderBootId = "";
+
+    /** Targets that are leaving and that the leader has confirmed. */
+    private final Set<String> reportedLeaving = new HashSet<>();
+
+    private boolean leavingReportInFlight;
     private long lastLeaderContactMillis;
     private boolean leaderQueryInProgress;
 
@@ -106,6 +118,7 @@
 
     /** Starts the periodic load reports and checks of the store contact. */
     public void start() {
+        tracker.addObserver(this::reportLeavingTargets);
         loop.scheduleAtFixedRate(
                 new GuardedTask(log, "load report", this::reportLoad),
                 REPORT_INTERVAL_MILLIS,
@@ -118,6 +131,36 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /** Tells the leader of targets that are leaving, until it has confirmed each of them. */
+    private void reportLeavingTargets() {
+        FleetView view = tracker.view();
+        Set<String> leaving = view.targets().values().stream()
+                .map(TargetState::registration)
+                .filter(registration -> !registration.draining())
+                .map(TargetRegistration::incarnation)
+                .filter(tracker.notices()::isLeaving)
+                .collect(Collectors.toSet());
+        reportedLeaving.retainAll(leaving);
+        List<String> incarnations = leaving.stream()
+                .filter(incarnation -> !reportedLeaving.contains(incarnation))
+                .toList();
+        if (incarnations.isEmpty() || leavingReportInFlight || view.leader().isEmpty()) {
+            return;
+        }
+        MemberRecord leader = view.leader().get().member();
+        if (leader.isSameProcess(self)) {
+            return;
+        }
+        leavingReportInFlight = true;
+        network.call(leader.peerAddress(), new LeavingTargets(incarnations), CALL_TIMEOUT_MILLIS)
+                .whenComplete((response, failure) -> {
+                    leavingReportInFlight = false;
+                    if (failure == null && response instanceof ReportAnswer report && report.accepted()) {
+                        reportedLeaving.addAll(incarnations);
+                    }
+                });
+    }
+
     private void reportLoad() {
         Optional<LeaderRecord> leader = tracker.view().leader();
         if (leader.isEmpty()) {
@@ -126,8 +169,10 @@
         MemberRecord member = leader.get().member();
         if (!member.bootId().equals(leaderBootId)) {
             leaderBootId = member.bootId();
+            reportedLeaving.clear();
             lastLeaderContactMillis = clock.nowMillis();
         }
+        reportLeavingTargets();
         LoadSummary summary = routingState.drainLoadSummary();
         if (member.isSameProcess(self)) {
             leaderService.handleLoadSummary(self.processId(), summary);
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.snipewind.protocol.BudgetRequest;
+import org.snipewind.protocol.LeavingTargets;
 import org.snipewind.protocol.LoadSummary;
 import org.snipewind.protocol.MirrorAnswer;
 import org.snipewind.protocol.MirrorDelta;
@@ -170,6 +171,9 @@
         if (message instanceof LoadSummary summary) {
             return Optional.of(leaderService.handleLoadSummary(senderId, summary));
         }
+        if (message instanceof LeavingTargets leaving) {
+            return Optional.of(leaderService.handleLeavingTargets(leaving));
+        }
         if (message instanceof BudgetRequest request) {
             return Optional.of(leaderService.issueTokens(request));
         }
--- a/router/src/main/java/org/snipewind/router/port/KeyOwnershipClient.java
+++ b/router/src/main/java/org/snipewind/router/port/KeyOwnershipClient.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.target.TargetRegistration;
 
@@ -11,6 +12,13 @@
  */
 public interface KeyOwnershipClient {
 
+    /**
+     * Sets the listener for targets that say that they are leaving.
+     *
+     * @param listener receives the incarnation of the target
+     */
+    default void setLeavingListener(Consumer<String> listener) {}
+
     /**
      * Grants a key range to a target or renews the grant.
      *
--- a/router/src/main/java/org/snipewind/router/port/ResponseHeaders.java
+++ b/router/src/main/java/org/snipewind/router/port/ResponseHeaders.java
@@ -13,6 +13,9 @@
  * @param misdirected whether the address belongs to another target, or the target does not hold the key
  * @param load load of the target
  * @param coldStartRemainingMillis remaining time of the target's cold start
+ * @param leaving whether the target states that it is leaving
+ * @param pauseMillis time for which the target wants no further requests
+ * @param pauseUnreadable whether the target names such a time in a form that can't be read
  */
 public record ResponseHeaders(
         Optional<String> requestId,
@@ -20,4 +23,7 @@
         boolean notExecuted,
         boolean misdirected,
         Optional<LoadReport> load,
-        OptionalLong coldStartRemainingMillis) {}
+        OptionalLong coldStartRemainingMillis,
+        boolean leaving,
+        OptionalLong pauseMillis,
+        boolean pauseUnreadable) {}
--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -10,11 +10,13 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.coordination.target.TargetNotices;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.log.GuardedTask;
@@ -41,6 +43,7 @@
     private final StoreItemParser parser;
     private final MillisClock clock;
     private final RouterEventLog log;
+    private final TargetNotices notices;
     private final List<Runnable> observers = new CopyOnWriteArrayList<>();
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Set<String> evacuatedDataCentres = new HashSet<>();
@@ -51,6 +54,7 @@
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private Optional<LeaderRecord> leader = Optional.empty();
     private LongSupplier reconnectAgeMillis = () -> Long.MAX_VALUE;
+    private Executor controlLoop = Runnable::run;
     private volatile FleetView view = FleetView.EMPTY;
     private volatile long unreadableConfigurationRevision;
 
@@ -65,6 +69,7 @@
         this.parser = parser;
         this.clock = clock;
         this.log = log;
+        this.notices = new TargetNotices(clock);
     }
 
     /**
@@ -85,6 +90,37 @@
         this.reconnectAgeMillis = reconnectAgeMillis;
     }
 
+    /**
+     * Sets the executor on which the view is changed after notices of targets.
+     *
+     * @param controlLoop the control event loop
+     */
+    public void setControlLoop(Executor controlLoop) {
+        this.controlLoop = controlLoop;
+    }
+
+    /**
+     * Returns what targets have said about further requests.
+     *
+     * @return the notices, which any thread may read
+     */
+    public TargetNotices notices() {
+        return notices;
+    }
+
+    /**
+     * Records that a target has said that it is leaving. It gets no further requests at once, and is not in service in
+     * later views. May be called on any thread.
+     *
+     * @param incarnation incarnation of the target
+     */
+    public void recordLeaving(String incarnation) {
+        if (notices.recordLeaving(incarnation)) {
+            log.write(RouterEvent.TARGET_LEAVING, () -> "target=" + incarnation);
+            controlLoop.execute(this::changesApplied);
+        }
+    }
+
     /** Removes targets that did not register again within the grace period after an outage of the store. */
     public void removeExpiredTargets() {
         long now = clock.nowMillis();
@@ -287,6 +323,7 @@
         for (String id : new TreeSet<>(targets.keySet())) {
             TargetState state = targets.get(id);
             if (!state.registration().draining()
+                    && !notices.isLeaving(state.registration().incarnation())
                     && !evacuatedDataCentres.contains(state.registration().dataCentre())) {
                 inService
                         .computeIfAbsent(state.registration().pool(), pool -> new ArrayList<>())
--- a/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
@@ -216,6 +216,7 @@
         private final CompletableFuture<String> text = new CompletableFuture<>();
         volatile boolean callerPresent = true;
         private volatile Optional<ErrorKind> refusal = Optional.empty();
+        private volatile long retryAfter;
         private volatile byte[] body = new byte[0];
 
         @Override
@@ -233,6 +234,7 @@
         @Override
         public void refuse(ErrorKind kind, Optional<String> requestId, long retryAfterMillis) {
             refusal = Optional.of(kind);
+            retryAfter = retryAfterMillis;
             text.complete(kind.wireName());
         }
 
@@ -241,6 +243,10 @@
             return text.get(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
         }
 
+        long retryAfterMillis() {
+            return retryAfter;
+        }
+
         Optional<ErrorKind> refusal() {
             return refusal;
         }
@@ -313,7 +319,10 @@
                     headers.contains("Not-Run"),
                     false,
                     Optional.empty(),
-                    OptionalLong.empty());
+                    OptionalLong.empty(),
+                    headers.contains("Leaving"),
+                    headers.contains("Pause") ? OptionalLong.of(headers.getInt("Pause")) : OptionalLong.empty(),
+                    false);
         }
 
         @Override
