--- a/router/src/main/java/org/snipewind/router/lead/HolderState.java
+++ b/router/src/main/java/org/snipewind/router/lead/HolderState.java
@@ -19,7 +19,6 @@
     private long nextRenewalMillis;
     private long nextProbeMillis;
     private int grantsInFlight;
-    private boolean acknowledged;
 
     HolderState(String incarnation, long grantExpiryMillis) {
         this.incarnation = incarnation;
@@ -77,15 +76,9 @@
      * grants of former leaders.
      */
     void recordAllGrantsAcknowledged(long now) {
-        acknowledged = true;
         grantExpiryMillis = now + LeaderTimes.maxGrantLifetimeMillis();
     }
 
-    /** Returns whether the target has acknowledged grants of this leader for all its keys. */
-    boolean isAcknowledged() {
-        return acknowledged;
-    }
-
     /** Returns the time at which all grants sent so far have expired. */
     long latestGrantExpiryMillis(long now) {
         return grantsInFlight > 0
--- a/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
+++ b/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
@@ -100,21 +99,17 @@
         }
         KeyAssignment renewed = range;
         holder.recordGrantSent();
-        // Until the target has acknowledged an epoch of this leader, its answers decide when others may get its keys.
-        boolean acknowledged = holder.isAcknowledged();
-        CompletableFuture<Boolean> renewal = acknowledged
-                ? client.renew(registration, renewed, LeaderTimes.GRANT_LIFETIME_MILLIS)
-                : client.grant(registration, renewed, LeaderTimes.GRANT_LIFETIME_MILLIS, Optional.empty());
-        renewal.whenComplete((accepted, failure) -> {
-            if (!recordGrantOutcome(holder, renewed, accepted, failure)) {
-                return;
-            }
-            if (remaining.hasNext()) {
-                renewNextGrant(holder, registration, remaining, isStillHeld);
-            } else if (!acknowledged) {
-                holder.recordAllGrantsAcknowledged(clock.nowMillis());
-            }
-        });
+        client.grant(registration, renewed, LeaderTimes.GRANT_LIFETIME_MILLIS, Optional.empty())
+                .whenComplete((accepted, failure) -> {
+                    if (!recordGrantOutcome(holder, renewed, accepted, failure)) {
+                        return;
+                    }
+                    if (remaining.hasNext()) {
+                        renewNextGrant(holder, registration, remaining, isStillHeld);
+                    } else {
+                        holder.recordAllGrantsAcknowledged(clock.nowMillis());
+                    }
+                });
     }
 
     private static boolean mayHaveArrived(Throwable failure) {
--- a/router/src/main/java/org/snipewind/router/port/KeyOwnershipClient.java
+++ b/router/src/main/java/org/snipewind/router/port/KeyOwnershipClient.java
@@ -31,19 +31,6 @@
     CompletableFuture<Boolean> grant(
             TargetRegistration target, KeyAssignment range, long grantLifetimeMillis, Optional<String> handover);
 
-    /**
-     * Renews a grant that the target has acknowledged. A response that can't be tied to the request counts too: it
-     * shows that the target responds, and no keys are moved or given up for it.
-     *
-     * @param target the target
-     * @param range keys and epoch
-     * @param grantLifetimeMillis lifetime of the grant, counted from the arrival of the request at the target
-     * @return false if the target has seen a higher epoch
-     */
-    default CompletableFuture<Boolean> renew(TargetRegistration target, KeyAssignment range, long grantLifetimeMillis) {
-        return grant(target, range, grantLifetimeMillis, Optional.empty());
-    }
-
     /**
      * Checks whether a target responds.
      *
