Log by which copy of the store an instance works

The decisions use the same times as before, but a broadcast that was missed no longer counts for the age told to peers.

--- a/router/src/main/java/org/snipewind/router/ActivityLog.java
+++ b/router/src/main/java/org/snipewind/router/ActivityLog.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
@@ -13,7 +14,8 @@
 
 /**
  * Logs the activity of the instance at a fixed interval, so that a failure can be explained from the log alone: the
- * processor time and the increase of each counter since the last line. Confined to the control loop.
+ * processor time, the view of the fleet by which it works, and the increase of each counter since the last line.
+ * Confined to the control loop.
  */
 final class ActivityLog {
 
@@ -23,14 +25,16 @@
     private final ProcessMetrics metrics;
     private final RouterEventLog log;
     private final MillisClock clock;
+    private final Supplier<String> viewDescription;
     private final Map<String, Long> lastCounts = new HashMap<>();
     private long lastWrittenMillis;
     private long lastProcessorMillis;
 
-    ActivityLog(ProcessMetrics metrics, RouterEventLog log, MillisClock clock) {
+    ActivityLog(ProcessMetrics metrics, RouterEventLog log, MillisClock clock, Supplier<String> viewDescription) {
         this.metrics = metrics;
         this.log = log;
         this.clock = clock;
+        this.viewDescription = viewDescription;
         this.lastWrittenMillis = clock.nowMillis();
     }
 
@@ -43,7 +47,8 @@
         lastWrittenMillis = nowMillis;
         String processorTime = processorTimeSinceLastLine();
         log.write(RouterEvent.INSTANCE_ACTIVITY, () -> {
-            StringBuilder line = new StringBuilder("interval=" + intervalMillis + "ms processor=" + processorTime);
+            StringBuilder line = new StringBuilder(
+                    "interval=" + intervalMillis + "ms processor=" + processorTime + ' ' + viewDescription.get());
             increases.forEach((name, increase) ->
                     line.append(' ').append(name).append('=').append(increase.longValue()));
             return line.toString();
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -13,6 +13,7 @@
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.coordination.election.CandidatePriority;
+import org.snipewind.coordination.routing.RoutingConfiguration;
 import org.snipewind.router.http.OutboundHttpClient;
 import org.snipewind.router.http.ResponseMemory;
 import org.snipewind.router.lead.LeaderElection;
@@ -164,7 +165,7 @@
                         metrics,
                         log,
                         settings.dataCentre()));
-        activityLog = new ActivityLog(metrics, log, clock);
+        activityLog = new ActivityLog(metrics, log, clock, this::describeView);
         registerGauges();
     }
 
@@ -178,6 +179,16 @@
         changeBroadcaster.onTermEnd();
     }
 
+    private String describeView() {
+        FleetView view = tracker.view();
+        return "version="
+                + view.configuration().map(RoutingConfiguration::version).orElse(0L) + ' ' + storeCache.describe()
+                + " leader="
+                + view.leader().map(leader -> leader.member().name()).orElse("none")
+                + " members=" + view.members().size() + " targets="
+                + view.targets().size();
+    }
+
     private static MultiThreadIoEventLoopGroup newEventLoopGroup(String name, int threads) {
         return new MultiThreadIoEventLoopGroup(
                 threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
@@ -206,6 +217,8 @@
         metrics.gauge("fleet.targets", () -> tracker.view().targets().size());
         metrics.gauge("responses.reserved-bytes", responseMemory::reservedBytes);
         metrics.gauge("store.contact-age-millis", storeCache::contactAgeMillis);
+        metrics.gauge("store.confirmation-age-millis", storeCache::newestConfirmationAgeMillis);
+        metrics.gauge("store.revision", storeCache::revision);
         metrics.gauge("leader", () -> leaderElection.isLeading() ? 1 : 0);
     }
 
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -29,6 +29,10 @@
     MIRROR_RELAYED(5103, Level.INFO),
     /** The store's change history was lost, and all items were read again. */
     MIRROR_RELOADED(5104, Level.INFO),
+    /** The store responds, but nobody confirms that the store cache is complete. */
+    MIRROR_UNCONFIRMED(5105, Level.WARNING),
+    /** The store cache is confirmed again, or the store no longer responds. */
+    MIRROR_CONFIRMED(5106, Level.INFO),
     /** A new version of the configuration is in force. */
     CONFIGURATION_IN_FORCE(5201, Level.INFO),
     /** A store item is invalid and is ignored. */
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -54,18 +54,20 @@
     /** The store counts as unreachable after this time without contact; several renewals of a lease fall into it. */
     private static final long UNREACHABLE_AFTER_MILLIS = 2_000;
 
+    /** A cache that was not confirmed for this time, although the store responds, is reported; a watch takes less. */
+    private static final long UNCONFIRMED_AFTER_MILLIS = 2_000;
+
     private final CoordinationStore store;
     private final EventLoop loop;
     private final MillisClock clock;
     private final RouterEventLog log;
     private final CachedItems items;
     private boolean loaded;
+    private final CacheConfirmations confirmations;
     private long lastContactMillis;
-    private long peerConfirmedMillis;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
     private boolean unreachable;
-    private long confirmedMillis;
-    private long broadcastConfirmedMillis = Long.MIN_VALUE / 2;
+    private boolean unconfirmed;
     private Optional<ScheduledFuture<?>> pausedWatch = Optional.empty();
     private BooleanSupplier isBroadcasting = () -> false;
     private ChangeForwarder changeForwarder = (fromRevision, toRevision, changes) -> {};
@@ -103,8 +105,8 @@
         this.clock = clock;
         this.log = log;
         this.items = new CachedItems(listener);
+        this.confirmations = new CacheConfirmations(clock);
         this.lastContactMillis = clock.nowMillis();
-        this.peerConfirmedMillis = lastContactMillis - UNREACHABLE_AFTER_MILLIS;
     }
 
     /**
@@ -153,7 +155,11 @@
      * @return milliseconds
      */
     public long ageMillis() {
-        return clock.nowMillis() - Math.max(lastContactMillis, peerConfirmedMillis);
+        return Math.min(
+                contactAgeMillis(),
+                Math.min(
+                        confirmations.ageMillis(CacheConfirmations.Source.BROADCAST),
+                        confirmations.ageMillis(CacheConfirmations.Source.PEER)));
     }
 
     /**
@@ -168,10 +174,35 @@
     /**
      * Returns the time since the store last confirmed to this instance that the cache was complete.
      *
-     * @return milliseconds
+     * @return milliseconds, very large if it never did
      */
     public long confirmationAgeMillis() {
-        return clock.nowMillis() - confirmedMillis;
+        return confirmations.ageMillis(CacheConfirmations.Source.STORE);
+    }
+
+    /**
+     * Describes how current the cache is.
+     *
+     * @return its revision, the time since it was last confirmed and by whom, and the time since the store responded
+     */
+    public String describe() {
+        return "revision=" + items.revision() + " confirmed-by="
+                + confirmations
+                        .newestSource()
+                        .map(CacheConfirmations.Source::wireName)
+                        .orElse("none")
+                + " confirmation-age="
+                + (confirmations.newestSource().isPresent() ? confirmations.ageMillis() + "ms" : "none")
+                + " contact-age=" + contactAgeMillis() + "ms";
+    }
+
+    /**
+     * Returns the time since anyone confirmed that the cache was complete.
+     *
+     * @return milliseconds, very large if nobody ever did
+     */
+    public long newestConfirmationAgeMillis() {
+        return confirmations.ageMillis();
     }
 
     /**
@@ -228,7 +259,7 @@
      * @param peerItems all items of the peer's cache, empty if it is not newer
      */
     public void applyPeerSnapshot(long peerRevision, long ageMillis, List<StoreItem> peerItems) {
-        peerConfirmedMillis = Math.max(peerConfirmedMillis, clock.nowMillis() - ageMillis);
+        confirmations.record(CacheConfirmations.Source.PEER, clock.nowMillis() - ageMillis);
         long previousRevision = items.revision();
         if (peerRevision <= previousRevision || peerItems.isEmpty()) {
             return;
@@ -261,7 +292,7 @@
         if (!loaded || knownRevision > items.revision()) {
             return;
         }
-        peerConfirmedMillis = Math.max(peerConfirmedMillis, clock.nowMillis() - ageMillis);
+        confirmations.record(CacheConfirmations.Source.PEER, clock.nowMillis() - ageMillis);
         items.applyChanges(new StoreChanges(changes, peerRevision));
     }
 
@@ -280,15 +311,13 @@
             onPeerChangesMissed();
             return;
         }
-        long confirmedAtMillis = clock.nowMillis() - ageMillis;
-        broadcastConfirmedMillis = Math.max(broadcastConfirmedMillis, confirmedAtMillis);
-        peerConfirmedMillis = Math.max(peerConfirmedMillis, confirmedAtMillis);
+        confirmations.record(CacheConfirmations.Source.BROADCAST, clock.nowMillis() - ageMillis);
         items.applyChanges(new StoreChanges(changes, toRevision));
     }
 
     /** Records that changes broadcast by another instance were missed, and resumes the watch to get them. */
     public void onPeerChangesMissed() {
-        broadcastConfirmedMillis = Long.MIN_VALUE / 2;
+        confirmations.forget(CacheConfirmations.Source.BROADCAST);
         if (pausedWatch.isPresent() && pausedWatch.get().cancel(false)) {
             pausedWatch = Optional.empty();
             watch();
@@ -301,7 +330,8 @@
      * @return true if this instance need not get them from the store or from peers
      */
     public boolean receivesBroadcasts() {
-        return !isBroadcasting.getAsBoolean() && clock.nowMillis() - broadcastConfirmedMillis < BROADCAST_VALID_MILLIS;
+        return !isBroadcasting.getAsBoolean()
+                && confirmations.ageMillis(CacheConfirmations.Source.BROADCAST) < BROADCAST_VALID_MILLIS;
     }
 
     private void checkContact() {
@@ -309,6 +339,15 @@
             unreachable = true;
             log.write(RouterEvent.STORE_LOST, () -> "age=" + contactAgeMillis() + "ms revision=" + items.revision());
         }
+        boolean silentlyOld = loaded
+                && contactAgeMillis() <= UNREACHABLE_AFTER_MILLIS
+                && confirmations.ageMillis() > UNCONFIRMED_AFTER_MILLIS;
+        if (silentlyOld && !unconfirmed) {
+            log.write(RouterEvent.MIRROR_UNCONFIRMED, this::describe);
+        } else if (!silentlyOld && unconfirmed) {
+            log.write(RouterEvent.MIRROR_CONFIRMED, this::describe);
+        }
+        unconfirmed = silentlyOld;
     }
 
     private void reload() {
@@ -338,7 +377,7 @@
             if (fromRevision >= items.revision()) {
                 items.replaceAll(read, fromRevision);
                 loaded = true;
-                confirmedMillis = clock.nowMillis();
+                confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
             }
             return CompletableFuture.completedFuture(null);
         });
@@ -382,7 +421,7 @@
                 return;
             }
             items.applyChanges(changes);
-            confirmedMillis = clock.nowMillis();
+            confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
             boolean broadcasting = isBroadcasting.getAsBoolean();
             if (broadcasting) {
                 changeForwarder.forward(fromRevision, changes.revision(), changes.changes());
