Deliver the readable changes of an answer that has an unreadable one

What callers saw or would see: after one item that can't be decoded (a value that is no base64 or no string, no key, a revision that is no integer), no process applied any further change of the store: added routes answered 404, withdrawn keys and leaving targets stayed in use. A restarted process could not load the store at all.

Cause: PlatformStoreClient decoded an answer as a whole. Each watch and each page that contained the item failed, and the watch began again at the same revision. A page with a truncation mark and without an item also ended the list early, which removed every item behind it.

A change or item without a readable key or revision is left out and counted; after such a change all items are read and the watch goes on behind it.

--- a/router/src/main/java/org/snipewind/router/port/StoreChanges.java
+++ b/router/src/main/java/org/snipewind/router/port/StoreChanges.java
@@ -7,8 +7,19 @@
  *
  * @param changes changes in the order in which they were made
  * @param revision revision after which to continue watching
+ * @param unreadableChanges number of further changes whose key or revision can't be read
  */
-public record StoreChanges(List<Change> changes, long revision) {
+public record StoreChanges(List<Change> changes, long revision, int unreadableChanges) {
+
+    /**
+     * Creates changes that could all be read.
+     *
+     * @param changes changes in the order in which they were made
+     * @param revision revision after which to continue watching
+     */
+    public StoreChanges(List<Change> changes, long revision) {
+        this(changes, revision, 0);
+    }
 
     /**
      * A change of one item.
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -371,6 +371,12 @@
             // changes since then again.
             long fromRevision = firstRevision < 0 ? page.revision() : firstRevision;
             read.addAll(page.items());
+            if (page.unreadableItems() > 0) {
+                log.write(
+                        RouterEvent.ITEM_UNREADABLE,
+                        () -> "key=unknown revision=" + page.revision() + " items=" + page.unreadableItems()
+                                + " problem=no readable key or revision");
+            }
             if (page.hasMore() && !page.items().isEmpty()) {
                 return readPages(read, Optional.of(lastKey(page)), fromRevision);
             }
@@ -412,11 +418,13 @@
     private void onWatchCompleted(long fromRevision, StoreChanges changes, Throwable failure) {
         if (failure == null) {
             recordContact();
-            if (changes.revision() > newestRevision(changes, fromRevision)) {
-                // Each revision is a change, so the watch did not return all changes up to its revision. Continuing
-                // from there would lose them.
+            if (changes.unreadableChanges() > 0 || changes.revision() > newestRevision(changes, fromRevision)) {
+                // Each revision is a change, so the watch did not return all changes up to its revision, or not all of
+                // them could be read. Continuing from there would lose them.
                 log.write(
-                        RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision + " store=" + changes.revision());
+                        RouterEvent.MIRROR_RELOADED,
+                        () -> "revision=" + fromRevision + " store=" + changes.revision() + " unreadable-changes="
+                                + changes.unreadableChanges());
                 reload();
                 return;
             }
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -36,11 +37,13 @@
     private static final class RecordingStore implements CoordinationStore {
         private final List<CompletableFuture<StoreChanges>> watches = new CopyOnWriteArrayList<>();
         private final List<Long> watchedRevisions = new CopyOnWriteArrayList<>();
+        private final AtomicInteger ranges = new AtomicInteger();
         private volatile long maxWaitMillis;
         private volatile StorePage page = new StorePage(List.of(), false, START_REVISION);
 
         @Override
         public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
+            ranges.incrementAndGet();
             return CompletableFuture.completedFuture(page);
         }
 
@@ -179,6 +182,19 @@
         assertThat(store.watchedRevisions.get(1)).isEqualTo(9);
     }
 
+    // The item at the key of the change may be any of the cached ones, so all of them are read.
+    @Test
+    void aChangeThatCannotBeReadLeadsToAReadOfAllItemsAndNotToTheSameWatch() throws Exception {
+        store.page = new StorePage(List.of(written("b", 9).item()), false, 9, 1);
+        CompletableFuture<StoreChanges> first = store.watches.get(0);
+        loop.submit(() -> first.complete(new StoreChanges(List.of(written("b", 9)), 9, 1)))
+                .get();
+        await(() -> store.watches.size() == 2);
+        assertThat(receivedChanges).containsExactly("b=9");
+        assertThat(store.watchedRevisions.get(1)).isEqualTo(9);
+        assertThat(store.ranges.get()).isEqualTo(2);
+    }
+
     @Test
     void anItemThatCannotBeAppliedDoesNotEndTheWatch() throws Exception {
         StoreChanges changes = new StoreChanges(List.of(written("fault", 8), written("sound", 9)), 9);
