Move the calls that follow the store into a class of their own

The chain moves to StoreFollower, without a change of behaviour; StoreCacheTest and CachedItemsTest pass unchanged.

--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -1,12 +1,8 @@
 package org.snipewind.router.state;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.snipewind.coordination.clock.MillisClock;
@@ -15,9 +11,7 @@
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.StoreChanges;
-import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreItem;
-import org.snipewind.router.port.StorePage;
 
 /**
  * Local copy of the store's items, which never goes back to an earlier revision. The items are read once and then kept
@@ -26,30 +20,14 @@
  */
 public final class StoreCache {
 
-    /**
-     * Longest wait of one watch. The end of a watch confirms that the cache is complete. A watch that began while the
-     * store withheld changes learns only at its end that the store has dropped history, and changes must arrive within
-     * two seconds.
-     */
-    private static final long WATCH_TIMEOUT_MILLIS = 600;
-
-    /** Pause between watches of the broadcasting instance, so that nearly simultaneous changes need one call. */
-    private static final long BROADCASTER_COALESCE_MILLIS = 20;
-
     /**
      * Time for which a broadcast that confirmed the cache makes a watch unnecessary; changes must arrive within two
      * seconds.
      */
     private static final long BROADCAST_VALID_MILLIS = 1_200;
 
-    /** Interval between checks whether another instance still broadcasts the changes, and this one need not do so. */
-    private static final long BROADCAST_CHECK_INTERVAL_MILLIS = 300;
-
-    /** Pause between watches, so that changes within this time need one call; each call has a cost. */
-    private static final long COALESCE_MILLIS = 250;
-
-    /** Retries are delayed at random by half to twice this time, so that instances do not call the store at once. */
-    private static final long RETRY_DELAY_MILLIS = 250;
+    /** Interval between checks of the contact with the store. */
+    private static final long CHECK_INTERVAL_MILLIS = 250;
 
     /** The store counts as unreachable after this time without contact; several renewals of a lease fall into it. */
     private static final long UNREACHABLE_AFTER_MILLIS = 2_000;
@@ -57,18 +35,17 @@
     /** A cache that was not confirmed for this time, although the store responds, is reported; a watch takes less. */
     private static final long UNCONFIRMED_AFTER_MILLIS = 2_000;
 
-    private final CoordinationStore store;
     private final EventLoop loop;
     private final MillisClock clock;
     private final RouterEventLog log;
     private final CachedItems items;
     private boolean loaded;
     private final CacheConfirmations confirmations;
+    private final StoreFollower follower;
     private long lastContactMillis;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
     private boolean unreachable;
     private boolean unconfirmed;
-    private Optional<ScheduledFuture<?>> pausedWatch = Optional.empty();
     private BooleanSupplier isBroadcasting = () -> false;
     private ChangeForwarder changeForwarder = (fromRevision, toRevision, changes) -> {};
 
@@ -85,6 +62,32 @@
         void forward(long fromRevision, long toRevision, List<StoreChanges.Change> changes);
     }
 
+    /** Applies what the calls of this instance return. */
+    private final class CallResults implements StoreFollower.Receiver {
+        @Override
+        public void recordContact() {
+            StoreCache.this.recordContact();
+        }
+
+        @Override
+        public void itemsRead(List<StoreItem> read, long revision) {
+            if (revision >= items.revision()) {
+                items.replaceAll(read, revision);
+                loaded = true;
+                confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
+            }
+        }
+
+        @Override
+        public void changesReceived(long fromRevision, StoreChanges changes) {
+            items.applyChanges(changes);
+            confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
+            if (isBroadcasting.getAsBoolean()) {
+                changeForwarder.forward(fromRevision, changes.revision(), changes.changes());
+            }
+        }
+    }
+
     /**
      * Creates an empty cache.
      *
@@ -100,13 +103,13 @@
             MillisClock clock,
             RouterEventLog log,
             StoreCacheListener listener) {
-        this.store = store;
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.items = new CachedItems(listener);
         this.confirmations = new CacheConfirmations(clock);
         this.lastContactMillis = clock.nowMillis();
+        this.follower = new StoreFollower(store, loop, log, items, new CallResults(), this::receivesBroadcasts);
     }
 
     /**
@@ -117,16 +120,17 @@
      */
     public void setChangeForwarding(BooleanSupplier broadcasting, ChangeForwarder forwarder) {
         isBroadcasting = broadcasting;
+        follower.setBroadcasting(broadcasting);
         changeForwarder = forwarder;
     }
 
     /** Starts to read and watch the store. */
     public void start() {
-        loop.execute(this::reload);
+        follower.start();
         loop.scheduleAtFixedRate(
                 new GuardedTask(log, "check of the contact with the store", this::checkContact),
-                RETRY_DELAY_MILLIS,
-                RETRY_DELAY_MILLIS,
+                CHECK_INTERVAL_MILLIS,
+                CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
 
@@ -318,10 +322,7 @@
     /** Records that changes broadcast by another instance were missed, and resumes the watch to get them. */
     public void onPeerChangesMissed() {
         confirmations.forget(CacheConfirmations.Source.BROADCAST);
-        if (pausedWatch.isPresent() && pausedWatch.get().cancel(false)) {
-            pausedWatch = Optional.empty();
-            watch();
-        }
+        follower.resumeWatch();
     }
 
     /**
@@ -349,114 +350,4 @@
         }
         unconfirmed = silentlyOld;
     }
-
-    private void reload() {
-        new GuardedTask(log, "read the store", this::startReading, () -> retry(this::reload)).run();
-    }
-
-    private void startReading() {
-        readPages(new ArrayList<>(), Optional.empty(), -1).whenComplete((ignored, failure) -> {
-            if (failure == null) {
-                watch();
-            } else {
-                retry(this::reload);
-            }
-        });
-    }
-
-    private CompletableFuture<Void> readPages(List<StoreItem> read, Optional<String> after, long firstRevision) {
-        return store.range("", after).thenCompose(page -> {
-            recordContact();
-            // The pages do not form a snapshot, so the watch starts at the revision of the first page and applies the
-            // changes since then again.
-            long fromRevision = firstRevision < 0 ? page.revision() : firstRevision;
-            read.addAll(page.items());
-            if (page.unreadableItems() > 0) {
-                log.write(
-                        RouterEvent.ITEM_UNREADABLE,
-                        () -> "key=unknown revision=" + page.revision() + " items=" + page.unreadableItems()
-                                + " problem=no readable key or revision");
-            }
-            if (page.hasMore() && !page.items().isEmpty()) {
-                return readPages(read, Optional.of(lastKey(page)), fromRevision);
-            }
-            if (fromRevision >= items.revision()) {
-                items.replaceAll(read, fromRevision);
-                loaded = true;
-                confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
-            }
-            return CompletableFuture.completedFuture(null);
-        });
-    }
-
-    private static String lastKey(StorePage page) {
-        return page.items().get(page.items().size() - 1).key();
-    }
-
-    private void watch() {
-        new GuardedTask(log, "watch the store", this::startWatch, () -> retry(this::watch)).run();
-    }
-
-    private void startWatch() {
-        if (receivesBroadcasts()) {
-            pausedWatch =
-                    Optional.of(loop.schedule(this::watch, BROADCAST_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
-            return;
-        }
-        pausedWatch = Optional.empty();
-        long fromRevision = items.revision();
-        store.watch("", fromRevision, WATCH_TIMEOUT_MILLIS)
-                // The watch that failed begins again behind the items that it has applied.
-                .whenComplete((changes, failure) -> new GuardedTask(
-                                log,
-                                "apply changes of the store",
-                                () -> onWatchCompleted(fromRevision, changes, failure),
-                                () -> retry(this::watch))
-                        .run());
-    }
-
-    private void onWatchCompleted(long fromRevision, StoreChanges changes, Throwable failure) {
-        if (failure == null) {
-            recordContact();
-            if (changes.unreadableChanges() > 0 || changes.revision() > newestRevision(changes, fromRevision)) {
-                // Each revision is a change, so the watch did not return all changes up to its revision, or not all of
-                // them could be read. Continuing from there would lose them.
-                log.write(
-                        RouterEvent.MIRROR_RELOADED,
-                        () -> "revision=" + fromRevision + " store=" + changes.revision() + " unreadable-changes="
-                                + changes.unreadableChanges());
-                reload();
-                return;
-            }
-            items.applyChanges(changes);
-            confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
-            boolean broadcasting = isBroadcasting.getAsBoolean();
-            if (broadcasting) {
-                changeForwarder.forward(fromRevision, changes.revision(), changes.changes());
-            }
-            if (changes.changes().isEmpty()) {
-                watch();
-            } else {
-                long delay = broadcasting ? BROADCASTER_COALESCE_MILLIS : COALESCE_MILLIS;
-                loop.schedule(this::watch, delay, TimeUnit.MILLISECONDS);
-            }
-        } else if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
-            recordContact();
-            log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision);
-            reload();
-        } else {
-            retry(this::watch);
-        }
-    }
-
-    private static long newestRevision(StoreChanges changes, long fromRevision) {
-        return changes.changes().stream()
-                .mapToLong(change -> change.item().revision())
-                .reduce(fromRevision, Math::max);
-    }
-
-    private void retry(Runnable task) {
-        long delay = ThreadLocalRandom.current().nextLong(RETRY_DELAY_MILLIS / 2, RETRY_DELAY_MILLIS * 2);
-        loop.schedule(task, delay, TimeUnit.MILLISECONDS);
-    }
 }
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -0,0 +1,200 @@
+package org.snipewind.router.state;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.snipewind.router.log.GuardedTask;
+import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.log.RouterEventLog;
+import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.StoreChanges;
+import org.snipewind.router.port.StoreException;
+import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.port.StorePage;
+
+/**
+ * Follows the store by calls of this instance: all items are read once and the changes since then are watched, unless
+ * another instance broadcasts them. Confined to the control event loop.
+ */
+final class StoreFollower {
+
+    /**
+     * Longest wait of one watch. The end of a watch confirms that the cache is complete. A watch that began while the
+     * store withheld changes learns only at its end that the store has dropped history, and changes must arrive within
+     * two seconds.
+     */
+    private static final long WATCH_TIMEOUT_MILLIS = 600;
+
+    /** Pause between watches of the broadcasting instance, so that nearly simultaneous changes need one call. */
+    private static final long BROADCASTER_COALESCE_MILLIS = 20;
+
+    /** Interval between checks whether another instance still broadcasts the changes, and this one need not do so. */
+    private static final long BROADCAST_CHECK_INTERVAL_MILLIS = 300;
+
+    /** Pause between watches, so that changes within this time need one call; each call has a cost. */
+    private static final long COALESCE_MILLIS = 250;
+
+    /** Retries are delayed at random by half to twice this time, so that instances do not call the store at once. */
+    private static final long RETRY_DELAY_MILLIS = 250;
+
+    /** Takes what the calls return. */
+    interface Receiver {
+        /** Called when the store has responded. */
+        void recordContact();
+
+        /** Called when all items were read. */
+        void itemsRead(List<StoreItem> items, long revision);
+
+        /** Called when a watch returned the changes after a revision. */
+        void changesReceived(long fromRevision, StoreChanges changes);
+    }
+
+    private final CoordinationStore store;
+    private final EventLoop loop;
+    private final RouterEventLog log;
+    private final CachedItems items;
+    private final Receiver receiver;
+    private final BooleanSupplier receivesBroadcasts;
+    private Optional<ScheduledFuture<?>> pausedWatch = Optional.empty();
+    private BooleanSupplier isBroadcasting = () -> false;
+
+    StoreFollower(
+            CoordinationStore store,
+            EventLoop loop,
+            RouterEventLog log,
+            CachedItems items,
+            Receiver receiver,
+            BooleanSupplier receivesBroadcasts) {
+        this.store = store;
+        this.loop = loop;
+        this.log = log;
+        this.items = items;
+        this.receiver = receiver;
+        this.receivesBroadcasts = receivesBroadcasts;
+    }
+
+    /** Sets whether this instance broadcasts the changes, and so waits less between watches. */
+    void setBroadcasting(BooleanSupplier broadcasting) {
+        isBroadcasting = broadcasting;
+    }
+
+    /** Starts to read and watch the store. */
+    void start() {
+        loop.execute(this::reload);
+    }
+
+    /** Watches the store at once if a broadcast made that unnecessary. */
+    void resumeWatch() {
+        if (pausedWatch.isPresent() && pausedWatch.get().cancel(false)) {
+            pausedWatch = Optional.empty();
+            watch();
+        }
+    }
+
+    private void reload() {
+        new GuardedTask(log, "read the store", this::startReading, () -> retry(this::reload)).run();
+    }
+
+    private void startReading() {
+        readPages(new ArrayList<>(), Optional.empty(), -1).whenComplete((ignored, failure) -> {
+            if (failure == null) {
+                watch();
+            } else {
+                retry(this::reload);
+            }
+        });
+    }
+
+    private CompletableFuture<Void> readPages(List<StoreItem> read, Optional<String> after, long firstRevision) {
+        return store.range("", after).thenCompose(page -> {
+            receiver.recordContact();
+            // The pages do not form a snapshot, so the watch starts at the revision of the first page and applies the
+            // changes since then again.
+            long fromRevision = firstRevision < 0 ? page.revision() : firstRevision;
+            read.addAll(page.items());
+            if (page.unreadableItems() > 0) {
+                log.write(
+                        RouterEvent.ITEM_UNREADABLE,
+                        () -> "key=unknown revision=" + page.revision() + " items=" + page.unreadableItems()
+                                + " problem=no readable key or revision");
+            }
+            if (page.hasMore() && !page.items().isEmpty()) {
+                return readPages(read, Optional.of(lastKey(page)), fromRevision);
+            }
+            receiver.itemsRead(read, fromRevision);
+            return CompletableFuture.completedFuture(null);
+        });
+    }
+
+    private static String lastKey(StorePage page) {
+        return page.items().get(page.items().size() - 1).key();
+    }
+
+    private void watch() {
+        new GuardedTask(log, "watch the store", this::startWatch, () -> retry(this::watch)).run();
+    }
+
+    private void startWatch() {
+        if (receivesBroadcasts.getAsBoolean()) {
+            pausedWatch =
+                    Optional.of(loop.schedule(this::watch, BROADCAST_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+            return;
+        }
+        pausedWatch = Optional.empty();
+        long fromRevision = items.revision();
+        store.watch("", fromRevision, WATCH_TIMEOUT_MILLIS)
+                // The watch that failed begins again behind the items that it has applied.
+                .whenComplete((changes, failure) -> new GuardedTask(
+                                log,
+                                "apply changes of the store",
+                                () -> onWatchCompleted(fromRevision, changes, failure),
+                                () -> retry(this::watch))
+                        .run());
+    }
+
+    private void onWatchCompleted(long fromRevision, StoreChanges changes, Throwable failure) {
+        if (failure == null) {
+            receiver.recordContact();
+            if (changes.unreadableChanges() > 0 || changes.revision() > newestRevision(changes, fromRevision)) {
+                // Each revision is a change, so the watch did not return all changes up to its revision, or not all of
+                // them could be read. Continuing from there would lose them.
+                log.write(
+                        RouterEvent.MIRROR_RELOADED,
+                        () -> "revision=" + fromRevision + " store=" + changes.revision() + " unreadable-changes="
+                                + changes.unreadableChanges());
+                reload();
+                return;
+            }
+            receiver.changesReceived(fromRevision, changes);
+            if (changes.changes().isEmpty()) {
+                watch();
+            } else {
+                long delay = isBroadcasting.getAsBoolean() ? BROADCASTER_COALESCE_MILLIS : COALESCE_MILLIS;
+                loop.schedule(this::watch, delay, TimeUnit.MILLISECONDS);
+            }
+        } else if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
+            receiver.recordContact();
+            log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision);
+            reload();
+        } else {
+            retry(this::watch);
+        }
+    }
+
+    private static long newestRevision(StoreChanges changes, long fromRevision) {
+        return changes.changes().stream()
+                .mapToLong(change -> change.item().revision())
+                .reduce(fromRevision, Math::max);
+    }
+
+    private void retry(Runnable task) {
+        long delay = ThreadLocalRandom.current().nextLong(RETRY_DELAY_MILLIS / 2, RETRY_DELAY_MILLIS * 2);
+        loop.schedule(task, delay, TimeUnit.MILLISECONDS);
+    }
+}
