Apply the other items of an answer when one fails

What callers would see: for each item on which a listener fails, all later items of the same answer come one retry later (125 to 500 ms), and at the start no request is served until the read of all items has got past each of them: with 100 such items about half a minute.

Cause: CachedItems passed the failure of its listener on, in the middle of the list. The revision then stayed and the view was not drawn again.

Each call of the listener is now guarded by itself (GuardedListener), logged as task-failed with the key. A fault while a registration is applied makes the registration unreadable, as a fault of its parser does.

Evidence: StoreCacheTest.anItemThatCannotBeAppliedDoesNotDelayTheOthersOfItsAnswer failed before with "missing (1): sound=9". StoreCacheTest and FleetTrackerTest pass with the change.

--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -248,7 +248,8 @@
     }
 
     private void applyTarget(String id, StoreItem item) {
-        parse(() -> parser.parseTarget(id, item.value())).peek(this::addTarget).peekLeft(problem -> {
+        // What the fields of a registration lead to counts as reading it, so that a fault there names no target either.
+        parse(() -> parser.parseTarget(id, item.value()).peek(this::addTarget)).peekLeft(problem -> {
             logUnreadable(item, problem);
             targets.remove(id);
         });
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -106,7 +106,7 @@
         this.loop = loop;
         this.clock = clock;
         this.log = log;
-        this.items = new CachedItems(listener);
+        this.items = new CachedItems(new GuardedListener(listener, log));
         this.confirmations = new CacheConfirmations(clock);
         this.lastContactMillis = clock.nowMillis();
         this.follower = new StoreFollower(store, loop, log, items, new CallResults(), this::receivesBroadcasts);
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -208,6 +208,15 @@
         assertThat(store.watchedRevisions.get(2)).isEqualTo(9);
     }
 
+    @Test
+    void anItemThatCannotBeAppliedDoesNotDelayTheOthersOfItsAnswer() throws Exception {
+        CompletableFuture<StoreChanges> first = store.watches.get(0);
+        loop.submit(() -> first.complete(new StoreChanges(List.of(written("fault", 8), written("sound", 9)), 9)))
+                .get();
+        assertThat(receivedChanges).containsExactly("sound=9");
+        assertThat(cache.revision()).isEqualTo(9);
+    }
+
     @Test
     void theBroadcastingInstanceWatchesTheStoreAndForwardsItsChanges() throws Exception {
         List<String> forwarded = new ArrayList<>();
