Go back to the store's items if the copy is ahead of the store

What callers would see: after one revision that is too high (a wrong answer, a broadcast, the copy of a peer, the number of an own write), this instance serves by its old view for as long as the store needs to reach that revision: added routes answer 404, leaving targets stay in use. Nothing is logged, since each answer confirms the copy.

Cause: the copy only moved forward. The watch asked from a revision that the store had not reached, and its answer, below that revision, was taken as a confirmation; a read of all items from an earlier revision was dropped.

The store's answers are linearizable and its revision only rises. So an answer below a revision that was applied before the question proves that revision wrong, or is the answer to an earlier question. No single answer moves it back. What is really newer comes with the watch that follows.

StoreCacheTest.endWatch answered a watch with a revision that the same stand-in denied in its next read, which no linearizable store does. It now answers with the revision that was watched; what the tests check is unchanged.

Not covered: a configuration of a higher version that came with the wrong revision stays in force, since an older version never takes effect again.

--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -33,6 +33,8 @@
     MIRROR_UNCONFIRMED(5105, Level.WARNING),
     /** The store cache is confirmed again, or the store no longer responds. */
     MIRROR_CONFIRMED(5106, Level.INFO),
+    /** The copy has a revision that the store has not reached, so it is replaced by all items of the store. */
+    MIRROR_AHEAD(5107, Level.WARNING),
     /** A new version of the configuration is in force. */
     CONFIGURATION_IN_FORCE(5201, Level.INFO),
     /** A store item is invalid and is ignored. */
--- a/router/src/main/java/org/snipewind/router/state/CacheConfirmations.java
+++ b/router/src/main/java/org/snipewind/router/state/CacheConfirmations.java
@@ -41,6 +41,11 @@
         confirmedMillis.remove(source);
     }
 
+    /** Forgets all confirmations, since they were of a revision that has proved wrong. */
+    void forgetAll() {
+        confirmedMillis.clear();
+    }
+
     /** Returns the milliseconds since the last confirmation by a source, very large if there is none. */
     long ageMillis(Source source) {
         return Optional.ofNullable(confirmedMillis.get(source))
--- a/router/src/main/java/org/snipewind/router/state/CachedItems.java
+++ b/router/src/main/java/org/snipewind/router/state/CachedItems.java
@@ -12,7 +12,7 @@
 
 /**
  * The items of the store cache by key. An item never goes back to an earlier revision, regardless of the order and the
- * source of changes. Confined to the control event loop.
+ * source of changes, unless the store has proved that its revision was wrong. Confined to the control event loop.
  */
 final class CachedItems {
 
@@ -28,6 +28,7 @@
 
     private long newestForgottenRemoval;
     private long revision;
+    private long newestRevision;
 
     CachedItems(StoreCacheListener listener) {
         this.listener = listener;
@@ -46,6 +47,11 @@
         return revision;
     }
 
+    /** Returns the newest revision that was ever applied; it may be that of a single item, or wrong. */
+    long newestRevision() {
+        return Math.max(newestRevision, revision);
+    }
+
     /**
      * Returns the changes since a revision.
      *
@@ -94,6 +100,30 @@
         listener.changesApplied();
     }
 
+    /**
+     * Goes back to all items of the store as of a revision, which is below one that was applied. What is newer here is
+     * not in the store, or is returned by a watch from that revision.
+     */
+    void goBackTo(List<StoreItem> snapshot, long storeRevision) {
+        Map<String, StoreItem> former = new HashMap<>(items);
+        items.clear();
+        removalRevisions.clear();
+        revision = storeRevision;
+        newestRevision = storeRevision;
+        removalsKnownFrom = storeRevision;
+        newestForgottenRemoval = Math.min(newestForgottenRemoval, storeRevision);
+        for (StoreItem item : snapshot) {
+            items.put(item.key(), item);
+            newestRevision = Math.max(newestRevision, item.revision());
+            StoreItem previous = former.remove(item.key());
+            if (previous == null || previous.revision() != item.revision()) {
+                listener.itemChanged(item);
+            }
+        }
+        former.keySet().forEach(listener::itemRemoved);
+        listener.changesApplied();
+    }
+
     /** Applies the changes since the revision of these items. */
     void applyChanges(StoreChanges changes) {
         for (StoreChanges.Change change : changes.changes()) {
@@ -119,6 +149,7 @@
             return;
         }
         items.put(item.key(), item);
+        newestRevision = Math.max(newestRevision, item.revision());
         removalRevisions.remove(item.key());
         listener.itemChanged(item);
     }
@@ -145,6 +176,7 @@
         }
         // Keeps an earlier revision of the item, received late from another source, from restoring it.
         removalRevisions.merge(key, removalRevision, Math::max);
+        newestRevision = Math.max(newestRevision, removalRevision);
         if (items.remove(key) != null) {
             listener.itemRemoved(key);
         }
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -70,12 +70,18 @@
         }
 
         @Override
-        public void itemsRead(List<StoreItem> read, long revision) {
-            if (revision >= items.revision()) {
+        public void itemsRead(List<StoreItem> read, long revision, boolean goesBack) {
+            if (goesBack) {
+                items.goBackTo(read, revision);
+                confirmations.forgetAll();
+            } else if (revision >= items.revision()) {
                 items.replaceAll(read, revision);
-                loaded = true;
-                confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
+            } else {
+                // Changes that came meanwhile are newer than the read.
+                return;
             }
+            loaded = true;
+            confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
         }
 
         @Override
--- a/router/src/main/java/org/snipewind/router/state/StoreFollower.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -48,8 +48,14 @@
         /** Called when the store has responded. */
         void recordContact();
 
-        /** Called when all items were read. */
-        void itemsRead(List<StoreItem> items, long revision);
+        /**
+         * Called when all items were read.
+         *
+         * @param items the items
+         * @param revision revision of the store when the read began
+         * @param goesBack whether the cache is proved to be ahead of the store and must go back to these items
+         */
+        void itemsRead(List<StoreItem> items, long revision, boolean goesBack);
 
         /** Called when a watch returned the changes after a revision. */
         void changesReceived(long fromRevision, StoreChanges changes);
@@ -64,6 +70,9 @@
     private Optional<ScheduledFuture<?>> pausedWatch = Optional.empty();
     private BooleanSupplier isBroadcasting = () -> false;
 
+    /** Whether the last read of all items was from before a revision that the cache had when the read began. */
+    private boolean storeWasBehind;
+
     StoreFollower(
             CoordinationStore store,
             EventLoop loop,
@@ -102,7 +111,8 @@
     }
 
     private void startReading() {
-        readPages(new ArrayList<>(), Optional.empty(), -1).whenComplete((ignored, failure) -> {
+        long newestBefore = items.newestRevision();
+        readPages(new ArrayList<>(), Optional.empty(), -1, newestBefore).whenComplete((ignored, failure) -> {
             if (failure == null) {
                 watch();
             } else {
@@ -111,7 +121,29 @@
         });
     }
 
-    private CompletableFuture<Void> readPages(List<StoreItem> read, Optional<String> after, long firstRevision) {
+    /**
+     * Receives all items. The store's answers are linearizable and its revision only rises, so a read from before a
+     * revision that was known when the read began proves that revision wrong. A second read must confirm it, since the
+     * first one may be the late answer to an earlier call.
+     */
+    private void onAllRead(List<StoreItem> read, long fromRevision, long newestBefore) {
+        boolean storeIsBehind = fromRevision < newestBefore;
+        if (storeIsBehind) {
+            log.write(
+                    RouterEvent.MIRROR_AHEAD,
+                    () -> "revision=" + items.revision() + " newest=" + newestBefore + " store=" + fromRevision
+                            + " confirmed=" + storeWasBehind);
+            if (!storeWasBehind) {
+                storeWasBehind = true;
+                throw new StoreException(StoreException.Kind.UNKNOWN, "the store is behind the cache");
+            }
+        }
+        storeWasBehind = false;
+        receiver.itemsRead(read, fromRevision, storeIsBehind);
+    }
+
+    private CompletableFuture<Void> readPages(
+            List<StoreItem> read, Optional<String> after, long firstRevision, long newestBefore) {
         return store.range("", after).thenCompose(page -> {
             receiver.recordContact();
             // The pages do not form a snapshot, so the watch starts at the revision of the first page and applies the
@@ -125,9 +157,9 @@
                                 + " problem=no readable key or revision");
             }
             if (page.hasMore() && !page.items().isEmpty()) {
-                return readPages(read, Optional.of(lastKey(page)), fromRevision);
+                return readPages(read, Optional.of(lastKey(page)), fromRevision, newestBefore);
             }
-            receiver.itemsRead(read, fromRevision);
+            onAllRead(read, fromRevision, newestBefore);
             return CompletableFuture.completedFuture(null);
         });
     }
@@ -148,19 +180,26 @@
         }
         pausedWatch = Optional.empty();
         long fromRevision = items.revision();
+        long newestBefore = items.newestRevision();
         store.watch("", fromRevision, WATCH_TIMEOUT_MILLIS)
                 // The watch that failed begins again behind the items that it has applied.
                 .whenComplete((changes, failure) -> new GuardedTask(
                                 log,
                                 "apply changes of the store",
-                                () -> onWatchCompleted(fromRevision, changes, failure),
+                                () -> onWatchCompleted(fromRevision, newestBefore, changes, failure),
                                 () -> retry(this::watch))
                         .run());
     }
 
-    private void onWatchCompleted(long fromRevision, StoreChanges changes, Throwable failure) {
+    private void onWatchCompleted(
+            long fromRevision, long newestBefore, StoreChanges changes, Throwable failure) {
         if (failure == null) {
             receiver.recordContact();
+            if (changes.revision() < newestBefore) {
+                // The cache is ahead of the store, or this is the answer to an earlier watch; a read of all items tells.
+                reload();
+                return;
+            }
             if (changes.unreadableChanges() > 0 || changes.revision() > newestRevision(changes, fromRevision)) {
                 // Each revision is a change, so the watch did not return all changes up to its revision, or not all of
                 // them could be read. Continuing from there would lose them.
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -117,9 +117,13 @@
     }
 
     private void endWatch() throws Exception {
-        CompletableFuture<StoreChanges> last = store.watches.get(store.watches.size() - 1);
-        loop.submit(() -> last.complete(new StoreChanges(List.of(), cache.revision())))
-                .get();
+        int last = store.watches.size() - 1;
+        endWatchWith(last, store.watchedRevisions.get(last));
+    }
+
+    private void endWatchWith(int number, long revision) throws Exception {
+        CompletableFuture<StoreChanges> watch = store.watches.get(number);
+        loop.submit(() -> watch.complete(new StoreChanges(List.of(), revision))).get();
     }
 
     private static StoreChanges.Change written(String key, long revision) {
@@ -217,6 +221,35 @@
         assertThat(cache.revision()).isEqualTo(9);
     }
 
+    // The store's revision only rises, so an answer below the revision that was asked for proves the copy wrong.
+    @Test
+    void aCopyThatIsAheadOfTheStoreGoesBackToTheItemsOfTheStore() throws Exception {
+        applyPeerChanges(START_REVISION, 50, 0, written("x", 50));
+        endWatchWith(0, START_REVISION);
+        clock.advance(SILENCE_MILLIS);
+        await(() -> store.watches.size() == 2);
+        store.page = new StorePage(List.of(written("a", 8).item()), false, 8);
+        endWatchWith(1, 8);
+        await(() -> store.watches.size() == 3);
+        assertThat(receivedChanges).containsExactly("x=50", "a=8", "x removed");
+        assertThat(store.watchedRevisions.get(2)).isEqualTo(8);
+        CompletableFuture<StoreChanges> third = store.watches.get(2);
+        loop.submit(() -> third.complete(new StoreChanges(List.of(written("x", 9)), 9)))
+                .get();
+        assertThat(receivedChanges).contains("x=9");
+    }
+
+    @Test
+    void anItemWithARevisionThatTheStoreHasNotReachedIsReplaced() throws Exception {
+        loop.submit(() -> cache.applyWrite(written("x", 50).item())).get();
+        endWatchWith(0, START_REVISION);
+        await(() -> store.watches.size() == 2);
+        store.page = new StorePage(List.of(written("x", 8).item()), false, 8);
+        endWatchWith(1, START_REVISION);
+        await(() -> store.watches.size() == 3);
+        assertThat(receivedChanges).containsExactly("x=50", "x=8").inOrder();
+    }
+
     @Test
     void theBroadcastingInstanceWatchesTheStoreAndForwardsItsChanges() throws Exception {
         List<String> forwarded = new ArrayList<>();
