Pause between reads of all items that the next watch asks for again

What callers would see: refusals of writes and renewals (429), and a bill, when the store drops its history sooner than a read of all items takes, or answers each watch with a revision that its changes do not reach: every instance reads all items again without a pause.

Cause: a watch that needs a read of all items started it at once, each time.

The first read still starts at once. If the watch that follows it needs another one, that waits like any retry (125 to 500 ms).

Evidence: StoreCacheTest.aStoreThatLosesItsHistoryAfterEachReadIsNotReadWithoutPause failed before with 572 reads in 0.5 s against a stand-in that answers at once ("expected to be at most: 8"); it passes now.

--- a/router/src/main/java/org/snipewind/router/state/StoreFollower.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -73,6 +73,9 @@
     /** Whether the last read of all items was from before a revision that the cache had when the read began. */
     private boolean storeWasBehind;
 
+    /** Whether no watch has returned changes, or confirmed that there are none, since the last read of all items. */
+    private boolean readWithoutWatch;
+
     StoreFollower(
             CoordinationStore store,
             EventLoop loop,
@@ -197,7 +200,7 @@
             receiver.recordContact();
             if (changes.revision() < newestBefore) {
                 // The cache is ahead of the store, or this is the answer to an earlier watch; a read of all items tells.
-                reload();
+                readAgain();
                 return;
             }
             if (changes.unreadableChanges() > 0 || changes.revision() > newestRevision(changes, fromRevision)) {
@@ -207,9 +210,10 @@
                         RouterEvent.MIRROR_RELOADED,
                         () -> "revision=" + fromRevision + " store=" + changes.revision() + " unreadable-changes="
                                 + changes.unreadableChanges());
-                reload();
+                readAgain();
                 return;
             }
+            readWithoutWatch = false;
             receiver.changesReceived(fromRevision, changes);
             if (changes.changes().isEmpty()) {
                 watch();
@@ -220,12 +224,22 @@
         } else if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
             receiver.recordContact();
             log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision);
-            reload();
+            readAgain();
         } else {
             retry(this::watch);
         }
     }
 
+    /** Reads all items at once, but with a pause if the watch that followed the last such read needs it again. */
+    private void readAgain() {
+        if (readWithoutWatch) {
+            retry(this::reload);
+        } else {
+            readWithoutWatch = true;
+            reload();
+        }
+    }
+
     private static long newestRevision(StoreChanges changes, long fromRevision) {
         return changes.changes().stream()
                 .mapToLong(change -> change.item().revision())
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -18,6 +19,7 @@
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.StoreChanges;
+import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StorePage;
 import org.snipewind.router.port.StoreWrite;
@@ -39,6 +41,7 @@
         private final List<Long> watchedRevisions = new CopyOnWriteArrayList<>();
         private final AtomicInteger ranges = new AtomicInteger();
         private volatile long maxWaitMillis;
+        private volatile boolean historyLost;
         private volatile StorePage page = new StorePage(List.of(), false, START_REVISION);
 
         @Override
@@ -50,6 +53,9 @@
         @Override
         public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
             maxWaitMillis = Math.max(maxWaitMillis, waitMillis);
+            if (historyLost) {
+                return CompletableFuture.failedFuture(historyLost());
+            }
             CompletableFuture<StoreChanges> watch = new CompletableFuture<>();
             watchedRevisions.add(afterRevision);
             watches.add(watch);
@@ -126,6 +132,10 @@
         loop.submit(() -> watch.complete(new StoreChanges(List.of(), revision))).get();
     }
 
+    private static StoreException historyLost() {
+        return new StoreException(StoreException.Kind.HISTORY_LOST, "gone");
+    }
+
     private static StoreChanges.Change written(String key, long revision) {
         byte[] value = key.getBytes(StandardCharsets.UTF_8);
         return new StoreChanges.Change(new StoreItem(key, value, revision, 0), false);
@@ -250,6 +260,15 @@
         assertThat(receivedChanges).containsExactly("x=50", "x=8").inOrder();
     }
 
+    // Without the pause, an instance reads all items again and again as fast as the store answers.
+    @Test
+    void aStoreThatLosesItsHistoryAfterEachReadIsNotReadWithoutPause() throws Exception {
+        store.historyLost = true;
+        store.watches.get(0).completeExceptionally(historyLost());
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertThat(store.ranges.get()).isAtMost(8);
+    }
+
     @Test
     void theBroadcastingInstanceWatchesTheStoreAndForwardsItsChanges() throws Exception {
         List<String> forwarded = new ArrayList<>();
