Read all items if watches fail although the store responds

What callers would see: routes that were added answer 404 and leaving targets stay in use at every instance, while readiness is 200 and leases are renewed, until the store drops its history.

Cause: a failed watch was repeated from the same revision without end. If the answer itself is the reason (more than the 16 MB that the client takes, for example after some writes of 1 MB; a form that can't be read), each repetition fails too. mirror-unconfirmed showed it and mended nothing.

A watch that fails while the store responds to other calls, and nobody has confirmed the copy for 2 s, is now followed by a read of all items, whose pages the store limits. While the store is away the watch alone is repeated, as before, and the instance serves on.

Evidence: StoreCacheTest.allItemsAreReadIfWatchesFailAlthoughTheStoreResponds failed before ("missing (1): b=9"). That an answer of more than 16 MB fails each time is from the code of OutboundHttpClient; it was not run.

--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -115,7 +115,8 @@
         this.items = new CachedItems(new GuardedListener(listener, log));
         this.confirmations = new CacheConfirmations(clock);
         this.lastContactMillis = clock.nowMillis();
-        this.follower = new StoreFollower(store, loop, log, items, new CallResults(), this::receivesBroadcasts);
+        this.follower = new StoreFollower(
+                store, loop, log, items, new CallResults(), this::receivesBroadcasts, this::isSilentlyOld);
     }
 
     /**
@@ -341,14 +342,19 @@
                 && confirmations.ageMillis(CacheConfirmations.Source.BROADCAST) < BROADCAST_VALID_MILLIS;
     }
 
+    /** Returns whether nobody confirms that the cache is complete, although the store responds to calls. */
+    private boolean isSilentlyOld() {
+        return loaded
+                && contactAgeMillis() <= UNREACHABLE_AFTER_MILLIS
+                && confirmations.ageMillis() > UNCONFIRMED_AFTER_MILLIS;
+    }
+
     private void checkContact() {
         if (!unreachable && contactAgeMillis() > UNREACHABLE_AFTER_MILLIS) {
             unreachable = true;
             log.write(RouterEvent.STORE_LOST, () -> "age=" + contactAgeMillis() + "ms revision=" + items.revision());
         }
-        boolean silentlyOld = loaded
-                && contactAgeMillis() <= UNREACHABLE_AFTER_MILLIS
-                && confirmations.ageMillis() > UNCONFIRMED_AFTER_MILLIS;
+        boolean silentlyOld = isSilentlyOld();
         if (silentlyOld && !unconfirmed) {
             log.write(RouterEvent.MIRROR_UNCONFIRMED, this::describe);
         } else if (!silentlyOld && unconfirmed) {
--- a/router/src/main/java/org/snipewind/router/state/StoreFollower.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -67,6 +67,7 @@
     private final CachedItems items;
     private final Receiver receiver;
     private final BooleanSupplier receivesBroadcasts;
+    private final BooleanSupplier isSilentlyOld;
     private Optional<ScheduledFuture<?>> pausedWatch = Optional.empty();
     private BooleanSupplier isBroadcasting = () -> false;
 
@@ -82,13 +83,15 @@
             RouterEventLog log,
             CachedItems items,
             Receiver receiver,
-            BooleanSupplier receivesBroadcasts) {
+            BooleanSupplier receivesBroadcasts,
+            BooleanSupplier isSilentlyOld) {
         this.store = store;
         this.loop = loop;
         this.log = log;
         this.items = items;
         this.receiver = receiver;
         this.receivesBroadcasts = receivesBroadcasts;
+        this.isSilentlyOld = isSilentlyOld;
     }
 
     /** Sets whether this instance broadcasts the changes, and so waits less between watches. */
@@ -226,7 +229,9 @@
             log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision);
             readAgain();
         } else {
-            retry(this::watch);
+            // The changes since this revision may not be obtainable at all, as their answer may exceed the limit of an
+            // answer; a page of items is limited by the store.
+            retry(isSilentlyOld.getAsBoolean() ? this::reload : this::watch);
         }
     }
 
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -269,6 +269,18 @@
         assertThat(store.ranges.get()).isAtMost(8);
     }
 
+    // For example because the answer with all changes since the revision exceeds the limit of an answer.
+    @Test
+    void allItemsAreReadIfWatchesFailAlthoughTheStoreResponds() throws Exception {
+        clock.advance(2_500);
+        loop.submit(cache::recordContact).get();
+        store.page = new StorePage(List.of(written("b", 9).item()), false, 9);
+        store.watches.get(0).completeExceptionally(new StoreException(StoreException.Kind.UNKNOWN, "too large"));
+        await(() -> store.watches.size() == 2);
+        assertThat(receivedChanges).containsExactly("b=9");
+        assertThat(store.watchedRevisions.get(1)).isEqualTo(9);
+    }
+
     @Test
     void theBroadcastingInstanceWatchesTheStoreAndForwardsItsChanges() throws Exception {
         List<String> forwarded = new ArrayList<>();
