Start the reads and watches of the store again if they stall

Cause: each step of the chain (read, watch, pause) starts the next one. Nothing noticed a step that neither completes nor fails.

A chain without a step for 4 s is replaced; its longest step, a watch with its time-out, takes 1.8 s. Steps and answers of the former chain are ignored, so two chains never run side by side.

Evidence: StoreCacheTest.aWatchThatNeverEndsIsStartedAgain failed before ("condition not fulfilled within 10000 ms"), and checks that a late failure of the former watch starts no second chain.

--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -35,6 +35,8 @@
     MIRROR_CONFIRMED(5106, Level.INFO),
     /** The copy has a revision that the store has not reached, so it is replaced by all items of the store. */
     MIRROR_AHEAD(5107, Level.WARNING),
+    /** The reads and watches of the store stalled and were started again. */
+    STORE_CALLS_RESTARTED(5108, Level.WARNING),
     /** A new version of the configuration is in force. */
     CONFIGURATION_IN_FORCE(5201, Level.INFO),
     /** A store item is invalid and is ignored. */
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -116,7 +116,15 @@
         this.confirmations = new CacheConfirmations(clock);
         this.lastContactMillis = clock.nowMillis();
         this.follower = new StoreFollower(
-                store, loop, log, items, new CallResults(), this::receivesBroadcasts, this::isSilentlyOld);
+                store,
+                loop,
+                clock,
+                log,
+                items,
+                new CallResults(),
+                this::receivesBroadcasts,
+                this::isLoaded,
+                this::isSilentlyOld);
     }
 
     /**
@@ -350,6 +358,7 @@
     }
 
     private void checkContact() {
+        follower.restartIfStalled();
         if (!unreachable && contactAgeMillis() > UNREACHABLE_AFTER_MILLIS) {
             unreachable = true;
             log.write(RouterEvent.STORE_LOST, () -> "age=" + contactAgeMillis() + "ms revision=" + items.revision());
--- a/router/src/main/java/org/snipewind/router/state/StoreFollower.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.router.log.GuardedTask;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
@@ -43,6 +44,9 @@
     /** Retries are delayed at random by half to twice this time, so that instances do not call the store at once. */
     private static final long RETRY_DELAY_MILLIS = 250;
 
+    /** Longest time without a step of the calls; the longest step is a watch, which ends within 1.8 s. */
+    private static final long STALLED_AFTER_MILLIS = 4_000;
+
     /** Takes what the calls return. */
     interface Receiver {
         /** Called when the store has responded. */
@@ -63,14 +67,21 @@
 
     private final CoordinationStore store;
     private final EventLoop loop;
+    private final MillisClock clock;
     private final RouterEventLog log;
     private final CachedItems items;
     private final Receiver receiver;
     private final BooleanSupplier receivesBroadcasts;
+    private final BooleanSupplier isLoaded;
     private final BooleanSupplier isSilentlyOld;
     private Optional<ScheduledFuture<?>> pausedWatch = Optional.empty();
     private BooleanSupplier isBroadcasting = () -> false;
 
+    /** Number of the chain of calls; a chain that stalled is replaced, and what its calls return later is ignored. */
+    private int chain;
+
+    private long lastStepMillis;
+
     /** Whether the last read of all items was from before a revision that the cache had when the read began. */
     private boolean storeWasBehind;
 
@@ -80,17 +91,21 @@
     StoreFollower(
             CoordinationStore store,
             EventLoop loop,
+            MillisClock clock,
             RouterEventLog log,
             CachedItems items,
             Receiver receiver,
             BooleanSupplier receivesBroadcasts,
+            BooleanSupplier isLoaded,
             BooleanSupplier isSilentlyOld) {
         this.store = store;
         this.loop = loop;
+        this.clock = clock;
         this.log = log;
         this.items = items;
         this.receiver = receiver;
         this.receivesBroadcasts = receivesBroadcasts;
+        this.isLoaded = isLoaded;
         this.isSilentlyOld = isSilentlyOld;
     }
 
@@ -101,9 +116,42 @@
 
     /** Starts to read and watch the store. */
     void start() {
+        lastStepMillis = clock.nowMillis();
         loop.execute(this::reload);
     }
 
+    /** Starts the calls again if they have stalled, for whatever reason: a callback was lost, or a task refused. */
+    void restartIfStalled() {
+        long stalledMillis = clock.nowMillis() - lastStepMillis;
+        if (stalledMillis <= STALLED_AFTER_MILLIS) {
+            return;
+        }
+        chain++;
+        log.write(
+                RouterEvent.STORE_CALLS_RESTARTED,
+                () -> "revision=" + items.revision() + " stalled=" + stalledMillis + "ms");
+        pausedWatch.ifPresent(paused -> paused.cancel(false));
+        pausedWatch = Optional.empty();
+        if (isLoaded.getAsBoolean()) {
+            watch();
+        } else {
+            reload();
+        }
+    }
+
+    /** Schedules the next step of the current chain. */
+    private ScheduledFuture<?> schedule(Runnable step, long delayMillis) {
+        int scheduledChain = chain;
+        return loop.schedule(
+                () -> {
+                    if (scheduledChain == chain) {
+                        step.run();
+                    }
+                },
+                delayMillis,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Watches the store at once if a broadcast made that unnecessary. */
     void resumeWatch() {
         if (pausedWatch.isPresent() && pausedWatch.get().cancel(false)) {
@@ -113,12 +161,17 @@
     }
 
     private void reload() {
+        lastStepMillis = clock.nowMillis();
         new GuardedTask(log, "read the store", this::startReading, () -> retry(this::reload)).run();
     }
 
     private void startReading() {
         long newestBefore = items.newestRevision();
+        int readingChain = chain;
         readPages(new ArrayList<>(), Optional.empty(), -1, newestBefore).whenComplete((ignored, failure) -> {
+            if (readingChain != chain) {
+                return;
+            }
             if (failure == null) {
                 watch();
             } else {
@@ -152,6 +205,7 @@
             List<StoreItem> read, Optional<String> after, long firstRevision, long newestBefore) {
         return store.range("", after).thenCompose(page -> {
             receiver.recordContact();
+            lastStepMillis = clock.nowMillis();
             // The pages do not form a snapshot, so the watch starts at the revision of the first page and applies the
             // changes since then again.
             long fromRevision = firstRevision < 0 ? page.revision() : firstRevision;
@@ -175,26 +229,31 @@
     }
 
     private void watch() {
+        lastStepMillis = clock.nowMillis();
         new GuardedTask(log, "watch the store", this::startWatch, () -> retry(this::watch)).run();
     }
 
     private void startWatch() {
         if (receivesBroadcasts.getAsBoolean()) {
-            pausedWatch =
-                    Optional.of(loop.schedule(this::watch, BROADCAST_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+            pausedWatch = Optional.of(schedule(this::watch, BROADCAST_CHECK_INTERVAL_MILLIS));
             return;
         }
         pausedWatch = Optional.empty();
         long fromRevision = items.revision();
         long newestBefore = items.newestRevision();
+        int watchingChain = chain;
         store.watch("", fromRevision, WATCH_TIMEOUT_MILLIS)
                 // The watch that failed begins again behind the items that it has applied.
-                .whenComplete((changes, failure) -> new GuardedTask(
-                                log,
-                                "apply changes of the store",
-                                () -> onWatchCompleted(fromRevision, newestBefore, changes, failure),
-                                () -> retry(this::watch))
-                        .run());
+                .whenComplete((changes, failure) -> {
+                    if (watchingChain == chain) {
+                        new GuardedTask(
+                                        log,
+                                        "apply changes of the store",
+                                        () -> onWatchCompleted(fromRevision, newestBefore, changes, failure),
+                                        () -> retry(this::watch))
+                                .run();
+                    }
+                });
     }
 
     private void onWatchCompleted(
@@ -222,7 +281,7 @@
                 watch();
             } else {
                 long delay = isBroadcasting.getAsBoolean() ? BROADCASTER_COALESCE_MILLIS : COALESCE_MILLIS;
-                loop.schedule(this::watch, delay, TimeUnit.MILLISECONDS);
+                schedule(this::watch, delay);
             }
         } else if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
             receiver.recordContact();
@@ -253,6 +312,6 @@
 
     private void retry(Runnable task) {
         long delay = ThreadLocalRandom.current().nextLong(RETRY_DELAY_MILLIS / 2, RETRY_DELAY_MILLIS * 2);
-        loop.schedule(task, delay, TimeUnit.MILLISECONDS);
+        schedule(task, delay);
     }
 }
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -281,6 +281,17 @@
         assertThat(store.watchedRevisions.get(1)).isEqualTo(9);
     }
 
+    @Test
+    void aWatchThatNeverEndsIsStartedAgain() throws Exception {
+        clock.advance(10_000);
+        await(() -> store.watches.size() == 2);
+        CompletableFuture<StoreChanges> first = store.watches.get(0);
+        loop.submit(() -> first.completeExceptionally(new StoreException(StoreException.Kind.UNKNOWN, "late")))
+                .get();
+        TimeUnit.MILLISECONDS.sleep(700);
+        assertThat(store.watches).hasSize(2);
+    }
+
     @Test
     void theBroadcastingInstanceWatchesTheStoreAndForwardsItsChanges() throws Exception {
         List<String> forwarded = new ArrayList<>();
