Count only confirmations of the copy as its age

What callers would see: where the store is out of reach for some instances, they serve by the old copy of one whose watch is stuck: added routes answer 404, leaving targets stay in use, and no other peer is asked.

Cause, three faults of one rule: - An instance told peers the time since any response of the store, such as the renewal of a lease, as the age of its copy. - An instance whose own watch failed did not ask peers as long as its renewals were answered. - A broadcast or a peer's answer from before the revision of the copy confirmed the copy, so a leader or a peer that is behind kept others from watching, and a copy that is ahead of the store was never compared with it.

The age of a copy is now the time since it was confirmed, and only an instance that is not behind it can confirm it. In calm times the age stays below a watch and its pause (0.85 s), and peers are asked after 1.3 s as before.

Evidence: StoreCacheTest.contactWithTheStoreDoesNotMakeTheCopyLookCurrent and anOlderCopyOfAPeerDoesNotConfirmThisOne failed before ("expected to be at least: 5000, but was: 0"), aBroadcastBelowTheRevisionOfTheCopyDoesNotConfirmIt with "condition not fulfilled within 10000 ms". When an instance asks peers (LeaderClient) has no test of its own.

--- a/protocol/src/main/java/org/snipewind/protocol/MirrorAnswer.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MirrorAnswer.java
@@ -8,7 +8,7 @@
  * The sender's store cache, as the answer to a {@link MirrorRequest}.
  *
  * @param revision revision of the store cache
- * @param storeAgeMillis milliseconds since the sender's last contact with the store
+ * @param storeAgeMillis milliseconds since the store confirmed that the sender's store cache is complete
  * @param leaderAgeMillis milliseconds since the sender's last contact with the leader
  * @param whole whether the items are all items of the store cache, rather than the changes since the known revision
  * @param items the items, empty if the revision in the request is not older
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -217,7 +217,7 @@
         metrics.gauge("fleet.targets", () -> tracker.view().targets().size());
         metrics.gauge("responses.reserved-bytes", responseMemory::reservedBytes);
         metrics.gauge("store.contact-age-millis", storeCache::contactAgeMillis);
-        metrics.gauge("store.confirmation-age-millis", storeCache::newestConfirmationAgeMillis);
+        metrics.gauge("store.confirmation-age-millis", storeCache::ageMillis);
         metrics.gauge("store.revision", storeCache::revision);
         metrics.gauge("leader", () -> leaderElection.isLeading() ? 1 : 0);
     }
--- a/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
+++ b/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
@@ -38,7 +38,7 @@
 
 /**
  * Reports this instance's load to the leader, fetches rate-limit tokens from it, and has it replaced if peers confirm
- * that it is unresponsive. While the store is unreachable, also fetches snapshots of the store cache from peers.
+ * that it is unresponsive. While the store does not confirm the cache, also fetches snapshots of the cache from peers.
  * Confined to the control event loop.
  */
 public final class LeaderClient {
@@ -54,7 +54,7 @@
     /** A leader that did not respond to three reports in a row is replaced if peers confirm it. */
     private static final long LEADER_UNRESPONSIVE_AFTER_MILLIS = 1_200;
 
-    /** Peers are asked for snapshots after this time without contact to the store. */
+    /** Peers are asked for snapshots after this time in which the store did not confirm the cache to this instance. */
     private static final long PEER_SNAPSHOT_AFTER_MILLIS = 1_300;
 
     private static final long PEER_SNAPSHOT_INTERVAL_MILLIS = 250;
@@ -250,7 +250,7 @@
     }
 
     private void requestPeerSnapshots() {
-        if (cache.contactAgeMillis() < PEER_SNAPSHOT_AFTER_MILLIS || cache.receivesBroadcasts()) {
+        if (cache.confirmationAgeMillis() < PEER_SNAPSHOT_AFTER_MILLIS || cache.receivesBroadcasts()) {
             return;
         }
         long knownRevision = cache.revision();
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -168,19 +168,6 @@
         return clock.nowMillis() - lastContactMillis;
     }
 
-    /**
-     * Returns the time since the store last responded to this instance, or confirmed the cache through a peer.
-     *
-     * @return milliseconds
-     */
-    public long ageMillis() {
-        return Math.min(
-                contactAgeMillis(),
-                Math.min(
-                        confirmations.ageMillis(CacheConfirmations.Source.BROADCAST),
-                        confirmations.ageMillis(CacheConfirmations.Source.PEER)));
-    }
-
     /**
      * Returns the time since the store became reachable again after an outage.
      *
@@ -216,11 +203,13 @@
     }
 
     /**
-     * Returns the time since anyone confirmed that the cache was complete.
+     * Returns the time since anyone confirmed that the cache was complete: the store to this instance, the leader by a
+     * broadcast, or a peer that was asked. Other responses of the store do not count, since they tell nothing about the
+     * cache.
      *
      * @return milliseconds, very large if nobody ever did
      */
-    public long newestConfirmationAgeMillis() {
+    public long ageMillis() {
         return confirmations.ageMillis();
     }
 
@@ -278,7 +267,7 @@
      * @param peerItems all items of the peer's cache, empty if it is not newer
      */
     public void applyPeerSnapshot(long peerRevision, long ageMillis, List<StoreItem> peerItems) {
-        confirmations.record(CacheConfirmations.Source.PEER, clock.nowMillis() - ageMillis);
+        recordPeerConfirmation(CacheConfirmations.Source.PEER, peerRevision, ageMillis);
         long previousRevision = items.revision();
         if (peerRevision <= previousRevision || peerItems.isEmpty()) {
             return;
@@ -288,6 +277,13 @@
         loaded = true;
     }
 
+    /** Records what another instance knows, unless it is behind this cache, whose later changes it can't confirm. */
+    private void recordPeerConfirmation(CacheConfirmations.Source source, long peerRevision, long ageMillis) {
+        if (peerRevision >= items.revision()) {
+            confirmations.record(source, clock.nowMillis() - ageMillis);
+        }
+    }
+
     /**
      * Returns the changes since a revision.
      *
@@ -311,7 +307,7 @@
         if (!loaded || knownRevision > items.revision()) {
             return;
         }
-        confirmations.record(CacheConfirmations.Source.PEER, clock.nowMillis() - ageMillis);
+        recordPeerConfirmation(CacheConfirmations.Source.PEER, peerRevision, ageMillis);
         items.applyChanges(new StoreChanges(changes, peerRevision));
     }
 
@@ -330,7 +326,7 @@
             onPeerChangesMissed();
             return;
         }
-        confirmations.record(CacheConfirmations.Source.BROADCAST, clock.nowMillis() - ageMillis);
+        recordPeerConfirmation(CacheConfirmations.Source.BROADCAST, toRevision, ageMillis);
         items.applyChanges(new StoreChanges(changes, toRevision));
     }
 
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -292,6 +292,32 @@
         assertThat(store.watches).hasSize(2);
     }
 
+    @Test
+    void aBroadcastBelowTheRevisionOfTheCopyDoesNotConfirmIt() throws Exception {
+        applyPeerChanges(START_REVISION, 9, 0, written("b", 9));
+        endWatch();
+        clock.advance(SILENCE_MILLIS);
+        applyPeerChanges(START_REVISION, 8, 0);
+        await(() -> store.watches.size() == 2);
+    }
+
+    @Test
+    void contactWithTheStoreDoesNotMakeTheCopyLookCurrent() throws Exception {
+        clock.advance(5_000);
+        loop.submit(cache::recordContact).get();
+        assertThat(loop.submit(cache::ageMillis).get()).isAtLeast(5_000L);
+    }
+
+    @Test
+    void anOlderCopyOfAPeerDoesNotConfirmThisOne() throws Exception {
+        clock.advance(5_000);
+        loop.submit(() -> cache.applyPeerDifference(START_REVISION, START_REVISION - 1, 0, List.of()))
+                .get();
+        loop.submit(() -> cache.applyPeerSnapshot(START_REVISION - 1, 0, List.of(written("a", 1).item())))
+                .get();
+        assertThat(loop.submit(cache::ageMillis).get()).isAtLeast(5_000L);
+    }
+
     @Test
     void theBroadcastingInstanceWatchesTheStoreAndForwardsItsChanges() throws Exception {
         List<String> forwarded = new ArrayList<>();
