Bound the age of a confirmation so that it can't overflow

What callers would see: an instance stops watching the store and never starts again, with the contact to the store and readiness as usual.

Cause: an instance that was never confirmed sends Long.MAX_VALUE as the age of its copy. One millisecond later the age at the receiver overflows to a negative number, so the broadcast counts as current for ever. From the code, an instance of this release has always been confirmed before it leads, so this needs a sender whose copy came from peers only; no run reached it with real processes.

Times of confirmations are bounded to half the range below and to the present above, as other times in the code are.

Evidence: StoreCacheTest.aBroadcasterThatTheStoreNeverConfirmedDoesNotReplaceTheWatch failed before ("condition not fulfilled within 10000 ms").

--- a/router/src/main/java/org/snipewind/router/state/CacheConfirmations.java
+++ b/router/src/main/java/org/snipewind/router/state/CacheConfirmations.java
@@ -24,6 +24,9 @@
         }
     }
 
+    /** The time since an earlier one could exceed the range of a long, and an age that overflows looks current. */
+    private static final long EARLIEST_MILLIS = Long.MIN_VALUE / 2;
+
     private final MillisClock clock;
     private final Map<Source, Long> confirmedMillis = new EnumMap<>(Source.class);
 
@@ -33,7 +36,8 @@
 
     /** Records that the cache was complete at a time; an earlier time than a known one is ignored. */
     void record(Source source, long atMillis) {
-        confirmedMillis.merge(source, atMillis, Math::max);
+        long boundedMillis = Math.max(EARLIEST_MILLIS, Math.min(atMillis, clock.nowMillis()));
+        confirmedMillis.merge(source, boundedMillis, Math::max);
     }
 
     /** Forgets the confirmations of a source, whose changes have been missed. */
--- a/router/src/main/java/org/snipewind/router/state/StoreFollower.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -256,12 +256,12 @@
                 });
     }
 
-    private void onWatchCompleted(
-            long fromRevision, long newestBefore, StoreChanges changes, Throwable failure) {
+    private void onWatchCompleted(long fromRevision, long newestBefore, StoreChanges changes, Throwable failure) {
         if (failure == null) {
             receiver.recordContact();
             if (changes.revision() < newestBefore) {
-                // The cache is ahead of the store, or this is the answer to an earlier watch; a read of all items tells.
+                // The cache is ahead of the store, or this is the answer to an earlier watch; a read of all items
+                // tells.
                 readAgain();
                 return;
             }
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -313,11 +313,21 @@
         clock.advance(5_000);
         loop.submit(() -> cache.applyPeerDifference(START_REVISION, START_REVISION - 1, 0, List.of()))
                 .get();
-        loop.submit(() -> cache.applyPeerSnapshot(START_REVISION - 1, 0, List.of(written("a", 1).item())))
+        loop.submit(() -> cache.applyPeerSnapshot(
+                        START_REVISION - 1, 0, List.of(written("a", 1).item())))
                 .get();
         assertThat(loop.submit(cache::ageMillis).get()).isAtLeast(5_000L);
     }
 
+    // The largest age, of a leader that the store never confirmed, must not overflow to one that looks current.
+    @Test
+    void aBroadcasterThatTheStoreNeverConfirmedDoesNotReplaceTheWatch() throws Exception {
+        applyPeerChanges(START_REVISION, START_REVISION, Long.MAX_VALUE);
+        clock.advance(1);
+        endWatch();
+        await(() -> store.watches.size() == 2);
+    }
+
     @Test
     void theBroadcastingInstanceWatchesTheStoreAndForwardsItsChanges() throws Exception {
         List<String> forwarded = new ArrayList<>();
