--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -219,6 +219,7 @@
         metrics.gauge("store.contact-age-millis", storeCache::contactAgeMillis);
         metrics.gauge("store.confirmation-age-millis", storeCache::ageMillis);
         metrics.gauge("store.revision", storeCache::revision);
+        metrics.gauge("store.calls-restarted", storeCache::restarts);
         metrics.gauge("leader", () -> leaderElection.isLeading() ? 1 : 0);
     }
 
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -213,6 +213,15 @@
         return confirmations.ageMillis();
     }
 
+    /**
+     * Returns how often the reads and watches of the store were started again because they had stalled.
+     *
+     * @return the number of restarts
+     */
+    public int restarts() {
+        return follower.restarts();
+    }
+
     /**
      * Returns whether the cache has ever been complete.
      *
--- a/router/src/main/java/org/snipewind/router/state/StoreFollower.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -139,6 +139,11 @@
         }
     }
 
+    /** Returns how often the calls were started again because they had stalled. */
+    int restarts() {
+        return chain;
+    }
+
     /** Schedules the next step of the current chain. */
     private ScheduledFuture<?> schedule(Runnable step, long delayMillis) {
         int scheduledChain = chain;
