Keep removed items removed after a copy went back

What callers would see: after a copy went back to the store's items, an old copy of a removed item, received late from a peer, puts that item back: a target that is gone or an evacuation that ended.

Cause: the removals that were known are dropped with the wrong revision, but not the knowledge that an item missing in the read is not in the store.

Evidence: CachedItemsTest.aRemovedItemDoesNotComeBackWithAnOldCopyAfterTheItemsWentBack failed before ("expected: [kept] but was: [old, kept]").

--- a/router/src/main/java/org/snipewind/router/state/CachedItems.java
+++ b/router/src/main/java/org/snipewind/router/state/CachedItems.java
@@ -111,7 +111,7 @@
         revision = storeRevision;
         newestRevision = storeRevision;
         removalsKnownFrom = storeRevision;
-        newestForgottenRemoval = Math.min(newestForgottenRemoval, storeRevision);
+        newestForgottenRemoval = storeRevision;
         for (StoreItem item : snapshot) {
             items.put(item.key(), item);
             newestRevision = Math.max(newestRevision, item.revision());
--- a/router/src/test/java/org/snipewind/router/state/CachedItemsTest.java
+++ b/router/src/test/java/org/snipewind/router/state/CachedItemsTest.java
@@ -109,6 +109,14 @@
         return cached.snapshot().stream().collect(Collectors.toMap(StoreItem::key, StoreItem::revision));
     }
 
+    @Test
+    void aRemovedItemDoesNotComeBackWithAnOldCopyAfterTheItemsWentBack() {
+        items.replaceAll(List.of(item("old", 1)), 50);
+        items.goBackTo(List.of(item("kept", 2)), 10);
+        items.applyChanges(new StoreChanges(List.of(new StoreChanges.Change(item("old", 1), false)), 10));
+        assertThat(items.snapshot().stream().map(StoreItem::key)).containsExactly("kept");
+    }
+
     @Test
     void aPeerThatIsAFewChangesBehindGetsOnlyThese() {
         List<StoreItem> all = new ArrayList<>();
