--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -1,12 +1,8 @@
 package org.snipewind.router.state;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.snipewind.coordination.clock.MillisClock;
@@ -15,9 +11,7 @@
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.StoreChanges;
-import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreItem;
-import org.snipewind.router.port.StorePage;
 
 /**
  * Local copy of the store's items, which never goes back to an earlier revision. The items are read once and then kept
@@ -26,30 +20,14 @@
  */
 public final class StoreCache {
 
-    /**
-     * Longest wait of one watch. The end of a watch confirms that the cache is complete. A watch that began while the
-     * store withheld changes learns only at its end that the store has dropped history, and changes must arrive within
-     * two seconds.
-     */
-    private static final long WATCH_TIMEOUT_MILLIS = 600;
-
-    /** Pause between watches of the broadcasting instance, so that nearly simultaneous changes need one call. */
-    private static final long BROADCASTER_COALESCE_MILLIS = 20;
-
     /**
      * Time for which a broadcast that confirmed the cache makes a watch unnecessary; changes must arrive within two
      * seconds.
      */
     private static final long BROADCAST_VALID_MILLIS = 1_200;
 
-    /** Interval between checks whether another instance still broadcasts the changes, and this one need not do so. */
-    private static final long BROADCAST_CHECK_INTERVAL_MILLIS = 300;
-
-    /** Pause between watches, so that changes within this time need one call; each call has a cost. */
-    private static final long COALESCE_MILLIS = 250;
-
-    /** Retries are delayed at random by half to twice this time, so that instances do not call the store at once. */
-    private static final long RETRY_DELAY_MILLIS = 250;
+    /** Interval between checks of the contact with the store. */
+    private static final long CHECK_INTERVAL_MILLIS = 250;
 
     /** The store counts as unreachable after this time without contact; several renewals of a lease fall into it. */
     private static final long UNREACHABLE_AFTER_MILLIS = 2_000;
@@ -57,18 +35,17 @@
     /** A cache that was not confirmed for this time, although the store responds, is reported; a watch takes less. */
     private static final long UNCONFIRMED_AFTER_MILLIS = 2_000;
 
-    private final CoordinationStore store;
     private final EventLoop loop;
     private final MillisClock clock;
     private final RouterEventLog log;
     private final CachedItems items;
     private boolean loaded;
     private final CacheConfirmations confirmations;
+    private final StoreFollower follower;
     private long lastContactMillis;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
     private boolean unreachable;
     private boolean unconfirmed;
-    private Optional<ScheduledFuture<?>> pausedWatch = Optional.empty();
     private BooleanSupplier isBroadcasting = () -> false;
     private ChangeForwarder changeForwarder = (fromRevision, toRevision, changes) -> {};
 
@@ -85,6 +62,38 @@
         void forward(long fromRevision, long toRevision, List<StoreChanges.Change> changes);
     }
 
+    /** Applies what the calls of this instance return. */
+    private final class CallResults implements StoreFollower.Receiver {
+        @Override
+        public void recordContact() {
+            StoreCache.this.recordContact();
+        }
+
+        @Override
+        public void itemsRead(List<StoreItem> read, long revision, boolean goesBack) {
+            if (goesBack) {
+                items.goBackTo(read, revision);
+                confirmations.forgetAll();
+            } else if (revision >= items.revision()) {
+                items.replaceAll(read, revision);
+            } else {
+                // Changes that came meanwhile are newer than the read.
+                return;
+            }
+            loaded = true;
+            confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
+        }
+
+        @Override
+        public void changesReceived(long fromRevision, StoreChanges changes) {
+            items.applyChanges(changes);
+            confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
+            if (isBroadcasting.getAsBoolean()) {
+                changeForwarder.forward(fromRevision, changes.revision(), changes.changes());
+            }
+        }
+    }
+
     /**
      * Creates an empty cache.
      *
@@ -100,13 +109,22 @@
             MillisClock clock,
             RouterEventLog log,
             StoreCacheListener listener) {
-        this.store = store;
         this.loop = loop;
         this.clock = clock;
         this.log = log;
-        this.items = new CachedItems(listener);
+        this.items = new CachedItems(new GuardedListener(listener, log));
         this.confirmations = new CacheConfirmations(clock);
         this.lastContactMillis = clock.nowMillis();
+        this.follower = new StoreFollower(
+                store,
+                loop,
+                clock,
+                log,
+                items,
+                new CallResults(),
+                this::receivesBroadcasts,
+                this::isLoaded,
+                this::isSilentlyOld);
     }
 
     /**
@@ -117,16 +135,17 @@
      */
     public void setChangeForwarding(BooleanSupplier broadcasting, ChangeForwarder forwarder) {
         isBroadcasting = broadcasting;
+        follower.setBroadcasting(broadcasting);
         changeForwarder = forwarder;
     }
 
     /** Starts to read and watch the store. */
     public void start() {
-        loop.execute(this::reload);
+        follower.start();
         loop.scheduleAtFixedRate(
                 new GuardedTask(log, "check of the contact with the store", this::checkContact),
-                RETRY_DELAY_MILLIS,
-                RETRY_DELAY_MILLIS,
+                CHECK_INTERVAL_MILLIS,
+                CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
 
@@ -149,19 +168,6 @@
         return clock.nowMillis() - lastContactMillis;
     }
 
-    /**
-     * Returns the time since the store last responded to this instance, or confirmed the cache through a peer.
-     *
-     * @return milliseconds
-     */
-    public long ageMillis() {
-        return Math.min(
-                contactAgeMillis(),
-                Math.min(
-                        confirmations.ageMillis(CacheConfirmations.Source.BROADCAST),
-                        confirmations.ageMillis(CacheConfirmations.Source.PEER)));
-    }
-
     /**
      * Returns the time since the store became reachable again after an outage.
      *
@@ -197,14 +203,25 @@
     }
 
     /**
-     * Returns the time since anyone confirmed that the cache was complete.
+     * Returns the time since anyone confirmed that the cache was complete: the store to this instance, the leader by a
+     * broadcast, or a peer that was asked. Other responses of the store do not count, since they tell nothing about the
+     * cache.
      *
      * @return milliseconds, very large if nobody ever did
      */
-    public long newestConfirmationAgeMillis() {
+    public long ageMillis() {
         return confirmations.ageMillis();
     }
 
+    /**
+     * Returns how often the reads and watches of the store were started again because they had stalled.
+     *
+     * @return the number of restarts
+     */
+    public int restarts() {
+        return follower.restarts();
+    }
+
     /**
      * Returns whether the cache has ever been complete.
      *
@@ -259,7 +276,7 @@
      * @param peerItems all items of the peer's cache, empty if it is not newer
      */
     public void applyPeerSnapshot(long peerRevision, long ageMillis, List<StoreItem> peerItems) {
-        confirmations.record(CacheConfirmations.Source.PEER, clock.nowMillis() - ageMillis);
+        recordPeerConfirmation(CacheConfirmations.Source.PEER, peerRevision, ageMillis);
         long previousRevision = items.revision();
         if (peerRevision <= previousRevision || peerItems.isEmpty()) {
             return;
@@ -269,6 +286,13 @@
         loaded = true;
     }
 
+    /** Records what another instance knows, unless it is behind this cache, whose later changes it can't confirm. */
+    private void recordPeerConfirmation(CacheConfirmations.Source source, long peerRevision, long ageMillis) {
+        if (peerRevision >= items.revision()) {
+            confirmations.record(source, clock.nowMillis() - ageMillis);
+        }
+    }
+
     /**
      * Returns the changes since a revision.
      *
@@ -292,7 +316,7 @@
         if (!loaded || knownRevision > items.revision()) {
             return;
         }
-        confirmations.record(CacheConfirmations.Source.PEER, clock.nowMillis() - ageMillis);
+        recordPeerConfirmation(CacheConfirmations.Source.PEER, peerRevision, ageMillis);
         items.applyChanges(new StoreChanges(changes, peerRevision));
     }
 
@@ -311,17 +335,14 @@
             onPeerChangesMissed();
             return;
         }
-        confirmations.record(CacheConfirmations.Source.BROADCAST, clock.nowMillis() - ageMillis);
+        recordPeerConfirmation(CacheConfirmations.Source.BROADCAST, toRevision, ageMillis);
         items.applyChanges(new StoreChanges(changes, toRevision));
     }
 
     /** Records that changes broadcast by another instance were missed, and resumes the watch to get them. */
     public void onPeerChangesMissed() {
         confirmations.forget(CacheConfirmations.Source.BROADCAST);
-        if (pausedWatch.isPresent() && pausedWatch.get().cancel(false)) {
-            pausedWatch = Optional.empty();
-            watch();
-        }
+        follower.resumeWatch();
     }
 
     /**
@@ -334,14 +355,20 @@
                 && confirmations.ageMillis(CacheConfirmations.Source.BROADCAST) < BROADCAST_VALID_MILLIS;
     }
 
+    /** Returns whether nobody confirms that the cache is complete, although the store responds to calls. */
+    private boolean isSilentlyOld() {
+        return loaded
+                && contactAgeMillis() <= UNREACHABLE_AFTER_MILLIS
+                && confirmations.ageMillis() > UNCONFIRMED_AFTER_MILLIS;
+    }
+
     private void checkContact() {
+        follower.restartIfStalled();
         if (!unreachable && contactAgeMillis() > UNREACHABLE_AFTER_MILLIS) {
             unreachable = true;
             log.write(RouterEvent.STORE_LOST, () -> "age=" + contactAgeMillis() + "ms revision=" + items.revision());
         }
-        boolean silentlyOld = loaded
-                && contactAgeMillis() <= UNREACHABLE_AFTER_MILLIS
-                && confirmations.ageMillis() > UNCONFIRMED_AFTER_MILLIS;
+        boolean silentlyOld = isSilentlyOld();
         if (silentlyOld && !unconfirmed) {
             log.write(RouterEvent.MIRROR_UNCONFIRMED, this::describe);
         } else if (!silentlyOld && unconfirmed) {
@@ -349,106 +376,4 @@
         }
         unconfirmed = silentlyOld;
     }
-
-    private void reload() {
-        new GuardedTask(log, "read the store", this::startReading, () -> retry(this::reload)).run();
-    }
-
-    private void startReading() {
-        readPages(new ArrayList<>(), Optional.empty(), -1).whenComplete((ignored, failure) -> {
-            if (failure == null) {
-                watch();
-            } else {
-                retry(this::reload);
-            }
-        });
-    }
-
-    private CompletableFuture<Void> readPages(List<StoreItem> read, Optional<String> after, long firstRevision) {
-        return store.range("", after).thenCompose(page -> {
-            recordContact();
-            // The pages do not form a snapshot, so the watch starts at the revision of the first page and applies the
-            // changes since then again.
-            long fromRevision = firstRevision < 0 ? page.revision() : firstRevision;
-            read.addAll(page.items());
-            if (page.hasMore() && !page.items().isEmpty()) {
-                return readPages(read, Optional.of(lastKey(page)), fromRevision);
-            }
-            if (fromRevision >= items.revision()) {
-                items.replaceAll(read, fromRevision);
-                loaded = true;
-                confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
-            }
-            return CompletableFuture.completedFuture(null);
-        });
-    }
-
-    private static String lastKey(StorePage page) {
-        return page.items().get(page.items().size() - 1).key();
-    }
-
-    private void watch() {
-        new GuardedTask(log, "watch the store", this::startWatch, () -> retry(this::watch)).run();
-    }
-
-    private void startWatch() {
-        if (receivesBroadcasts()) {
-            pausedWatch =
-                    Optional.of(loop.schedule(this::watch, BROADCAST_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
-            return;
-        }
-        pausedWatch = Optional.empty();
-        long fromRevision = items.revision();
-        store.watch("", fromRevision, WATCH_TIMEOUT_MILLIS)
-                // The watch that failed begins again behind the items that it has applied.
-                .whenComplete((changes, failure) -> new GuardedTask(
-                                log,
-                                "apply changes of the store",
-                                () -> onWatchCompleted(fromRevision, changes, failure),
-                                () -> retry(this::watch))
-                        .run());
-    }
-
-    private void onWatchCompleted(long fromRevision, StoreChanges changes, Throwable failure) {
-        if (failure == null) {
-            recordContact();
-            if (changes.revision() > newestRevision(changes, fromRevision)) {
-                // Each revision is a change, so the watch did not return all changes up to its revision. Continuing
-                // from there would lose them.
-                log.write(
-                        RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision + " store=" + changes.revision());
-                reload();
-                return;
-            }
-            items.applyChanges(changes);
-            confirmations.record(CacheConfirmations.Source.STORE, clock.nowMillis());
-            boolean broadcasting = isBroadcasting.getAsBoolean();
-            if (broadcasting) {
-                changeForwarder.forward(fromRevision, changes.revision(), changes.changes());
-            }
-            if (changes.changes().isEmpty()) {
-                watch();
-            } else {
-                long delay = broadcasting ? BROADCASTER_COALESCE_MILLIS : COALESCE_MILLIS;
-                loop.schedule(this::watch, delay, TimeUnit.MILLISECONDS);
-            }
-        } else if (StoreException.kindOf(failure) == StoreException.Kind.HISTORY_LOST) {
-            recordContact();
-            log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision);
-            reload();
-        } else {
-            retry(this::watch);
-        }
-    }
-
-    private static long newestRevision(StoreChanges changes, long fromRevision) {
-        return changes.changes().stream()
-                .mapToLong(change -> change.item().revision())
-                .reduce(fromRevision, Math::max);
-    }
-
-    private void retry(Runnable task) {
-        long delay = ThreadLocalRandom.current().nextLong(RETRY_DELAY_MILLIS / 2, RETRY_DELAY_MILLIS * 2);
-        loop.schedule(task, delay, TimeUnit.MILLISECONDS);
-    }
 }
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -17,6 +19,7 @@
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.StoreChanges;
+import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StorePage;
 import org.snipewind.router.port.StoreWrite;
@@ -36,17 +39,23 @@
     private static final class RecordingStore implements CoordinationStore {
         private final List<CompletableFuture<StoreChanges>> watches = new CopyOnWriteArrayList<>();
         private final List<Long> watchedRevisions = new CopyOnWriteArrayList<>();
+        private final AtomicInteger ranges = new AtomicInteger();
         private volatile long maxWaitMillis;
+        private volatile boolean historyLost;
         private volatile StorePage page = new StorePage(List.of(), false, START_REVISION);
 
         @Override
         public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
+            ranges.incrementAndGet();
             return CompletableFuture.completedFuture(page);
         }
 
         @Override
         public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
             maxWaitMillis = Math.max(maxWaitMillis, waitMillis);
+            if (historyLost) {
+                return CompletableFuture.failedFuture(historyLost());
+            }
             CompletableFuture<StoreChanges> watch = new CompletableFuture<>();
             watchedRevisions.add(afterRevision);
             watches.add(watch);
@@ -114,9 +123,17 @@
     }
 
     private void endWatch() throws Exception {
-        CompletableFuture<StoreChanges> last = store.watches.get(store.watches.size() - 1);
-        loop.submit(() -> last.complete(new StoreChanges(List.of(), cache.revision())))
-                .get();
+        int last = store.watches.size() - 1;
+        endWatchWith(last, store.watchedRevisions.get(last));
+    }
+
+    private void endWatchWith(int number, long revision) throws Exception {
+        CompletableFuture<StoreChanges> watch = store.watches.get(number);
+        loop.submit(() -> watch.complete(new StoreChanges(List.of(), revision))).get();
+    }
+
+    private static StoreException historyLost() {
+        return new StoreException(StoreException.Kind.HISTORY_LOST, "gone");
     }
 
     private static StoreChanges.Change written(String key, long revision) {
@@ -179,6 +196,19 @@
         assertThat(store.watchedRevisions.get(1)).isEqualTo(9);
     }
 
+    // The item at the key of the change may be any of the cached ones, so all of them are read.
+    @Test
+    void aChangeThatCannotBeReadLeadsToAReadOfAllItemsAndNotToTheSameWatch() throws Exception {
+        store.page = new StorePage(List.of(written("b", 9).item()), false, 9, 1);
+        CompletableFuture<StoreChanges> first = store.watches.get(0);
+        loop.submit(() -> first.complete(new StoreChanges(List.of(written("b", 9)), 9, 1)))
+                .get();
+        await(() -> store.watches.size() == 2);
+        assertThat(receivedChanges).containsExactly("b=9");
+        assertThat(store.watchedRevisions.get(1)).isEqualTo(9);
+        assertThat(store.ranges.get()).isEqualTo(2);
+    }
+
     @Test
     void anItemThatCannotBeAppliedDoesNotEndTheWatch() throws Exception {
         StoreChanges changes = new StoreChanges(List.of(written("fault", 8), written("sound", 9)), 9);
@@ -192,6 +222,112 @@
         assertThat(store.watchedRevisions.get(2)).isEqualTo(9);
     }
 
+    @Test
+    void anItemThatCannotBeAppliedDoesNotDelayTheOthersOfItsAnswer() throws Exception {
+        CompletableFuture<StoreChanges> first = store.watches.get(0);
+        loop.submit(() -> first.complete(new StoreChanges(List.of(written("fault", 8), written("sound", 9)), 9)))
+                .get();
+        assertThat(receivedChanges).containsExactly("sound=9");
+        assertThat(cache.revision()).isEqualTo(9);
+    }
+
+    // The store's revision only rises, so an answer below the revision that was asked for proves the copy wrong.
+    @Test
+    void aCopyThatIsAheadOfTheStoreGoesBackToTheItemsOfTheStore() throws Exception {
+        applyPeerChanges(START_REVISION, 50, 0, written("x", 50));
+        endWatchWith(0, START_REVISION);
+        clock.advance(SILENCE_MILLIS);
+        await(() -> store.watches.size() == 2);
+        store.page = new StorePage(List.of(written("a", 8).item()), false, 8);
+        endWatchWith(1, 8);
+        await(() -> store.watches.size() == 3);
+        assertThat(receivedChanges).containsExactly("x=50", "a=8", "x removed");
+        assertThat(store.watchedRevisions.get(2)).isEqualTo(8);
+        CompletableFuture<StoreChanges> third = store.watches.get(2);
+        loop.submit(() -> third.complete(new StoreChanges(List.of(written("x", 9)), 9)))
+                .get();
+        assertThat(receivedChanges).contains("x=9");
+    }
+
+    @Test
+    void anItemWithARevisionThatTheStoreHasNotReachedIsReplaced() throws Exception {
+        loop.submit(() -> cache.applyWrite(written("x", 50).item())).get();
+        endWatchWith(0, START_REVISION);
+        await(() -> store.watches.size() == 2);
+        store.page = new StorePage(List.of(written("x", 8).item()), false, 8);
+        endWatchWith(1, START_REVISION);
+        await(() -> store.watches.size() == 3);
+        assertThat(receivedChanges).containsExactly("x=50", "x=8").inOrder();
+    }
+
+    // Without the pause, an instance reads all items again and again as fast as the store answers.
+    @Test
+    void aStoreThatLosesItsHistoryAfterEachReadIsNotReadWithoutPause() throws Exception {
+        store.historyLost = true;
+        store.watches.get(0).completeExceptionally(historyLost());
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertThat(store.ranges.get()).isAtMost(8);
+    }
+
+    // For example because the answer with all changes since the revision exceeds the limit of an answer.
+    @Test
+    void allItemsAreReadIfWatchesFailAlthoughTheStoreResponds() throws Exception {
+        clock.advance(2_500);
+        loop.submit(cache::recordContact).get();
+        store.page = new StorePage(List.of(written("b", 9).item()), false, 9);
+        store.watches.get(0).completeExceptionally(new StoreException(StoreException.Kind.UNKNOWN, "too large"));
+        await(() -> store.watches.size() == 2);
+        assertThat(receivedChanges).containsExactly("b=9");
+        assertThat(store.watchedRevisions.get(1)).isEqualTo(9);
+    }
+
+    @Test
+    void aWatchThatNeverEndsIsStartedAgain() throws Exception {
+        clock.advance(10_000);
+        await(() -> store.watches.size() == 2);
+        CompletableFuture<StoreChanges> first = store.watches.get(0);
+        loop.submit(() -> first.completeExceptionally(new StoreException(StoreException.Kind.UNKNOWN, "late")))
+                .get();
+        TimeUnit.MILLISECONDS.sleep(700);
+        assertThat(store.watches).hasSize(2);
+    }
+
+    @Test
+    void aBroadcastBelowTheRevisionOfTheCopyDoesNotConfirmIt() throws Exception {
+        applyPeerChanges(START_REVISION, 9, 0, written("b", 9));
+        endWatch();
+        clock.advance(SILENCE_MILLIS);
+        applyPeerChanges(START_REVISION, 8, 0);
+        await(() -> store.watches.size() == 2);
+    }
+
+    @Test
+    void contactWithTheStoreDoesNotMakeTheCopyLookCurrent() throws Exception {
+        clock.advance(5_000);
+        loop.submit(cache::recordContact).get();
+        assertThat(loop.submit(cache::ageMillis).get()).isAtLeast(5_000L);
+    }
+
+    @Test
+    void anOlderCopyOfAPeerDoesNotConfirmThisOne() throws Exception {
+        clock.advance(5_000);
+        loop.submit(() -> cache.applyPeerDifference(START_REVISION, START_REVISION - 1, 0, List.of()))
+                .get();
+        loop.submit(() -> cache.applyPeerSnapshot(
+                        START_REVISION - 1, 0, List.of(written("a", 1).item())))
+                .get();
+        assertThat(loop.submit(cache::ageMillis).get()).isAtLeast(5_000L);
+    }
+
+    // The largest age, of a leader that the store never confirmed, must not overflow to one that looks current.
+    @Test
+    void aBroadcasterThatTheStoreNeverConfirmedDoesNotReplaceTheWatch() throws Exception {
+        applyPeerChanges(START_REVISION, START_REVISION, Long.MAX_VALUE);
+        clock.advance(1);
+        endWatch();
+        await(() -> store.watches.size() == 2);
+    }
+
     @Test
     void theBroadcastingInstanceWatchesTheStoreAndForwardsItsChanges() throws Exception {
         List<String> forwarded = new ArrayList<>();
