Keep what is known of a target whose entry vanished

Callers' requests could reach a target that had written "draining": once its entry had been unreadable (another writer) or removed, an earlier write of "ready" that reached the store late put it back into service. A target that came back after an unreadable entry or an outage of the store also lost its requests in flight, failures and cold start, so it got more requests than it had room for.

Cause: FleetTracker forgot the state with the entry, so there was no registration left to compare the sequence number with.

Now TargetRegistry remembers former targets, and the newest registration of a process holds. A process without a start time is not remembered, since its sequence numbers can't be compared after a restart. A new start time begins afresh even if it is lower, as the clock may have been set.

Ruled out: an earlier write over an entry that is still there was already ignored (isNewerThan), and so was a notice in an answer.

--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetRegistration.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetRegistration.java
@@ -4,8 +4,8 @@
  * What a target writes about itself in the store.
  *
  * @param id id of the target
- * @param startedAtMillis start of the process in milliseconds since the Unix epoch; a new value with the same id means
- *     that the process was restarted
+ * @param startedAtMillis start of the process in milliseconds since the Unix epoch, 0 if unknown; a new value with the
+ *     same id means that the process was restarted
  * @param sequence number of this registration; among those with the same start, a lower number is older
  * @param pool name of the pool
  * @param host IP address
@@ -47,4 +47,13 @@
     public String incarnation() {
         return id + "@" + startedAtMillis;
     }
+
+    /**
+     * Returns whether the start of the process is known, so that a restart can be told from an earlier registration.
+     *
+     * @return false if the target did not write it
+     */
+    public boolean hasStartTime() {
+        return startedAtMillis > 0;
+    }
 }
--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -45,7 +45,7 @@
     private final RouterEventLog log;
     private final TargetNotices notices;
     private final List<Runnable> observers = new CopyOnWriteArrayList<>();
-    private final Map<String, TargetState> targets = new HashMap<>();
+    private final TargetRegistry targets = new TargetRegistry();
     private final Set<String> evacuatedDataCentres = new HashSet<>();
     private final Map<String, MemberRecord> members = new HashMap<>();
     private final Map<String, Long> graceEndMillisByTarget = new HashMap<>();
@@ -257,15 +257,9 @@
     private void addTarget(TargetRegistration registration) {
         long now = clock.nowMillis();
         graceEndMillisByTarget.remove(registration.id());
-        TargetState knownState = targets.get(registration.id());
-        if (knownState != null && knownState.registration().isNewerThan(registration)) {
+        if (!targets.register(registration, now)) {
             return;
         }
-        if (knownState != null && knownState.registration().incarnation().equals(registration.incarnation())) {
-            knownState.update(registration, now);
-        } else {
-            targets.put(registration.id(), new TargetState(registration, now));
-        }
         log.write(
                 RouterEvent.TARGET_CHANGED,
                 () -> "target=" + registration.incarnation() + " pool=" + registration.pool() + " draining="
@@ -309,7 +303,7 @@
     }
 
     private void removeTarget(String id) {
-        if (targets.remove(id) != null) {
+        if (targets.remove(id)) {
             log.write(RouterEvent.TARGET_CHANGED, () -> "target=" + id + " gone=true");
         }
     }
@@ -320,8 +314,9 @@
         members.keySet().forEach(name -> memberLastSeenMillis.put(name, now));
         memberLastSeenMillis.values().removeIf(seen -> now - seen > FLEET_SIZE_WINDOW_MILLIS);
         Map<String, List<TargetState>> inService = new HashMap<>();
-        for (String id : new TreeSet<>(targets.keySet())) {
-            TargetState state = targets.get(id);
+        Map<String, TargetState> registered = targets.registered();
+        for (String id : new TreeSet<>(registered.keySet())) {
+            TargetState state = registered.get(id);
             if (!state.registration().draining()
                     && !notices.isLeaving(state.incarnation())
                     && !evacuatedDataCentres.contains(state.registration().dataCentre())) {
@@ -332,7 +327,7 @@
         }
         view = new FleetView(
                 configuration,
-                Map.copyOf(targets),
+                registered,
                 inService,
                 Set.copyOf(evacuatedDataCentres),
                 Map.copyOf(members),
