Tell an outage of the store from a lost connection to it

Targets whose entries were removed by planned leaves stayed in service for 2.5 s more at an instance that had lost the store by itself (refused or cut off) while the leader's broadcast or a peer kept its copy current. They end about 2 s after their removal, so requests to them failed.

Cause: the grace for entries that expire in an outage was measured by this instance's own contact. While that was missing, each removal began a full grace; after it, the grace began at the own reconnection, which may be later than the store's return.

Now an outage is a time in which no response of the store to any instance is known, and it ends at the time of the first response, of whatever instance. The events store-lost and store-regained still tell of the own contact.

Ruled out: an instance that was cut off from all others can't tell the two apart and still grants the time, 2.5 s from its reconnection.

Tests: StoreCacheTest.theStoreIsNotDownWhileAnotherInstanceReachesIt (the age was 0, as in an outage) and theEndOfAnOutageIsWhenTheStoreRespondedToAnyInstance (0 instead of 300 ms).

--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -67,6 +67,7 @@
     private long lastContactMillis;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
     private boolean unreachable;
+    private boolean unreachableByAll;
     private boolean unconfirmed;
     private Optional<ScheduledFuture<?>> pausedWatch = Optional.empty();
     private BooleanSupplier isBroadcasting = () -> false;
@@ -135,9 +136,23 @@
         lastContactMillis = clock.nowMillis();
         if (unreachable) {
             unreachable = false;
-            reconnectedMillis = lastContactMillis;
             log.write(RouterEvent.STORE_REGAINED, () -> "revision=" + items.revision());
         }
+        checkOutageEnd();
+    }
+
+    private void recordPeerConfirmation(CacheConfirmations.Source source, long ageMillis) {
+        confirmations.record(source, clock.nowMillis() - ageMillis);
+        checkOutageEnd();
+    }
+
+    /** The store serves again as soon as it has responded to any instance. */
+    private void checkOutageEnd() {
+        long age = ageMillis();
+        if (unreachableByAll && age <= UNREACHABLE_AFTER_MILLIS) {
+            unreachableByAll = false;
+            reconnectedMillis = clock.nowMillis() - age;
+        }
     }
 
     /**
@@ -163,12 +178,13 @@
     }
 
     /**
-     * Returns the time since the store became reachable again after an outage.
+     * Returns the time since the store became reachable again after an outage, in which it responded to no instance
+     * that this one hears of.
      *
      * @return milliseconds, 0 during an outage, very large if there was none
      */
     public long reconnectAgeMillis() {
-        return unreachable ? 0 : clock.nowMillis() - reconnectedMillis;
+        return unreachableByAll ? 0 : clock.nowMillis() - reconnectedMillis;
     }
 
     /**
@@ -259,7 +275,7 @@
      * @param peerItems all items of the peer's cache, empty if it is not newer
      */
     public void applyPeerSnapshot(long peerRevision, long ageMillis, List<StoreItem> peerItems) {
-        confirmations.record(CacheConfirmations.Source.PEER, clock.nowMillis() - ageMillis);
+        recordPeerConfirmation(CacheConfirmations.Source.PEER, ageMillis);
         long previousRevision = items.revision();
         if (peerRevision <= previousRevision || peerItems.isEmpty()) {
             return;
@@ -292,7 +308,7 @@
         if (!loaded || knownRevision > items.revision()) {
             return;
         }
-        confirmations.record(CacheConfirmations.Source.PEER, clock.nowMillis() - ageMillis);
+        recordPeerConfirmation(CacheConfirmations.Source.PEER, ageMillis);
         items.applyChanges(new StoreChanges(changes, peerRevision));
     }
 
@@ -311,7 +327,7 @@
             onPeerChangesMissed();
             return;
         }
-        confirmations.record(CacheConfirmations.Source.BROADCAST, clock.nowMillis() - ageMillis);
+        recordPeerConfirmation(CacheConfirmations.Source.BROADCAST, ageMillis);
         items.applyChanges(new StoreChanges(changes, toRevision));
     }
 
@@ -339,6 +355,7 @@
             unreachable = true;
             log.write(RouterEvent.STORE_LOST, () -> "age=" + contactAgeMillis() + "ms revision=" + items.revision());
         }
+        unreachableByAll |= ageMillis() > UNREACHABLE_AFTER_MILLIS;
         boolean silentlyOld = loaded
                 && contactAgeMillis() <= UNREACHABLE_AFTER_MILLIS
                 && confirmations.ageMillis() > UNCONFIRMED_AFTER_MILLIS;
--- a/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
+++ b/router/src/test/java/org/snipewind/router/state/StoreCacheTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,6 +33,9 @@
     /** Longer than broadcasts may be absent before an instance watches the store itself. */
     private static final long SILENCE_MILLIS = 1_300;
 
+    /** Longer than the store may be silent before it counts as unreachable. */
+    private static final long OUTAGE_MILLIS = 2_100;
+
     /** A store that records watches, which the tests complete. */
     private static final class RecordingStore implements CoordinationStore {
         private final List<CompletableFuture<StoreChanges>> watches = new CopyOnWriteArrayList<>();
@@ -163,6 +167,31 @@
         await(() -> store.watches.size() == 2);
     }
 
+    /** Guards against removed targets that stay in service because this instance alone has lost the store. */
+    @Test
+    void theStoreIsNotDownWhileAnotherInstanceReachesIt() throws Exception {
+        loop.submit(() -> {
+                    clock.advance(OUTAGE_MILLIS);
+                    cache.applyPeerChanges(START_REVISION, START_REVISION, 0, List.of());
+                })
+                .get();
+        awaitContactCheck();
+        assertThat(cache.contactAgeMillis()).isEqualTo(OUTAGE_MILLIS);
+        assertThat(cache.reconnectAgeMillis()).isGreaterThan(OUTAGE_MILLIS);
+    }
+
+    @Test
+    void theEndOfAnOutageIsWhenTheStoreRespondedToAnyInstance() throws Exception {
+        loop.submit(() -> clock.advance(OUTAGE_MILLIS)).get();
+        await(() -> cache.reconnectAgeMillis() == 0);
+        applyPeerChanges(START_REVISION, START_REVISION, 300);
+        assertThat(cache.reconnectAgeMillis()).isEqualTo(300);
+    }
+
+    private static void awaitContactCheck() throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(600);
+    }
+
     @Test
     void noWatchWaitsTooLongToNoticeThatHistoryWasDropped() {
         // A watch may begin while the store withholds changes for a second, and changes must arrive within two seconds.
