Record leaving targets that the leader does not know yet

Keyed requests were refused as owner-unavailable at the instance that had a target's notice of leaving, and went on to that target from all others, until the target ended.

Cause: the leader dropped a reported target that was not in service in its own view (entry not seen yet, or unreadable at that moment), but confirmed the report, so it was not sent again. When the target appeared in its view, it kept or assigned keys to it.

Now the leader records all reported targets.

--- a/router/src/main/java/org/snipewind/router/lead/LeaderService.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderService.java
@@ -215,15 +215,14 @@
     }
 
     /**
-     * Records targets that have said to another instance that they are leaving, so that their keys move.
+     * Records targets that have said to another instance that they are leaving, so that their keys move. This instance
+     * may learn of a target from the store later than the other one.
      *
      * @param message the targets
      * @return whether this instance leads and moves their keys
      */
     public ReportAnswer handleLeavingTargets(LeavingTargets message) {
-        message.incarnations().stream()
-                .filter(incarnation -> tracker.view().findInService(incarnation).isPresent())
-                .forEach(tracker::recordLeaving);
+        message.incarnations().forEach(tracker::recordLeaving);
         return new ReportAnswer(leaderElection.isLeading());
     }
 
