Check the view again before a request is written

A request could reach a target that had left, drained or been evacuated according to the instance's own view: its target was chosen before, and a connection was then opened, for up to 200 ms. Requests that can't be repeated could be lost with the target.

Cause: when the connection is open, only the target's own notices were asked again, not the view drawn from the store.

Now both are asked. The attempt ends as target-unreachable, not run, and another target or the new owner of the key gets the request.

Ruled out by reading: the waits for tokens, for the owner of a key and for the end of a pause, and each retry and hedge, choose the target afresh.

--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.target.TargetNotices;
 import org.snipewind.coordination.target.TargetState;
@@ -73,11 +74,12 @@
             routedRequest.worker().connections().release(target.registration(), opened);
             return;
         }
-        if (mayNotSend()) {
+        Optional<ErrorKind> refusal = findRefusal();
+        if (refusal.isPresent()) {
             routedRequest.worker().connections().release(target.registration(), opened);
             markEnded();
             routedRequest.attemptFailed(
-                    this, ErrorKind.TARGET_PAUSED, false, describe("the target left or paused before the request"));
+                    this, refusal.get(), false, describe("the target left or paused before the request"));
             return;
         }
         connection = opened;
@@ -85,11 +87,15 @@
         opened.exchange(buildTargetRequest(), this::isResponseToRequest, this);
     }
 
-    /** Returns whether the target has said that it takes no requests while the connection was being opened. */
-    private boolean mayNotSend() {
+    /** Returns why the target takes no requests since the connection was asked for, empty if it does. */
+    private Optional<ErrorKind> findRefusal() {
         String incarnation = target.incarnation();
         TargetNotices notices = context.tracker().notices();
-        return notices.isLeaving(incarnation) || notices.pauseRemainingMillis(incarnation) > 0;
+        if (notices.isLeaving(incarnation)
+                || context.tracker().view().findInService(incarnation).isEmpty()) {
+            return Optional.of(ErrorKind.TARGET_UNREACHABLE);
+        }
+        return notices.pauseRemainingMillis(incarnation) > 0 ? Optional.of(ErrorKind.TARGET_PAUSED) : Optional.empty();
     }
 
     private void connectFailed(Throwable cause) {
