Refuse keyed requests at once if no target could get the key

While the only targets of a keyed pool were leaving or gone, each keyed request waited 0.4 s (or half of its time) before it was refused as owner-unavailable, and its caller lost that time.

Cause: the wait for the owner did not ask whether a move could end at all.

Now a request waits only if a target of the pool is in service; otherwise it is refused at once as owner-unavailable, not run, as in an undivided pool.

Test: LeavingTargetTest.aRequestIsRefusedAtOnceWhenNoTargetCouldGetItsKey; before, there was no refusal when the request had been started.

--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -101,9 +101,7 @@
             Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueLimit queueLimit) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
-        List<TargetState> targets = view.inService().getOrDefault(pool.name(), List.of()).stream()
-                .filter(target -> !isLeaving(target))
-                .toList();
+        List<TargetState> targets = inServiceTargets(pool, view);
         int limit = connectionLimit(pool, view);
         Optional<TargetState> chosen = selector.choose(
                 targets,
@@ -205,15 +203,15 @@
         Optional<KeyAssignment> assignment =
                 view.keyTables().getOrDefault(pool.name(), KeyTable.EMPTY).find(key);
         if (assignment.isEmpty() || assignment.get().isMoving()) {
-            return NoTarget.awaitOwner(0, "key=" + key + " moving=" + assignment.isPresent());
+            return awaitMove(pool, view, 0, "key=" + key + " moving=" + assignment.isPresent());
         }
         KeyAssignment owner = assignment.get();
         Optional<TargetState> target = view.findInService(owner.holder());
         if (context.tracker().notices().isLeaving(owner.holder())) {
-            return NoTarget.awaitOwner(LEAST_MOVE_MILLIS, "key=" + key + " holder=" + owner.holder() + " is leaving");
+            return awaitMove(pool, view, LEAST_MOVE_MILLIS, "key=" + key + " holder=" + owner.holder() + " is leaving");
         }
         if (target.isEmpty()) {
-            return NoTarget.awaitOwner(0, "key=" + key + " holder=" + owner.holder() + " is not in service");
+            return awaitMove(pool, view, 0, "key=" + key + " holder=" + owner.holder() + " is not in service");
         }
         TargetState state = target.get();
         long pauseMillis = pauseRemainingMillis(state);
@@ -233,4 +231,17 @@
         }
         return Either.right(state);
     }
+
+    /** Has a request wait for its key to move, unless no target of the pool is in service that could get the key. */
+    private Either<NoTarget, TargetState> awaitMove(Pool pool, FleetView view, long leastWaitMillis, String detail) {
+        return inServiceTargets(pool, view).isEmpty()
+                ? NoTarget.refuse(ErrorKind.OWNER_UNAVAILABLE, OWNER_RETRY_AFTER_MILLIS, detail + " targets=0")
+                : NoTarget.awaitOwner(leastWaitMillis, detail);
+    }
+
+    private List<TargetState> inServiceTargets(Pool pool, FleetView view) {
+        return view.inService().getOrDefault(pool.name(), List.of()).stream()
+                .filter(target -> !isLeaving(target))
+                .toList();
+    }
 }
--- a/router/src/test/java/org/snipewind/router/path/LeavingTargetTest.java
+++ b/router/src/test/java/org/snipewind/router/path/LeavingTargetTest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -12,7 +13,7 @@
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
 
-/** Guards against requests that reach a target after its leaving is known. */
+/** Guards against requests that reach a target after its leaving is known, or wait for it in vain. */
 final class LeavingTargetTest {
 
     private final RoutingFixture fixture = new RoutingFixture();
@@ -75,4 +76,20 @@
         assertThat(outcome.await()).isEqualTo("200");
         assertThat(servedBy).containsExactly("b");
     }
+
+    @Test
+    void aRequestIsRefusedAtOnceWhenNoTargetCouldGetItsKey() throws Exception {
+        addTarget("a", RoutingFixture.KEYED_POOL);
+        fixture.assign(new KeyAssignment(0, KeyTable.LAST_KEY, "a@1", 2, List.of()));
+        RoutingFixture.Outcome outcome = new RoutingFixture.Outcome();
+        Optional<ErrorKind> refusal = fixture.loop
+                .submit(() -> {
+                    removeTarget("a");
+                    serve("/keyed-once/x", outcome);
+                    return outcome.refusal();
+                })
+                .get();
+        assertThat(refusal).isEqualTo(Optional.of(ErrorKind.OWNER_UNAVAILABLE));
+        assertThat(outcome.retryAfterMillis()).isGreaterThan(0);
+    }
 }
