--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -45,6 +45,7 @@
     private long lastContactMillis;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
     private boolean unreachable;
+    private boolean unreachableByAll;
     private boolean unconfirmed;
     private BooleanSupplier isBroadcasting = () -> false;
     private ChangeForwarder changeForwarder = (fromRevision, toRevision, changes) -> {};
@@ -154,9 +155,23 @@
         lastContactMillis = clock.nowMillis();
         if (unreachable) {
             unreachable = false;
-            reconnectedMillis = lastContactMillis;
             log.write(RouterEvent.STORE_REGAINED, () -> "revision=" + items.revision());
         }
+        checkOutageEnd();
+    }
+
+    /** The store serves again as soon as it has responded to any instance. */
+    private void checkOutageEnd() {
+        long age = storeResponseAgeMillis();
+        if (unreachableByAll && age <= UNREACHABLE_AFTER_MILLIS) {
+            unreachableByAll = false;
+            reconnectedMillis = clock.nowMillis() - age;
+        }
+    }
+
+    /** Returns the time since the last response of the store to any instance that is known to this one. */
+    private long storeResponseAgeMillis() {
+        return Math.min(contactAgeMillis(), confirmations.ageMillis());
     }
 
     /**
@@ -169,12 +184,13 @@
     }
 
     /**
-     * Returns the time since the store became reachable again after an outage.
+     * Returns the time since the store became reachable again after an outage, in which it responded to no instance
+     * that this one hears of.
      *
      * @return milliseconds, 0 during an outage, very large if there was none
      */
     public long reconnectAgeMillis() {
-        return unreachable ? 0 : clock.nowMillis() - reconnectedMillis;
+        return unreachableByAll ? 0 : clock.nowMillis() - reconnectedMillis;
     }
 
     /**
@@ -290,6 +306,7 @@
     private void recordPeerConfirmation(CacheConfirmations.Source source, long peerRevision, long ageMillis) {
         if (peerRevision >= items.revision()) {
             confirmations.record(source, clock.nowMillis() - ageMillis);
+            checkOutageEnd();
         }
     }
 
@@ -368,6 +385,7 @@
             unreachable = true;
             log.write(RouterEvent.STORE_LOST, () -> "age=" + contactAgeMillis() + "ms revision=" + items.revision());
         }
+        unreachableByAll |= storeResponseAgeMillis() > UNREACHABLE_AFTER_MILLIS;
         boolean silentlyOld = isSilentlyOld();
         if (silentlyOld && !unconfirmed) {
             log.write(RouterEvent.MIRROR_UNCONFIRMED, this::describe);
