Log failed watches and reads of all items

A watch that failed was repeated without a line, so the log of an instance that stayed behind told nothing of the reason: in the run of PlatformFleetTest.changesThatExceedTheLimitOfAnAnswerAreReadInPages on the code before these changes, mirror-unconfirmed was the only sign.

--- a/router/src/main/java/org/snipewind/router/state/StoreFollower.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -180,6 +180,7 @@
             if (failure == null) {
                 watch();
             } else {
+                logFailure("read of all items", failure);
                 retry(this::reload);
             }
         });
@@ -293,6 +294,7 @@
             log.write(RouterEvent.MIRROR_RELOADED, () -> "revision=" + fromRevision);
             readAgain();
         } else {
+            logFailure("watch after=" + fromRevision, failure);
             // The changes since this revision may not be obtainable at all, as their answer may exceed the limit of an
             // answer; a page of items is limited by the store.
             retry(isSilentlyOld.getAsBoolean() ? this::reload : this::watch);
@@ -309,6 +311,10 @@
         }
     }
 
+    private void logFailure(String call, Throwable failure) {
+        log.write(RouterEvent.STORE_CALL_FAILED, () -> "call=" + call + " cause=" + failure.getMessage());
+    }
+
     private static long newestRevision(StoreChanges changes, long fromRevision) {
         return changes.changes().stream()
                 .mapToLong(change -> change.item().revision())
