Let the grants of a target without an entry run out

If a keyed pool had no other target, the leader renewed the grants of one that was gone for ever: a call every 0.8 s to an address that may be another target's by then. A target that was still alive kept the keys, so those of the next target that registered waited for its release.

Cause: renewals followed the table of keys, which stays as it is while no target could take the keys, and did not ask whether the holder still had an entry.

Now only the grants of targets with an entry are renewed. A target that registers again, with the same start, is granted its keys again under the same epoch, as nobody else had them.

Ruled out by reading: liveness checks go to targets in service only; releases end with the expiry of the grants.

Tests: KeyAssignerTest.grantsOfATargetWithoutAnEntryAreNotRenewed; before, the target still held the keys 4 s after its entry was gone. aTargetThatRegistersAgainGetsItsKeysBack passed before too.

--- a/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
@@ -126,7 +126,14 @@
             return;
         }
         updateHolders(view, now);
-        requestSender.renewGrants(table, tasks, holders, this::isStillHeld, now);
+        // The address of a target without an entry may be another one's by now, and its keys get no requests.
+        requestSender.renewGrants(
+                table,
+                tasks,
+                holders,
+                range -> isStillHeld(range)
+                        && view.findRegistered(range.holder()).isPresent(),
+                now);
         tasks.forEach(task -> requestSender.advanceMove(task, holders, now));
         if (!writeInProgress && now >= retryAtMillis) {
             writeChanges(view, now);
--- a/router/src/main/java/org/snipewind/router/state/FleetView.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetView.java
@@ -41,13 +41,22 @@
      * @return its state, or empty if that incarnation may not get requests
      */
     public Optional<TargetState> findInService(String incarnation) {
+        return findRegistered(incarnation)
+                .filter(state -> inService
+                        .getOrDefault(state.registration().pool(), List.of())
+                        .contains(state));
+    }
+
+    /**
+     * Finds a target by its incarnation, whether or not it may get requests.
+     *
+     * @param incarnation the incarnation of the target
+     * @return its state, or empty if that incarnation has no entry in the store
+     */
+    public Optional<TargetState> findRegistered(String incarnation) {
         int separatorIndex = incarnation.lastIndexOf('@');
-        TargetState state = targets.get(separatorIndex < 0 ? incarnation : incarnation.substring(0, separatorIndex));
-        if (state == null || !state.registration().incarnation().equals(incarnation)) {
-            return Optional.empty();
-        }
-        return inService.getOrDefault(state.registration().pool(), List.of()).contains(state)
-                ? Optional.of(state)
-                : Optional.empty();
+        String id = separatorIndex < 0 ? incarnation : incarnation.substring(0, separatorIndex);
+        return Optional.ofNullable(targets.get(id))
+                .filter(state -> state.registration().incarnation().equals(incarnation));
     }
 }
--- a/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
@@ -87,6 +87,32 @@
         assertThat(targets.holders(1)).doesNotContain(crashed);
     }
 
+    /** Guards against endless grants to the address of a target that is gone, and a late move of its keys. */
+    @Test
+    void grantsOfATargetWithoutAnEntryAreNotRenewed() {
+        addTargets(1);
+        run(4_000);
+        assertThat(targets.holders(1)).containsExactly("t0");
+        registrations.clear();
+        run(4_000);
+        assertThat(targets.holders(1)).isEmpty();
+        addTarget("new");
+        run(1_000);
+        assertThat(targets.holders(1)).containsExactly("new");
+    }
+
+    /** Guards against keys without a holder after an entry that was gone for a time. */
+    @Test
+    void aTargetThatRegistersAgainGetsItsKeysBack() {
+        addTargets(1);
+        run(4_000);
+        registrations.clear();
+        run(4_000);
+        addTargets(1);
+        run(1_000);
+        assertThat(targets.holders(1)).containsExactly("t0");
+    }
+
     @Test
     void aSuccessorKeepsTheHoldersAndFencesOffTheFormerLeader() {
         addTargets(3);
