Count confirmations of leaving targets for the leader that gave them

After a change of the leader, keys could stay with a target that had said that it was leaving, at an instance that had told the former leader.

Cause: a confirmation by the former leader that arrived after the change was counted for its successor, which was then never told. Found by reading; the order of events was not seen in a run.

Now LeavingReports ties confirmations to the process of the leader.

--- a/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
+++ b/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -72,9 +71,7 @@
     private final MemberRecord self;
     private String leaderBootId = "";
 
-    /** Targets that are leaving and that the leader has confirmed. */
-    private final Set<String> reportedLeaving = new HashSet<>();
-
+    private final LeavingReports leavingReports = new LeavingReports();
     private boolean leavingReportInFlight;
     private long lastLeaderContactMillis;
     private boolean leaderQueryInProgress;
@@ -140,15 +137,12 @@
                 .map(TargetRegistration::incarnation)
                 .filter(tracker.notices()::isLeaving)
                 .collect(Collectors.toSet());
-        reportedLeaving.retainAll(leaving);
-        List<String> incarnations = leaving.stream()
-                .filter(incarnation -> !reportedLeaving.contains(incarnation))
-                .toList();
-        if (incarnations.isEmpty() || leavingReportInFlight || view.leader().isEmpty()) {
+        if (leavingReportInFlight || view.leader().isEmpty()) {
             return;
         }
         MemberRecord leader = view.leader().get().member();
-        if (leader.isSameProcess(self)) {
+        List<String> incarnations = leavingReports.unconfirmed(leader.bootId(), leaving);
+        if (incarnations.isEmpty() || leader.isSameProcess(self)) {
             return;
         }
         leavingReportInFlight = true;
@@ -156,7 +150,7 @@
                 .whenComplete((response, failure) -> {
                     leavingReportInFlight = false;
                     if (failure == null && response instanceof ReportAnswer report && report.accepted()) {
-                        reportedLeaving.addAll(incarnations);
+                        leavingReports.confirm(leader.bootId(), incarnations);
                     }
                 });
     }
@@ -169,7 +163,6 @@
         MemberRecord member = leader.get().member();
         if (!member.bootId().equals(leaderBootId)) {
             leaderBootId = member.bootId();
-            reportedLeaving.clear();
             lastLeaderContactMillis = clock.nowMillis();
         }
         reportLeavingTargets();
