Apply changed rates and fleets to targets in cold start

What callers and targets would see: a target that was in cold start when a version changed warmup_per_s went on to get requests at the former rate until its cold start ended, too many or too few. An instance that sent its first request to it before it knew the other instances kept a whole fleet's rate for itself, so that together they exceeded what the target tolerates.

Cause: the limit of an instance for a target was computed at the first request from the configuration and the members of that moment and never again. Class: state that follows the first view only.

Ruled out: the limits of organisations and their issuers, which are configured at each view or request, and retry budgets, which are computed from the fleet of the moment.

Change: each view applies its rate, members and fleet size to the limits that exist. An instance that becomes a sender begins without a permit, since the former sender may just have used its own.

--- a/coordination/src/main/java/org/snipewind/coordination/target/ColdStartRateLimiter.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/ColdStartRateLimiter.java
@@ -40,14 +40,31 @@
             List<String> members,
             String target,
             int fleetSize) {
+        ColdStartRateLimiter limiter = new ColdStartRateLimiter(new TokenBucket(clock, 0, 1, 1));
+        limiter.configure(ratePerSecond, maxSenders, self, members, target, fleetSize);
+        return limiter;
+    }
+
+    /**
+     * Applies a changed rate or fleet. An instance that becomes one of the senders begins without a permit, since the
+     * former ones may just have used theirs.
+     *
+     * @param ratePerSecond requests per second that the target can serve in cold start
+     * @param maxSenders maximum number of instances that may send to a target in cold start
+     * @param self name of this instance
+     * @param members names of all instances
+     * @param target id of the target
+     * @param fleetSize maximum number of instances that may be running, at least the number of members
+     */
+    public void configure(
+            double ratePerSecond, int maxSenders, String self, List<String> members, String target, int fleetSize) {
         int senders = Math.max(1, Math.min(maxSenders, fleetSize));
         long ownScore = rendezvousScore(self, target);
         long higherScores = members.stream()
                 .filter(member -> !member.equals(self) && rendezvousScore(member, target) > ownScore)
                 .count();
         boolean maySend = higherScores < senders;
-        return new ColdStartRateLimiter(
-                new TokenBucket(clock, maySend ? ratePerSecond / senders : 0, maySend ? 1 : 0, 1));
+        bucket.reconfigure(maySend ? ratePerSecond / senders : 0, maySend ? 1 : 0);
     }
 
     /**
--- a/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
+++ b/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
@@ -10,6 +10,7 @@
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.target.ColdStartRateLimiter;
+import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.coordination.target.WindowedRetryBudget;
 import org.snipewind.protocol.LoadSummary;
@@ -55,8 +56,8 @@
     }
 
     /**
-     * Sets the limits of all instances together. Retry budgets that exist keep their window and ratio, and cold-start
-     * rate limits that exist stay unchanged.
+     * Sets the limits of all instances together. Retry budgets that exist keep their window and ratio; cold-start rate
+     * limits change with the next view.
      *
      * @param changed the new limits
      */
@@ -79,14 +80,35 @@
                 .orElse(true);
     }
 
-    /** Removes the rate limits of targets that have left or completed their cold start; called on the control loop. */
+    /**
+     * Removes the rate limits of targets that have left or completed their cold start, and applies the rates of the
+     * configuration and the fleet of the view to the others; called on the control loop.
+     */
     public void onViewChanged() {
         FleetView view = tracker.view();
-        coldStartLimiters
-                .keySet()
-                .removeIf(incarnation -> view.findInService(incarnation)
-                        .filter(this::isColdStarting)
-                        .isEmpty());
+        coldStartLimiters.forEach((incarnation, limiter) -> {
+            Optional<TargetState> target = view.findInService(incarnation).filter(this::isColdStarting);
+            if (target.isEmpty()) {
+                coldStartLimiters.remove(incarnation);
+                return;
+            }
+            TargetRegistration registration = target.get().registration();
+            view.configuration()
+                    .flatMap(configuration -> configuration.pool(registration.pool()))
+                    .ifPresent(pool -> limiter.configure(
+                            pool.coldStartRatePerSecond(),
+                            maxColdStartSenders(pool),
+                            instanceName,
+                            List.copyOf(view.members().keySet()),
+                            registration.id(),
+                            view.fleetSize()));
+        });
+    }
+
+    /** Returns how many instances may send to a target in cold start, each with one request beyond the rate. */
+    private int maxColdStartSenders(Pool pool) {
+        return Math.max(
+                1, (int) ((limits.coldFactor() - 1) * pool.coldStartRatePerSecond() + limits.coldAllowance()) - 1);
     }
 
     private boolean isColdStarting(TargetState state) {
@@ -115,12 +137,10 @@
     ColdStartRateLimiter coldStartLimiter(Pool pool, TargetState target) {
         return coldStartLimiters.computeIfAbsent(target.registration().incarnation(), incarnation -> {
             FleetView view = tracker.view();
-            int sharers =
-                    (int) ((limits.coldFactor() - 1) * pool.coldStartRatePerSecond() + limits.coldAllowance()) - 1;
             return ColdStartRateLimiter.forInstance(
                     clock,
                     pool.coldStartRatePerSecond(),
-                    Math.max(1, sharers),
+                    maxColdStartSenders(pool),
                     instanceName,
                     List.copyOf(view.members().keySet()),
                     target.registration().id(),
