Parse only the last written configuration, and again after lack of memory

What callers saw: while large versions followed each other, added routes answered 404 for seconds at all instances. A version at whose arrival memory was short never came into force at that instance, although the store's changes went on to be followed: its routes answered 404 until another version was written.

Cause: each configuration was parsed when it arrived in a list of changes, once, on the control loop. The copy of the store held the item as applied even if the parser failed with an OutOfMemoryError, so it was not offered again.

Change: the last written configuration waits until the list is complete and is parsed then; it stays pending until the parser has read it or called it unreadable, and is tried again every second. Its failure is logged as task-failed and holds up nothing else in the view.

Tests in FleetTrackerTest: onlyTheLastOfTheConfigurationsThatArriveTogether- IsParsed failed before (expected 1 parse, was 10); aConfigurationWhose- ParserRanOutOfMemoryIsParsedAgainAndHoldsUpNothingElse ended the test run before with the OutOfMemoryError.

A trial that ordered configurations by the store's revision alone, and took a lower version number again, was not kept: the platform compares versions by their numbers, and the guard against an older one stays as it was.

--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -292,6 +292,7 @@
 
     private void runPeriodicTasks() {
         tracker.removeExpiredTargets();
+        tracker.retryPendingConfiguration();
         leaderService.tick();
         boolean ready = isReady();
         if (ready != wasReady) {
--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -40,6 +40,9 @@
      */
     private static final long REGISTRATION_GRACE_MILLIS = 2_500;
 
+    /** Pause before a configuration is parsed again; a large one keeps the control loop busy for 0.2 s at first. */
+    private static final long CONFIGURATION_RETRY_MILLIS = 1_000;
+
     private final StoreItemParser parser;
     private final MillisClock clock;
     private final RouterEventLog log;
@@ -52,6 +55,8 @@
     private final Map<String, Long> memberLastSeenMillis = new HashMap<>();
     private final Map<String, KeyTable> keyTables = new HashMap<>();
     private Optional<RoutingConfiguration> configuration = Optional.empty();
+    private Optional<StoreItem> pendingConfiguration = Optional.empty();
+    private long configurationRetryMillis;
     private Optional<LeaderRecord> leader = Optional.empty();
     private LongSupplier reconnectAgeMillis = () -> Long.MAX_VALUE;
     private Executor controlLoop = Runnable::run;
@@ -121,6 +126,13 @@
         }
     }
 
+    /** Tries again to put a configuration in force whose parser ran out of memory, even if nothing else changes. */
+    public void retryPendingConfiguration() {
+        if (isConfigurationDue()) {
+            changesApplied();
+        }
+    }
+
     /** Removes targets that did not register again within the grace period after an outage of the store. */
     public void removeExpiredTargets() {
         long now = clock.nowMillis();
@@ -155,7 +167,10 @@
         parser.kindOf(item.key()).ifPresent(kind -> {
             String entityId = parser.entityIdOf(item.key());
             switch (kind) {
-                case CONFIGURATION -> applyConfiguration(item);
+                case CONFIGURATION -> {
+                    pendingConfiguration = Optional.of(item);
+                    configurationRetryMillis = clock.nowMillis();
+                }
                 case TARGET -> applyTarget(entityId, item);
                 case EVACUATION -> {
                     evacuatedDataCentres.add(entityId);
@@ -208,6 +223,26 @@
         }
     }
 
+    /**
+     * Puts the last written configuration in force. Those that it has replaced since the last changes are not parsed,
+     * as parsing a large one takes long. If the parser runs out of memory, it is parsed again later.
+     */
+    private void applyPendingConfiguration() {
+        if (isConfigurationDue()) {
+            StoreItem item = pendingConfiguration.get();
+            configurationRetryMillis = clock.nowMillis() + CONFIGURATION_RETRY_MILLIS;
+            new GuardedTask(log, "read of a configuration", () -> {
+                        applyConfiguration(item);
+                        pendingConfiguration = Optional.empty();
+                    })
+                    .run();
+        }
+    }
+
+    private boolean isConfigurationDue() {
+        return pendingConfiguration.isPresent() && clock.nowMillis() >= configurationRetryMillis;
+    }
+
     private void applyConfiguration(StoreItem item) {
         parse(() -> parser.parseConfiguration(item.value()))
                 .peek(parsed -> {
@@ -311,6 +346,7 @@
 
     @Override
     public void changesApplied() {
+        applyPendingConfiguration();
         long now = clock.nowMillis();
         members.keySet().forEach(name -> memberLastSeenMillis.put(name, now));
         memberLastSeenMillis.values().removeIf(seen -> now - seen > FLEET_SIZE_WINDOW_MILLIS);
--- a/router/src/test/java/org/snipewind/router/state/FleetTrackerTest.java
+++ b/router/src/test/java/org/snipewind/router/state/FleetTrackerTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.snipewind.coordination.clock.ManualMillisClock;
+import org.snipewind.coordination.routing.CallerLimits;
 import org.snipewind.coordination.routing.RoutingConfiguration;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.router.log.RouterEventLog;
@@ -18,14 +19,20 @@
 /** Guards against an item or an observer whose fault keeps later changes from taking effect. */
 final class FleetTrackerTest {
 
+    private static final String CONFIGURATION = "configuration";
+
     private final ManualMillisClock clock = new ManualMillisClock(1_000);
-    private final FleetTracker tracker = new FleetTracker(new FaultyParser(), clock, new RouterEventLog("test", clock));
+    private final FaultyParser parser = new FaultyParser();
+    private final FleetTracker tracker = new FleetTracker(parser, clock, new RouterEventLog("test", clock));
 
-    /** Parses targets, and fails on values that begin with a name of a fault. */
+    /** Parses targets and the versions of configurations, and fails on values that begin with a name of a fault. */
     private static final class FaultyParser implements StoreItemParser {
+        private int parsedConfigurations;
+        private boolean outOfMemory;
+
         @Override
         public Optional<Kind> kindOf(String key) {
-            return Optional.of(Kind.TARGET);
+            return Optional.of(key.equals(CONFIGURATION) ? Kind.CONFIGURATION : Kind.TARGET);
         }
 
         @Override
@@ -35,7 +42,13 @@
 
         @Override
         public Either<String, RoutingConfiguration> parseConfiguration(byte[] value) {
-            return Either.left("not used");
+            parsedConfigurations++;
+            if (outOfMemory) {
+                throw new OutOfMemoryError("a fault of the test");
+            }
+            long version = Long.parseLong(new String(value, StandardCharsets.US_ASCII));
+            return Either.right(
+                    new RoutingConfiguration(version, List.of(), List.of(), List.of(), CallerLimits.DEFAULT));
         }
 
         @Override
@@ -77,4 +90,32 @@
         tracker.changesApplied();
         assertThat(called).containsExactly("second");
     }
+
+    /** Guards against a configuration that is lost for good because memory was short at the moment of its arrival. */
+    @Test
+    void aConfigurationWhoseParserRanOutOfMemoryIsParsedAgainAndHoldsUpNothingElse() {
+        parser.outOfMemory = true;
+        put(CONFIGURATION, "7", 1);
+        put("a", "sound", 2);
+        tracker.changesApplied();
+        assertThat(tracker.view().targets().keySet()).containsExactly("a");
+        assertThat(tracker.view().configuration()).isEqualTo(Optional.empty());
+        parser.outOfMemory = false;
+        clock.advance(1_000);
+        tracker.retryPendingConfiguration();
+        assertThat(tracker.view().configuration().map(RoutingConfiguration::version))
+                .isEqualTo(Optional.of(7L));
+    }
+
+    /** Guards against a control loop that parses large configurations which have been replaced meanwhile. */
+    @Test
+    void onlyTheLastOfTheConfigurationsThatArriveTogetherIsParsed() {
+        for (int version = 1; version <= 10; version++) {
+            put(CONFIGURATION, Integer.toString(version), version);
+        }
+        tracker.changesApplied();
+        assertThat(parser.parsedConfigurations).isEqualTo(1);
+        assertThat(tracker.view().configuration().map(RoutingConfiguration::version))
+                .isEqualTo(Optional.of(10L));
+    }
 }
