Count ownership requests that fail to start as failed

What callers would see: all keys of a target are refused as fenced at all instances until the leader changes, without a line in the log. The trigger is a request that fails while it is being made, for example by an entry that can't be written as a header, or by a lack of memory.

Cause: the leader counted the grant as in flight before it was made. If that failed, the count stayed, so the grants of this target were never renewed and the target never counted as unresponsive, and its keys stayed with it. The failure also ended the renewals of the targets and pools that came after it in that round. An Error in the assignment of a pool was dropped without a log line, since only exceptions were caught.

Evidence: the code and the test.

Change: a request that fails to start has failed like one without a response, so that the target is probed and its keys move; the assignment of each pool is a GuardedTask.

The guard around each pool has no test of its own.

--- a/router/src/main/java/org/snipewind/router/lead/LeaderService.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderService.java
@@ -14,6 +14,7 @@
 import org.snipewind.protocol.ReportAnswer;
 import org.snipewind.protocol.TermEndAnswer;
 import org.snipewind.protocol.TermEndRequest;
+import org.snipewind.router.log.GuardedTask;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
@@ -168,12 +169,13 @@
         });
     }
 
+    /** Assigns the keys of a pool; a failure does not concern the other pools. */
     private void assignKeys(Pool pool, FleetView view) {
-        try {
-            keyAssigner(pool.name()).tick(view);
-        } catch (RuntimeException e) {
-            log.write(RouterEvent.TASK_FAILED, () -> "task=grants pool=" + pool.name() + " cause=" + e);
-        }
+        new GuardedTask(
+                        log,
+                        "grants pool=" + pool.name(),
+                        () -> keyAssigner(pool.name()).tick(view))
+                .run();
     }
 
     private KeyAssigner keyAssigner(String pool) {
--- a/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
+++ b/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
@@ -99,7 +101,7 @@
         }
         KeyAssignment renewed = range;
         holder.recordGrantSent();
-        client.grant(registration, renewed, LeaderTimes.GRANT_LIFETIME_MILLIS, Optional.empty())
+        start(() -> client.grant(registration, renewed, LeaderTimes.GRANT_LIFETIME_MILLIS, Optional.empty()))
                 .whenComplete((accepted, failure) -> {
                     if (!recordGrantOutcome(holder, renewed, accepted, failure)) {
                         return;
@@ -112,6 +114,18 @@
                 });
     }
 
+    /**
+     * Starts a request. One that can't be started counts as failed, so that it neither stays in flight for good nor
+     * ends the requests to other targets. It may have arrived, since it is unknown where it failed.
+     */
+    private static <T> CompletableFuture<T> start(Supplier<CompletableFuture<T>> request) {
+        try {
+            return request.get();
+        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
+            return CompletableFuture.failedFuture(new ExchangeException("the request failed to start: " + e, true));
+        }
+    }
+
     private static boolean mayHaveArrived(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         return !(cause instanceof ExchangeException exchange) || exchange.isPossiblySent();
@@ -142,11 +156,12 @@
     /** Checks whether a failing target responds again. */
     void probe(HolderState holder, String healthPath, long now) {
         holder.recordProbeSent(now);
-        client.probe(holder.registration().orElseThrow(), healthPath).whenComplete((reachable, failure) -> {
-            if (failure == null && reachable) {
-                holder.recordReachable();
-            }
-        });
+        start(() -> client.probe(holder.registration().orElseThrow(), healthPath))
+                .whenComplete((reachable, failure) -> {
+                    if (failure == null && reachable) {
+                        holder.recordReachable();
+                    }
+                });
     }
 
     /** Requests the releases of a move that are outstanding, or its grant once there are none. */
@@ -173,30 +188,31 @@
 
     private void requestRelease(MoveTask task, HolderState holder, Map<String, HolderState> holders) {
         task.recordReleaseRequested(holder.incarnation());
-        client.release(holder.registration().orElseThrow(), task.assignment()).whenComplete((handover, failure) -> {
-            long now = clock.nowMillis();
-            if (failure == null) {
-                task.recordReleased(holder.incarnation(), handover);
-            } else {
-                task.recordReleaseFailed(holder.incarnation(), now + RETRY_DELAY_MILLIS);
-                log.write(
-                        RouterEvent.HOLDER_SILENT,
-                        () -> "pool=" + pool + " target=" + holder.incarnation() + " order=release from="
-                                + task.assignment().from() + " epoch="
-                                + task.assignment().epoch() + " cause=" + failure.getMessage());
-            }
-            advanceMove(task, holders, now);
-        });
+        start(() -> client.release(holder.registration().orElseThrow(), task.assignment()))
+                .whenComplete((handover, failure) -> {
+                    long now = clock.nowMillis();
+                    if (failure == null) {
+                        task.recordReleased(holder.incarnation(), handover);
+                    } else {
+                        task.recordReleaseFailed(holder.incarnation(), now + RETRY_DELAY_MILLIS);
+                        log.write(
+                                RouterEvent.HOLDER_SILENT,
+                                () -> "pool=" + pool + " target=" + holder.incarnation() + " order=release from="
+                                        + task.assignment().from() + " epoch="
+                                        + task.assignment().epoch() + " cause=" + failure.getMessage());
+                    }
+                    advanceMove(task, holders, now);
+                });
     }
 
     private void requestGrant(MoveTask task, HolderState holder) {
         task.recordGrantRequested();
         holder.recordGrantSent();
-        client.grant(
+        start(() -> client.grant(
                         holder.registration().orElseThrow(),
                         task.assignment(),
                         LeaderTimes.GRANT_LIFETIME_MILLIS,
-                        task.handover())
+                        task.handover()))
                 .whenComplete((accepted, failure) -> {
                     if (recordGrantOutcome(holder, task.assignment(), accepted, failure)) {
                         task.recordGranted();
--- a/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
@@ -113,6 +113,27 @@
         assertThat(targets.holders(1)).containsExactly("t0");
     }
 
+    /** Guards against keys that stay for good with a target to which a request failed to start once. */
+    @Test
+    void keysOfATargetToWhichNoRequestCanBeStartedMoveAndItGetsSomeAgainLater() {
+        addTargets(3);
+        run(4_000);
+        String unaddressable = targets.holders(1).get(0);
+        targets.setUnaddressable(unaddressable, true);
+        run(12_000);
+        for (int key : CHECKED_KEYS) {
+            assertThat(targets.holders(key)).hasSize(1);
+            assertThat(targets.holders(key)).doesNotContain(unaddressable);
+        }
+        targets.setUnaddressable(unaddressable, false);
+        run(1_000);
+        drain(targets.holders(1).get(0));
+        run(4_000);
+        assertThat(IntStream.range(0, 256)
+                        .anyMatch(index -> targets.holders(index * 256).contains(unaddressable)))
+                .isTrue();
+    }
+
     @Test
     void aSuccessorKeepsTheHoldersAndFencesOffTheFormerLeader() {
         addTargets(3);
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
@@ -39,6 +39,7 @@
         private final long[] highestEpochs = new long[KeyTable.LAST_KEY + 1];
         private boolean unreachable;
         private boolean crashed;
+        private boolean unaddressable;
         private int processNumber;
     }
 
@@ -85,6 +86,11 @@
         target.crashed &= partitioned;
     }
 
+    /** Sets whether requests to a target fail before they are sent. */
+    void setUnaddressable(String id, boolean unaddressable) {
+        target(id).unaddressable = unaddressable;
+    }
+
     /** Returns the recent requests that concern a key, for failure messages. */
     String history(int key) {
         return history.stream()
@@ -188,6 +194,9 @@
     }
 
     private <T> void send(String id, CompletableFuture<T> response, RequestHandler<T> handler) {
+        if (target(id).unaddressable) {
+            throw new IllegalArgumentException("a fault of the test");
+        }
         long now = clock.nowMillis();
         long arrivalMillis = now + 1 + random.nextInt(faults.maxDelayMillis());
         long deadlineMillis = now + LeaderTimes.OWNERSHIP_REQUEST_TIMEOUT_MILLIS;
