End the wait for tokens when the limit of an organisation changes

What callers would see: requests are refused as over the limit for up to 60 s after a version has raised the limit of their organisation.

Cause: an instance asks the token issuer again only after the wait that the issuer computed under the former rate. Class: state that follows an earlier configuration.

Change: a changed rate or burst ends that wait.

Test: TokenCacheTest.aChangedLimitEndsTheWaitThatTheFormerOneRequired failed before (expected 1 token to be requested, was 0).

--- a/coordination/src/main/java/org/snipewind/coordination/budget/TokenCache.java
+++ b/coordination/src/main/java/org/snipewind/coordination/budget/TokenCache.java
@@ -73,13 +73,17 @@
     }
 
     /**
-     * Sets rate and burst; cached tokens stay valid until they expire.
+     * Sets rate and burst; cached tokens stay valid until they expire. A wait that the issuer asked for under another
+     * rate or burst ends, as tokens may be available now.
      *
      * @param rate tokens per second for the whole fleet, not negative
      * @param newBurst tokens that may be used at once in the whole fleet, not negative
      */
     public synchronized void configure(double rate, double newBurst) {
         BudgetRules.requireNotNegative(rate, newBurst);
+        if (rate != ratePerSecond || newBurst != burst) {
+            retryNotBeforeMillis = clock.nowMillis();
+        }
         ratePerSecond = rate;
         burst = newBurst;
     }
--- a/coordination/src/test/java/org/snipewind/coordination/budget/TokenCacheTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/budget/TokenCacheTest.java
@@ -57,4 +57,15 @@
         clock.advance(250);
         assertThat(cache.tokensToRequest(0)).isEqualTo(0);
     }
+
+    /** Guards against requests that are refused as over the limit long after the limit has been raised. */
+    @Test
+    void aChangedLimitEndsTheWaitThatTheFormerOneRequired() {
+        long request = cache.onRequestSent(0);
+        cache.onGranted(request, 0, 50_000);
+        cache.configure(1_000, 100);
+        assertThat(cache.tokensToRequest(1)).isEqualTo(0);
+        cache.configure(2_000, 100);
+        assertThat(cache.tokensToRequest(1)).isEqualTo(1);
+    }
 }
