Log the first failed watch of a series only

The first failure of a series is logged, and each one by which the copy stays old although the store responds. No test of its own.

--- a/router/src/main/java/org/snipewind/router/state/StoreFollower.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -85,6 +85,9 @@
     /** Whether the last read of all items was from before a revision that the cache had when the read began. */
     private boolean storeWasBehind;
 
+    /** Whether the last watch or read of all items failed. */
+    private boolean callsFail;
+
     /** Whether no watch has returned changes, or confirmed that there are none, since the last read of all items. */
     private boolean readWithoutWatch;
 
@@ -282,6 +285,7 @@
                 return;
             }
             readWithoutWatch = false;
+            callsFail = false;
             receiver.changesReceived(fromRevision, changes);
             if (changes.changes().isEmpty()) {
                 watch();
@@ -311,7 +315,13 @@
         }
     }
 
+    /** Logs the first failure of a series, and each one by which the cache stays old although the store responds. */
     private void logFailure(String call, Throwable failure) {
+        boolean isFirst = !callsFail;
+        callsFail = true;
+        if (!isFirst && !isSilentlyOld.getAsBoolean()) {
+            return;
+        }
         log.write(RouterEvent.STORE_CALL_FAILED, () -> "call=" + call + " cause=" + failure.getMessage());
     }
 
