Open the peer network once an unreadable secret is replaced

An instance that found a secret in the store which is too short, for example one whose value can't be decoded, never opened its connections to the other instances: it got no broadcasts, could not report to the leader, and as the leader broadcast to nobody. The exception ended the chain of checks for the secret, and a later, readable secret was not looked at.

The checks now go on until the network is open. The test failed before: PeerNetworkTest.anUnreadableSecretIsReplacedByALaterOne, condition not fulfilled within 10000 ms. The store stand-in of MirrorDeltaApplierTest becomes a class of its own, unchanged, as both tests need it.

--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -26,6 +26,7 @@
 import org.snipewind.protocol.TermEndAnswer;
 import org.snipewind.protocol.TermEndRequest;
 import org.snipewind.router.lead.LeaderService;
+import org.snipewind.router.log.GuardedTask;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
@@ -109,6 +110,13 @@
     }
 
     private void openWhenSecretKnown() {
+        new GuardedTask(log, "open the peer network", this::openIfSecretKnown).run();
+        if (connections.isEmpty()) {
+            controlLoop.schedule(this::openWhenSecretKnown, SECRET_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void openIfSecretKnown() {
         Optional<StoreItem> secret = cache.item(StoreKeys.SECRET);
         if (secret.isPresent()) {
             listen(secret.get().value());
@@ -129,7 +137,6 @@
                         }
                     });
         }
-        controlLoop.schedule(this::openWhenSecretKnown, SECRET_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void listen(byte[] secret) {
--- a/router/src/test/java/org/snipewind/router/peer/MirrorDeltaApplierTest.java
+++ b/router/src/test/java/org/snipewind/router/peer/MirrorDeltaApplierTest.java
@@ -5,8 +5,6 @@
 
 import io.netty.channel.DefaultEventLoop;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -15,10 +13,6 @@
 import org.snipewind.protocol.MirrorDelta;
 import org.snipewind.router.lead.EmptyStoreItemParser;
 import org.snipewind.router.log.RouterEventLog;
-import org.snipewind.router.port.CoordinationStore;
-import org.snipewind.router.port.StoreChanges;
-import org.snipewind.router.port.StorePage;
-import org.snipewind.router.port.StoreWrite;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.LeaderRecord;
 import org.snipewind.router.state.MemberRecord;
@@ -32,40 +26,7 @@
  */
 final class MirrorDeltaApplierTest {
 
-    private static final long START_REVISION = 7;
-
-    /** A store that can be read but never responds to other calls. */
-    private static final class UnresponsiveStore implements CoordinationStore {
-        @Override
-        public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
-            return CompletableFuture.completedFuture(new StorePage(List.of(), false, START_REVISION));
-        }
-
-        @Override
-        public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Long> commit(List<StoreWrite> writes) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Long> openLease(long lifetimeMillis) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> renewLease(long lease) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> endLease(long lease) {
-            return new CompletableFuture<>();
-        }
-    }
+    private static final long START_REVISION = UnresponsiveStore.REVISION;
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final ManualMillisClock clock = new ManualMillisClock(100_000);
--- /dev/null
+++ b/router/src/test/java/org/snipewind/router/peer/PeerNetworkTest.java
@@ -0,0 +1,105 @@
+package org.snipewind.router.peer;
+
+import static org.snipewind.router.Conditions.await;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.ManualMillisClock;
+import org.snipewind.coordination.keyspace.KeyAssignment;
+import org.snipewind.coordination.target.TargetRegistration;
+import org.snipewind.router.lead.EmptyStoreItemParser;
+import org.snipewind.router.lead.LeaderService;
+import org.snipewind.router.log.RouterEventLog;
+import org.snipewind.router.metrics.ProcessMetrics;
+import org.snipewind.router.port.KeyOwnershipClient;
+import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.MemberRecord;
+import org.snipewind.router.state.StoreCache;
+import org.snipewind.router.state.StoreKeys;
+
+/** Guards against an instance that never opens its peer network because opening it failed once. */
+final class PeerNetworkTest {
+
+    private static final int SECRET_BYTES = 32;
+
+    /** Targets that never respond. */
+    private static final class UnresponsiveTargets implements KeyOwnershipClient {
+        @Override
+        public CompletableFuture<Boolean> grant(
+                TargetRegistration target, KeyAssignment range, long grantLifetimeMillis, Optional<String> handover) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Boolean> probe(TargetRegistration target, String healthPath) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Optional<String>> release(TargetRegistration target, KeyAssignment range) {
+            return new CompletableFuture<>();
+        }
+    }
+
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final NioEventLoopGroup network = new NioEventLoopGroup(1);
+    private final ManualMillisClock clock = new ManualMillisClock(100_000);
+    private final RouterEventLog log = new RouterEventLog("test", clock);
+    private final FleetTracker tracker = new FleetTracker(new EmptyStoreItemParser(), clock, log);
+    private final UnresponsiveStore store = new UnresponsiveStore();
+    private final StoreCache cache = new StoreCache(store, loop, clock, log, tracker);
+
+    @AfterEach
+    void stopLoops() {
+        loop.shutdownNow();
+        network.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private void start(int port) {
+        MemberRecord self = new MemberRecord("entry", "boot", "127.0.0.1:" + port, "dc-1", 1);
+        LeaderService leaderService =
+                new LeaderService(store, cache, tracker, new UnresponsiveTargets(), clock, log, self);
+        new PeerNetwork(store, cache, tracker, leaderService, loop, network, log, new ProcessMetrics(), self, port)
+                .start();
+    }
+
+    private void writeSecret(byte[] secret, long revision) throws Exception {
+        loop.submit(() -> cache.applyWrite(new StoreItem(StoreKeys.SECRET, secret, revision, 0)))
+                .get();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static boolean accepts(int port) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Guards against an instance that hears of no peer for good because the secret was unreadable at its start. */
+    @Test
+    void anUnreadableSecretIsReplacedByALaterOne() throws Exception {
+        int port = freePort();
+        writeSecret(new byte[0], 8);
+        start(port);
+        loop.submit(() -> {}).get();
+        writeSecret(new byte[SECRET_BYTES], 9);
+        await(() -> accepts(port));
+    }
+}
