Listen for peers again after the port could not be bound

An instance whose peer port was taken at its start, for example by an earlier process of it that has not ended, was never reachable for the other instances. It got no broadcasts, and as the leader it got no reports, so that it was replaced. No line of the log named it: the call throws BindException, a checked exception that it does not declare, and only RuntimeException was caught.

Binding is now a guarded task that is tried again after 0.5 s.

--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -49,6 +49,9 @@
     private static final int SECRET_BYTES = 32;
     private static final long SECRET_CHECK_INTERVAL_MILLIS = 200;
 
+    /** The port may still be held by an earlier process of this instance. */
+    private static final long BIND_RETRY_DELAY_MILLIS = 500;
+
     /** Longest wait for the response of a former leader, which may be short of processor time. */
     private static final long TERM_END_TIMEOUT_MILLIS = 500;
 
@@ -145,17 +148,18 @@
                 .withEventLoops(eventLoops)
                 .withCounters(new TrafficCounters());
         connections = Optional.of(new NettyPeerConnections(settings));
-        PeerServer server = new PeerServer(settings, this::handleMessage);
+        bind(new PeerServer(settings, this::handleMessage));
+    }
+
+    private void bind(PeerServer server) {
         // Binding blocks until its event loop has finished, so it must not run on an event loop.
-        Thread binder = new Thread(
-                () -> {
-                    try {
-                        server.start();
-                    } catch (RuntimeException e) {
-                        log.write(RouterEvent.TASK_FAILED, () -> "task=listen for peers port=" + port + " cause=" + e);
-                    }
-                },
-                "snipewind-peer-binder");
+        // The failure to bind is a checked exception, which the call does not declare.
+        GuardedTask task = new GuardedTask(
+                log,
+                "listen for peers port=" + port,
+                server::start,
+                () -> controlLoop.schedule(() -> bind(server), BIND_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS));
+        Thread binder = new Thread(task, "snipewind-peer-binder");
         binder.setDaemon(true);
         binder.start();
     }
--- a/router/src/test/java/org/snipewind/router/peer/PeerNetworkTest.java
+++ b/router/src/test/java/org/snipewind/router/peer/PeerNetworkTest.java
@@ -102,4 +102,23 @@
         writeSecret(new byte[SECRET_BYTES], 9);
         await(() -> accepts(port));
     }
+
+    /** Guards against an instance that no peer reaches for good because its port was taken at its start. */
+    @Test
+    void aPortThatIsTakenAtFirstIsBoundOnceItIsFree() throws Exception {
+        int port;
+        try (ServerSocket other = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = other.getLocalPort();
+            writeSecret(new byte[SECRET_BYTES], 8);
+            start(port);
+            loop.submit(() -> {}).get();
+            await(() -> !isBinding());
+        }
+        await(() -> accepts(port));
+    }
+
+    private static boolean isBinding() {
+        return Thread.getAllStackTraces().keySet().stream()
+                .anyMatch(thread -> thread.getName().equals("snipewind-peer-binder"));
+    }
 }
