Go on after a call to the store that could not be started

A call to the store that throws instead of returning a future, for example for lack of memory for its request, ended the renewals of the membership for good, so that the instance left the fleet after 6 s and got no broadcasts. In the election and in the writer of key tables, by reading, the marks of a call in progress stayed set: no claim, no renewal, no write of the table by this instance any more.

Such a call now fails through its future, with an unknown outcome, so the retries that exist take effect.

--- a/router/src/main/java/org/snipewind/router/lead/KeyTableWriter.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyTableWriter.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.GuardedStore;
 import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StoreWrite;
@@ -23,7 +24,7 @@
     private final String key;
 
     KeyTableWriter(CoordinationStore store, StoreCache cache, String key) {
-        this.store = store;
+        this.store = new GuardedStore(store);
         this.cache = cache;
         this.key = key;
     }
--- a/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
@@ -11,6 +11,7 @@
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.GuardedStore;
 import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StoreWrite;
@@ -93,7 +94,7 @@
             MemberRecord self,
             TermListener termListener,
             Runnable onTermEnd) {
-        this.store = store;
+        this.store = new GuardedStore(store);
         this.cache = cache;
         this.tracker = tracker;
         this.loop = loop;
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -31,6 +31,7 @@
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
 import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.GuardedStore;
 import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StoreWrite;
@@ -94,7 +95,7 @@
             ProcessMetrics metrics,
             MemberRecord self,
             int port) {
-        this.store = store;
+        this.store = new GuardedStore(store);
         this.cache = cache;
         this.tracker = tracker;
         this.deltaApplier = new MirrorDeltaApplier(cache);
--- a/router/src/main/java/org/snipewind/router/state/Membership.java
+++ b/router/src/main/java/org/snipewind/router/state/Membership.java
@@ -7,6 +7,7 @@
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
+import org.snipewind.router.port.GuardedStore;
 import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StoreWrite;
@@ -41,7 +42,7 @@
      */
     public Membership(
             CoordinationStore store, StoreCache cache, EventLoop loop, RouterEventLog log, MemberRecord self) {
-        this.store = store;
+        this.store = new GuardedStore(store);
         this.cache = cache;
         this.loop = loop;
         this.log = log;
