Count the round trip in the age of a peer's cache

During an outage of the store, instances take the age of their caches from each other. The time that an answer was on its way was not counted, so the age stayed low for as long as they asked each other: 200 ms after 8 s with a round trip of 200 ms. An outage that is not noticed gives targets no grace to register again after it.

The age now counts from the time at which the peer was asked, so it is never below the true one. The test failed before: MirrorAnswerApplierTest.theAgeOfACacheRisesWhilePeersAskEachOther, expected at least 8000, was 200. The handling of answers moves from LeaderClient into a class of its own, so that it can be tested.

--- a/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
+++ b/router/src/main/java/org/snipewind/router/peer/LeaderClient.java
@@ -19,7 +19,6 @@
 import org.snipewind.protocol.LoadSummary;
 import org.snipewind.protocol.MirrorAnswer;
 import org.snipewind.protocol.MirrorRequest;
-import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.ReportAnswer;
 import org.snipewind.router.lead.LeaderElection;
 import org.snipewind.router.lead.LeaderService;
@@ -27,8 +26,6 @@
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.path.SharedRoutingState;
-import org.snipewind.router.port.StoreChanges;
-import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.FleetView;
 import org.snipewind.router.state.LeaderRecord;
@@ -69,6 +66,7 @@
     private final MillisClock clock;
     private final RouterEventLog log;
     private final MemberRecord self;
+    private final MirrorAnswerApplier answerApplier;
     private String leaderBootId = "";
 
     private final LeavingReports leavingReports = new LeavingReports();
@@ -111,6 +109,7 @@
         this.clock = clock;
         this.log = log;
         this.self = self;
+        this.answerApplier = new MirrorAnswerApplier(cache, clock, log);
     }
 
     /** Starts the periodic load reports and checks of the store contact. */
@@ -247,9 +246,11 @@
             return;
         }
         long knownRevision = cache.revision();
+        long askedMillis = clock.nowMillis();
         for (MemberRecord peer : peersToAsk()) {
             network.call(peer.peerAddress(), new MirrorRequest(knownRevision), CALL_TIMEOUT_MILLIS)
-                    .whenComplete((response, failure) -> applyPeerAnswer(knownRevision, response));
+                    .whenComplete((response, failure) ->
+                            answerApplier.applyAnswer(knownRevision, askedMillis, Optional.ofNullable(response)));
         }
     }
 
@@ -274,28 +275,6 @@
         return member.dataCentre().equals(self.dataCentre());
     }
 
-    private void applyPeerAnswer(long knownRevision, PeerMessage response) {
-        if (!(response instanceof MirrorAnswer answer)) {
-            return;
-        }
-        try {
-            List<StoreItem> items = answer.items().stream()
-                    .map(MirrorItemConverter::toStoreItem)
-                    .toList();
-            if (answer.whole()) {
-                cache.applyPeerSnapshot(answer.revision(), answer.storeAgeMillis(), items);
-                return;
-            }
-            List<StoreChanges.Change> changes = new ArrayList<>();
-            items.forEach(item -> changes.add(new StoreChanges.Change(item, false)));
-            answer.removed()
-                    .forEach(item -> changes.add(new StoreChanges.Change(MirrorItemConverter.toStoreItem(item), true)));
-            cache.applyPeerDifference(knownRevision, answer.revision(), answer.storeAgeMillis(), changes);
-        } catch (IllegalArgumentException e) {
-            log.write(RouterEvent.TASK_FAILED, () -> "task=apply the store cache of a peer cause=" + e.getMessage());
-        }
-    }
-
     private List<MemberRecord> otherMembers() {
         List<MemberRecord> otherMembers =
                 new ArrayList<>(tracker.view().members().values());
