--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -353,6 +353,12 @@
         log.write(RouterEvent.STOPPED, () -> "busy=" + callers.isBusy() + " connections=" + callers.connections());
     }
 
+    /** Ends the event loops of a stopped instance in a process that goes on without it. */
+    public void close() {
+        workerGroup.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        controlGroup.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
     private static void sleepBetweenStopChecks() {
         try {
             TimeUnit.MILLISECONDS.sleep(STOP_CHECK_INTERVAL_MILLIS);
