--- a/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
+++ b/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
@@ -86,6 +86,7 @@
      */
     public void onViewChanged() {
         FleetView view = tracker.view();
+        List<String> members = List.copyOf(view.members().keySet());
         coldStartLimiters.forEach((incarnation, limiter) -> {
             Optional<TargetState> target = view.findInService(incarnation).filter(this::isColdStarting);
             if (target.isEmpty()) {
@@ -99,7 +100,7 @@
                             pool.coldStartRatePerSecond(),
                             maxColdStartSenders(pool),
                             instanceName,
-                            List.copyOf(view.members().keySet()),
+                            members,
                             registration.id(),
                             view.fleetSize()));
         });
