Report bytes of servers that belong to no request

Cause: nothing counted or logged bytes that no request asked for, so the hypotheses on the incident could not be told from each other.

--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -16,6 +16,7 @@
 import org.snipewind.coordination.routing.RoutingConfiguration;
 import org.snipewind.router.http.OutboundHttpClient;
 import org.snipewind.router.http.ResponseMemory;
+import org.snipewind.router.http.UnsolicitedBytesReporter;
 import org.snipewind.router.lead.LeaderElection;
 import org.snipewind.router.lead.LeaderService;
 import org.snipewind.router.log.GuardedTask;
@@ -104,7 +105,8 @@
         this.settings = settings;
         this.log = new RouterEventLog(settings.name(), clock);
         this.workerGroup = newEventLoopGroup("snipewind-worker", settings.workers());
-        OutboundHttpClient httpClient = new OutboundHttpClient(controlLoop);
+        OutboundHttpClient httpClient =
+                new OutboundHttpClient(controlLoop, clock, new UnsolicitedBytesReporter(metrics, log));
         CoordinationStore store = storeFactory.apply(httpClient);
         MemberRecord self = new MemberRecord(
                 settings.name(),
--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 
 /**
@@ -34,9 +35,7 @@
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private final ResponseDecoder decoder;
-    private final int maxResponseBytes;
-    private final ResponseMemory memory;
-    private final Runnable onClosed;
+    private final ConnectionOptions options;
     private Channel channel;
     private Optional<ExchangeListener> listener = Optional.empty();
     private ResponseMatcher matcher = ResponseMatcher.ANY;
@@ -48,14 +47,17 @@
     private boolean requestWritten;
     private boolean reusable = true;
     private int exchangeCount;
+
+    /** Time at which the exchange in progress began, or at which the last one ended. */
+    private long phaseStartMillis;
+
     private boolean closed;
     private long serverIdleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
 
-    HttpConnection(ResponseDecoder decoder, int maxResponseBytes, ResponseMemory memory, Runnable onClosed) {
+    HttpConnection(ResponseDecoder decoder, ConnectionOptions options) {
         this.decoder = decoder;
-        this.maxResponseBytes = maxResponseBytes;
-        this.memory = memory;
-        this.onClosed = onClosed;
+        this.options = options;
+        decoder.setBytesListener(this::onBytesReceived);
     }
 
     @Override
@@ -77,6 +79,7 @@
             return;
         }
         exchangeCount++;
+        phaseStartMillis = options.clock().nowMillis();
         listener = Optional.of(outcomeListener);
         matcher = responseMatcher;
         requestWritten = false;
@@ -133,6 +136,18 @@
         }
     }
 
+    private void onBytesReceived(ByteBuf bytes) {
+        if (listener.isEmpty() && !closed && bytes.isReadable()) {
+            reportUnsolicited(UnsolicitedKind.IDLE_CONNECTION, bytes.readableBytes());
+        }
+    }
+
+    private void reportUnsolicited(UnsolicitedKind kind, int bytes) {
+        int localPort = channel.localAddress() instanceof InetSocketAddress address ? address.getPort() : 0;
+        long ageMillis = options.clock().nowMillis() - phaseStartMillis;
+        options.onUnsolicited().accept(new UnsolicitedBytes(kind, localPort, exchangeCount, bytes, ageMillis));
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -153,6 +168,7 @@
 
     private void startResponse(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
+            reportUnsolicited(UnsolicitedKind.INVALID_RESPONSE, 0);
             fail(
                     "response is not valid HTTP: "
                             + response.decoderResult().cause().getMessage(),
@@ -162,6 +178,7 @@
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         skippingResponse = interim || !matcher.matches(response.status().code(), response.headers());
         if (skippingResponse && !interim) {
+            reportUnsolicited(UnsolicitedKind.OTHER_RESPONSE, 0);
             reusable = false;
         }
         responseHead = Optional.of(response);
@@ -175,11 +192,11 @@
     private void reserveMemory(HttpResponse response) {
         long length = decoder.hasBody(response) ? HttpUtil.getContentLength(response, -1L) : 0;
         lengthKnown = length >= 0;
-        if (length > maxResponseBytes) {
-            fail("response body exceeds " + maxResponseBytes + " bytes", true);
+        if (length > options.maxResponseBytes()) {
+            fail("response body exceeds " + options.maxResponseBytes() + " bytes", true);
             return;
         }
-        reservation = Optional.of(memory.open());
+        reservation = Optional.of(options.memory().open());
         if (length > 0) {
             responseBody = Unpooled.buffer((int) Math.min(length, ResponseMemory.SMALL_RESPONSE_BYTES));
             extendReservation(length);
@@ -205,6 +222,7 @@
             return;
         }
         if (content.decoderResult().isFailure()) {
+            reportUnsolicited(UnsolicitedKind.INVALID_RESPONSE, 0);
             fail(
                     "response body is malformed: "
                             + content.decoderResult().cause().getMessage(),
@@ -212,8 +230,8 @@
             return;
         }
         if (!skippingResponse && content.content().isReadable()) {
-            if (responseBody.readableBytes() + content.content().readableBytes() > maxResponseBytes) {
-                fail("response body exceeds " + maxResponseBytes + " bytes", true);
+            if (responseBody.readableBytes() + content.content().readableBytes() > options.maxResponseBytes()) {
+                fail("response body exceeds " + options.maxResponseBytes() + " bytes", true);
                 return;
             }
             if (responseBody == Unpooled.EMPTY_BUFFER) {
@@ -240,8 +258,12 @@
             reusable = false;
         }
         readIdleTimeout(response);
+        if (decoder.undecodedBytes() > 0) {
+            reportUnsolicited(UnsolicitedKind.BEHIND_RESPONSE, decoder.undecodedBytes());
+        }
         ExchangeListener currentListener = listener.orElseThrow();
         listener = Optional.empty();
+        phaseStartMillis = options.clock().nowMillis();
         ResponseMemory.Reservation received = reservation.orElseThrow();
         reservation = Optional.empty();
         received.takeAwaited();
@@ -305,7 +327,7 @@
                 channel.config().setOption(ChannelOption.SO_LINGER, 0);
             }
             channel.close();
-            onClosed.run();
+            options.onClosed().run();
         }
     }
 }
--- a/router/src/main/java/org/snipewind/router/http/HttpConnector.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnector.java
@@ -33,9 +33,7 @@
      * @param loop event loop of the connection, on which the callbacks run
      * @param address address of the server
      * @param connectTimeoutMillis longest time to connect
-     * @param maxResponseBytes largest response body
-     * @param memory memory for the bodies of responses
-     * @param onClosed called once when a connection that was opened is closed
+     * @param options what the connections to the server have in common
      * @param opened receives the connection
      * @param connectFailed receives the cause if no connection could be opened
      */
@@ -43,13 +41,11 @@
             EventLoop loop,
             InetSocketAddress address,
             int connectTimeoutMillis,
-            int maxResponseBytes,
-            ResponseMemory memory,
-            Runnable onClosed,
+            ConnectionOptions options,
             Consumer<HttpConnection> opened,
             Consumer<Throwable> connectFailed) {
         ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
-        HttpConnection connection = new HttpConnection(decoder, maxResponseBytes, memory, onClosed);
+        HttpConnection connection = new HttpConnection(decoder, options);
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.snipewind.coordination.clock.MillisClock;
 
 /**
  * An HTTP client for requests of the router itself, to the platform and to targets. Reuses connections; all work runs
@@ -34,6 +35,8 @@
     private record IdleConnection(HttpConnection connection, long idleSinceNanos, boolean namesRequests) {}
 
     private final EventLoop loop;
+    private final MillisClock clock;
+    private final UnsolicitedBytesReporter unsolicitedBytes;
 
     /** The router's own requests are few, so their responses are limited by their size only. */
     private final ResponseMemory memory = new ResponseMemory(Long.MAX_VALUE);
@@ -44,9 +47,13 @@
      * Creates a client.
      *
      * @param loop event loop of the connections, on which the results are completed
+     * @param clock clock for the age of findings
+     * @param unsolicitedBytes reports bytes that belong to no request
      */
-    public OutboundHttpClient(EventLoop loop) {
+    public OutboundHttpClient(EventLoop loop, MillisClock clock, UnsolicitedBytesReporter unsolicitedBytes) {
         this.loop = loop;
+        this.clock = clock;
+        this.unsolicitedBytes = unsolicitedBytes;
     }
 
     /**
@@ -121,9 +128,12 @@
                     loop,
                     address,
                     (int) Math.min(CONNECT_TIMEOUT_MILLIS, timeoutMillis),
-                    MAX_RESPONSE_BYTES,
-                    memory,
-                    () -> {},
+                    new ConnectionOptions(
+                            MAX_RESPONSE_BYTES,
+                            memory,
+                            clock,
+                            unsolicitedBytes.forServer(address.getHostString() + ":" + address.getPort()),
+                            () -> {}),
                     this::sendOn,
                     this::connectFailed);
         }
--- a/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * Decodes responses. A response to a HEAD request has no body, whatever its headers say. Empty lines before a response,
@@ -17,12 +18,31 @@
     private final int maxHeadBytes;
     private int headBytes;
     private boolean respondingToHead;
+    private Consumer<ByteBuf> bytesListener = bytes -> {};
 
     ResponseDecoder(HttpDecoderConfig config) {
         super(config);
         maxHeadBytes = config.getMaxInitialLineLength() + config.getMaxHeaderSize();
     }
 
+    /** Sets a listener that gets all bytes before they are decoded. */
+    void setBytesListener(Consumer<ByteBuf> listener) {
+        bytesListener = listener;
+    }
+
+    /** Returns the number of bytes that were received but not decoded. */
+    int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (message instanceof ByteBuf bytes) {
+            bytesListener.accept(bytes);
+        }
+        super.channelRead(context, message);
+    }
+
     void expectResponseToHead(boolean toHead) {
         respondingToHead = toHead;
     }
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/http/UnsolicitedKind.java
@@ -0,0 +1,24 @@
+package org.snipewind.router.http;
+
+import java.util.Locale;
+
+/** Where bytes were found on a connection that belong to none of its requests, or can't be told from such bytes. */
+public enum UnsolicitedKind {
+    /** Bytes on a connection without a request in progress. */
+    IDLE_CONNECTION,
+    /** Bytes behind a complete response that arrived together with it. */
+    BEHIND_RESPONSE,
+    /** A response that names another request than the one in progress. */
+    OTHER_RESPONSE,
+    /** Bytes that are not a valid response. */
+    INVALID_RESPONSE;
+
+    /**
+     * Returns the name as logged and counted.
+     *
+     * @return the name in lower case with hyphens
+     */
+    public String wireName() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -77,6 +77,8 @@
     REQUEST_FAILED(5403, Level.WARNING),
     /** A caller disconnected before it received a response. */
     CALLER_LEFT(5404, Level.INFO),
+    /** A server sent bytes that belong to no request, or can't be told from such bytes. */
+    UNSOLICITED_BYTES(5405, Level.WARNING),
     /** Lines were suppressed by the rate limit of their event. */
     LINES_LEFT_OUT(5901, Level.WARNING),
     /** A task failed because of a defect in the program; its later runs are not affected. */
--- a/router/src/main/java/org/snipewind/router/path/TargetConnections.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetConnections.java
@@ -12,9 +12,11 @@
 import java.util.function.Predicate;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.target.TargetRegistration;
+import org.snipewind.router.http.ConnectionOptions;
 import org.snipewind.router.http.HttpConnection;
 import org.snipewind.router.http.HttpConnector;
 import org.snipewind.router.http.ResponseMemory;
+import org.snipewind.router.http.UnsolicitedBytesReporter;
 import org.snipewind.router.metrics.ProcessMetrics;
 
 /**
@@ -52,13 +54,15 @@
     private final MillisClock clock;
     private final ProcessMetrics metrics;
     private final ResponseMemory responseMemory;
+    private final UnsolicitedBytesReporter unsolicitedBytes;
     private final Map<String, IncarnationConnections> byIncarnation = new HashMap<>();
 
-    TargetConnections(EventLoop loop, MillisClock clock, ProcessMetrics metrics, ResponseMemory responseMemory) {
+    TargetConnections(EventLoop loop, RoutingContext context) {
         this.loop = loop;
-        this.clock = clock;
-        this.metrics = metrics;
-        this.responseMemory = responseMemory;
+        this.clock = context.clock();
+        this.metrics = context.metrics();
+        this.responseMemory = context.responseMemory();
+        this.unsolicitedBytes = new UnsolicitedBytesReporter(metrics, context.log());
     }
 
     /** Returns whether a connection to the target is idle or may be opened. */
@@ -104,9 +108,12 @@
                 loop,
                 new InetSocketAddress(target.host(), target.port()),
                 CONNECT_TIMEOUT_MILLIS,
-                MAX_RESPONSE_BYTES,
-                responseMemory,
-                () -> connections.openCount--,
+                new ConnectionOptions(
+                        MAX_RESPONSE_BYTES,
+                        responseMemory,
+                        clock,
+                        unsolicitedBytes.forServer(target.incarnation()),
+                        () -> connections.openCount--),
                 opened,
                 cause -> {
                     connections.openCount--;
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -53,7 +53,7 @@
     Worker(EventLoop loop, RoutingContext context) {
         this.loop = loop;
         this.context = context;
-        this.connections = new TargetConnections(loop, context.clock(), context.metrics(), context.responseMemory());
+        this.connections = new TargetConnections(loop, context);
         this.targetResolver = new TargetResolver(
                 context,
                 connections,
--- a/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.ManualMillisClock;
 
 /** Guards against truncated, duplicate, late or malformed responses that reach a caller as if they were valid. */
 final class HttpConnectionTest {
@@ -27,9 +28,11 @@
 
     private final List<BufferedResponse> responses = new ArrayList<>();
     private final List<ExchangeException> failures = new ArrayList<>();
+    private final List<UnsolicitedBytes> unsolicited = new ArrayList<>();
+    private final ManualMillisClock clock = new ManualMillisClock(1_000);
     private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
     private final ResponseMemory memory = new ResponseMemory(1_000_000);
-    private final HttpConnection connection = new HttpConnection(decoder, 1_000, memory, () -> {});
+    private final HttpConnection connection = new HttpConnection(decoder, options(1_000, memory));
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
     private final ExchangeListener listener = new ExchangeListener() {
         @Override
@@ -98,6 +101,31 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    /** Guards against connections that are closed for a reason that no log line or counter tells. */
+    @Test
+    void bytesThatBelongToNoRequestAreReported() {
+        send("1");
+        clock.advance(5);
+        receive(OK + "HTTP/1.1 5");
+        assertThat(unsolicited).containsExactly(new UnsolicitedBytes(UnsolicitedKind.BEHIND_RESPONSE, 0, 1, 10, 5));
+    }
+
+    @Test
+    void bytesOnAnIdleConnectionAreReportedBeforeTheyAreDecoded() {
+        send("1");
+        receive(OK);
+        clock.advance(7);
+        receive("HTTP/1.1 5");
+        assertThat(unsolicited).containsExactly(new UnsolicitedBytes(UnsolicitedKind.IDLE_CONNECTION, 0, 1, 10, 7));
+    }
+
+    @Test
+    void aResponseToAnotherRequestIsReported() {
+        send("2");
+        receive(OK);
+        assertThat(unsolicited).containsExactly(new UnsolicitedBytes(UnsolicitedKind.OTHER_RESPONSE, 0, 1, 0, 0));
+    }
+
     @Test
     void bytesThatAreNotHttpAreAFailure() {
         send("1");
@@ -117,7 +145,7 @@
                 "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;")) {
             List<ExchangeException> endlessFailures = new ArrayList<>();
             ResponseDecoder endlessDecoder = new ResponseDecoder(new HttpDecoderConfig());
-            HttpConnection endlessConnection = new HttpConnection(endlessDecoder, 1_000, memory, () -> {});
+            HttpConnection endlessConnection = new HttpConnection(endlessDecoder, options(1_000, memory));
             EmbeddedChannel endlessChannel =
                     new EmbeddedChannel(endlessDecoder, new HttpRequestEncoder(), endlessConnection);
             endlessConnection.exchange(request(), (status, headers) -> true, new ExchangeListener() {
@@ -181,7 +209,7 @@
     @Test
     void readingPausesWhileThereIsNoMemoryForTheResponse() {
         ResponseMemory scarce = new ResponseMemory(150_000);
-        HttpConnection waiting = new HttpConnection(decoder, 1_000_000, scarce, () -> {});
+        HttpConnection waiting = new HttpConnection(decoder, options(1_000_000, scarce));
         channel.pipeline().replace(connection, "waiting", waiting);
         ResponseMemory.Reservation other = scarce.open();
         other.extend(100_000, () -> {});
@@ -209,6 +237,10 @@
         assertThat(failures).hasSize(1);
     }
 
+    private ConnectionOptions options(int maxResponseBytes, ResponseMemory responseMemory) {
+        return new ConnectionOptions(maxResponseBytes, responseMemory, clock, unsolicited::add, () -> {});
+    }
+
     private void send(String id) {
         connection.exchange(request(), (status, headers) -> id.equals(headers.get("Id")), listener);
     }
