Close connections on any byte that no request asked for

Callers got the status of another answer: the beginning of a second answer, cut in its head, waited in the decoder of an idle connection, which was reused since no message had been decoded; the head of the next answer was read as its continuation.

Cause: the connection looked at decoded messages, not at bytes. Change: bytes on an idle connection close it before they are decoded, and so do bytes that are left over when an answer is complete.

Evidence: ResponseAttributionTest.

--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -57,7 +57,7 @@
     HttpConnection(ResponseDecoder decoder, ConnectionOptions options) {
         this.decoder = decoder;
         this.options = options;
-        decoder.setBytesListener(this::onBytesReceived);
+        decoder.setBytesFilter(this::acceptBytes);
     }
 
     @Override
@@ -136,10 +136,13 @@
         }
     }
 
-    private void onBytesReceived(ByteBuf bytes) {
+    /** Accepts bytes during an exchange. Any others belong to no request, also if they are no complete response. */
+    private boolean acceptBytes(ByteBuf bytes) {
         if (listener.isEmpty() && !closed && bytes.isReadable()) {
             reportUnsolicited(UnsolicitedKind.IDLE_CONNECTION, bytes.readableBytes());
+            closeWithReset();
         }
+        return !closed;
     }
 
     private void reportUnsolicited(UnsolicitedKind kind, int bytes) {
@@ -151,16 +154,12 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (listener.isEmpty()) {
-                // The bytes belong to no request: an additional response, or one after the end of its exchange.
-                closeWithReset();
-            } else if (message instanceof HttpResponse response) {
+            // After the end of an exchange the connection is closed, and what was received before is not needed.
+            if (listener.isPresent() && message instanceof HttpResponse response) {
                 startResponse(response);
-                // A decoded message can be both head and content.
-                readContent(message);
-            } else {
-                readContent(message);
             }
+            // A decoded message can be both head and content.
+            readContent(message);
         } finally {
             ReferenceCountUtil.release(message);
         }
@@ -260,6 +259,7 @@
         readIdleTimeout(response);
         if (decoder.undecodedBytes() > 0) {
             reportUnsolicited(UnsolicitedKind.BEHIND_RESPONSE, decoder.undecodedBytes());
+            reusable = false;
         }
         ExchangeListener currentListener = listener.orElseThrow();
         listener = Optional.empty();
--- a/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
@@ -7,7 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.List;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Decodes responses. A response to a HEAD request has no body, whatever its headers say. Empty lines before a response,
@@ -18,16 +18,16 @@
     private final int maxHeadBytes;
     private int headBytes;
     private boolean respondingToHead;
-    private Consumer<ByteBuf> bytesListener = bytes -> {};
+    private Predicate<ByteBuf> bytesFilter = bytes -> true;
 
     ResponseDecoder(HttpDecoderConfig config) {
         super(config);
         maxHeadBytes = config.getMaxInitialLineLength() + config.getMaxHeaderSize();
     }
 
-    /** Sets a listener that gets all bytes before they are decoded. */
-    void setBytesListener(Consumer<ByteBuf> listener) {
-        bytesListener = listener;
+    /** Sets a filter that gets all bytes before they are decoded; those that it does not accept are dropped. */
+    void setBytesFilter(Predicate<ByteBuf> filter) {
+        bytesFilter = filter;
     }
 
     /** Returns the number of bytes that were received but not decoded. */
@@ -37,8 +37,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-        if (message instanceof ByteBuf bytes) {
-            bytesListener.accept(bytes);
+        if (message instanceof ByteBuf bytes && !bytesFilter.test(bytes)) {
+            bytes.release();
+            return;
         }
         super.channelRead(context, message);
     }
--- /dev/null
+++ b/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
@@ -0,0 +1,163 @@
+package org.snipewind.router.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.clock.ManualMillisClock;
+
+/**
+ * Guards against a response that is put together from two: the beginning of a late second response to the first request
+ * of a connection, cut anywhere, and the response to its second request.
+ */
+final class ResponseAttributionTest {
+
+    private static final List<Integer> PACKET_BYTES = List.of(1, 7, 64, 10_000);
+
+    /** Second responses to the first request; none of them is one to the second request. */
+    private static final Map<String, String> SECOND_RESPONSES = Map.of(
+            "with length",
+            "HTTP/1.1 200 Status\r\nId: 1\r\nSigned: 1.1\r\nContent-Length: 20\r\n\r\nbody of the first 20",
+            "with a longer body than the right response",
+            "HTTP/1.1 200 Status\r\nId: 1\r\nSigned: 1.1\r\nContent-Length: 400\r\n\r\n" + "x".repeat(400),
+            "with the id behind the length",
+            "HTTP/1.1 200 Status\r\nContent-Length: 20\r\nSigned: 1.1\r\nId: 1\r\n\r\nbody of the first 20",
+            "chunked",
+            "HTTP/1.1 200 Status\r\nId: 1\r\nSigned: 1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "5;x=1\r\nfirst\r\n1e\r\n" + "y".repeat(30) + "\r\n0\r\nTrailer: 1\r\n\r\n",
+            "without length",
+            "HTTP/1.1 200 Status\r\nId: 1\r\nSigned: 1.1\r\n\r\nbody of the first 20",
+            "without id",
+            "HTTP/1.1 200 Status\r\nSigned: 1.1\r\nContent-Length: 20\r\n\r\nbody of the first 20",
+            "after an interim response",
+            "HTTP/1.1 103 Early\r\nLink: 1\r\n\r\n"
+                    + "HTTP/1.1 200 Status\r\nId: 1\r\nSigned: 1.1\r\nContent-Length: 2\r\n\r\nab",
+            "with a folded header",
+            "HTTP/1.1 200 Status\r\nId: 1\r\nFolded: 1\r\n 2\r\nSigned: 1.1\r\nContent-Length: 2\r\n\r\nab");
+
+    private static final String RIGHT = "HTTP/1.1 500 Status\r\nDate: today\r\nId: 2\r\nSigned: 2.1\r\n"
+            + "Content-Length: 21\r\n\r\nbody of the second 21";
+
+    /** A connection whose first request has been answered. */
+    private static final class Probe {
+        private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
+        private final List<UnsolicitedBytes> unsolicited = new ArrayList<>();
+        private final HttpConnection connection = new HttpConnection(
+                decoder,
+                new ConnectionOptions(
+                        100_000, new ResponseMemory(1_000_000), new ManualMillisClock(0), unsolicited::add, () -> {}));
+        private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
+        private Optional<BufferedResponse> response = Optional.empty();
+        private Optional<ExchangeException> failure = Optional.empty();
+
+        /** Sends the first request and receives its response, with further bytes in the same packet. */
+        Probe(String bytesBehindResponse) {
+            exchange("1");
+            receive("HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1.1\r\nContent-Length: 2\r\n\r\nok" + bytesBehindResponse);
+            assertThat(response).isPresent();
+        }
+
+        void exchange(String id) {
+            response = Optional.empty();
+            failure = Optional.empty();
+            connection.exchange(
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER),
+                    (status, headers) -> id.equals(headers.get("Id")),
+                    new ExchangeListener() {
+                        @Override
+                        public void responseReceived(BufferedResponse received) {
+                            response = Optional.of(received);
+                        }
+
+                        @Override
+                        public void exchangeFailed(ExchangeException cause) {
+                            failure = Optional.of(cause);
+                        }
+                    });
+            channel.releaseOutbound();
+        }
+
+        void receive(String text) {
+            channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+        }
+
+        void receiveInPackets(String text, int packetBytes) {
+            for (int start = 0; start < text.length() && channel.isActive(); start += packetBytes) {
+                receive(text.substring(start, Math.min(text.length(), start + packetBytes)));
+            }
+        }
+
+        /** Checks that the second request has its own response, or failed as one that may have run. */
+        void checkSecondRequest(String description) {
+            assertWithMessage(description + ": the exchange has ended")
+                    .that(response.isPresent() || failure.isPresent())
+                    .isTrue();
+            response.ifPresent(received -> {
+                assertWithMessage(description).that(received.status()).isEqualTo(500);
+                assertWithMessage(description)
+                        .that(received.headers().getAll("Id"))
+                        .containsExactly("2");
+                assertWithMessage(description)
+                        .that(received.headers().getAll("Signed"))
+                        .containsExactly("2.1");
+                assertWithMessage(description)
+                        .that(new String(received.body(), StandardCharsets.ISO_8859_1))
+                        .isEqualTo("body of the second 21");
+            });
+            failure.ifPresent(cause ->
+                    assertWithMessage(description).that(cause.isPossiblySent()).isTrue());
+        }
+    }
+
+    @Test
+    void bytesBehindAResponseEndItsConnection() {
+        SECOND_RESPONSES.forEach((name, second) -> {
+            for (int cut = 1; cut <= second.length(); cut++) {
+                Probe probe = new Probe(second.substring(0, cut));
+                assertWithMessage(name + " cut at " + cut)
+                        .that(probe.connection.isReusable())
+                        .isFalse();
+                assertThat(probe.channel.isActive()).isFalse();
+            }
+        });
+    }
+
+    @Test
+    void bytesOnAnIdleConnectionEndItAlsoIfTheyAreNoWholeResponse() {
+        SECOND_RESPONSES.forEach((name, second) -> {
+            for (int cut = 1; cut <= second.length(); cut++) {
+                Probe probe = new Probe("");
+                assertThat(probe.connection.isReusable()).isTrue();
+                probe.receive(second.substring(0, cut));
+                assertWithMessage(name + " cut at " + cut)
+                        .that(probe.connection.isReusable())
+                        .isFalse();
+                assertThat(probe.channel.isActive()).isFalse();
+            }
+        });
+    }
+
+    /** Guards against a rule that is too strict: targets may send a second response late, and the next one is whole. */
+    @Test
+    void aWholeResponseToAnEarlierRequestIsSkipped() {
+        for (int packetBytes : PACKET_BYTES) {
+            Probe probe = new Probe("");
+            probe.exchange("2");
+            probe.receiveInPackets(SECOND_RESPONSES.get("with length") + RIGHT, packetBytes);
+            probe.checkSecondRequest("in packets of " + packetBytes);
+            assertThat(probe.response).isPresent();
+        }
+    }
+}
