Reject a response head that contains the beginning of another response

Callers got the status of another answer: a second answer that is cut in its head and arrives after the next request was written is continued by the answer to that request, and gave one answer with the status of the first and the id, signature and body of the second.

Cause: the head was taken as valid though the second status line stood in its reason phrase or in a header. Change: a head with a second status line, or with a protocol that is not HTTP/1.0 or 1.1, is no answer; the exchange fails as one that may have run, and the connection ends.

--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -174,6 +174,11 @@
                     true);
             return;
         }
+        if (MergedResponses.isInHead(response)) {
+            reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, 0);
+            fail("response head contains the beginning of another response", true);
+            return;
+        }
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         skippingResponse = interim || !matcher.matches(response.status().code(), response.headers());
         if (skippingResponse && !interim) {
--- a/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -15,6 +16,8 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+    private static final Set<String> PROTOCOLS = Set.of("HTTP/1.0", "HTTP/1.1");
+
     private final int maxHeadBytes;
     private int headBytes;
     private boolean respondingToHead;
@@ -64,6 +67,15 @@
         return !isContentAlwaysEmpty(message);
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        // The base class accepts any protocol name, such as the rest of a response that was cut in its status line.
+        if (!PROTOCOLS.contains(initialLine[0])) {
+            throw new IllegalArgumentException("protocol is not HTTP/1.0 or HTTP/1.1");
+        }
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return respondingToHead || super.isContentAlwaysEmpty(message);
--- a/router/src/main/java/org/snipewind/router/http/UnsolicitedKind.java
+++ b/router/src/main/java/org/snipewind/router/http/UnsolicitedKind.java
@@ -10,6 +10,8 @@
     BEHIND_RESPONSE,
     /** A response that names another request than the one in progress. */
     OTHER_RESPONSE,
+    /** A response that contains the beginning of another one. */
+    MERGED_RESPONSES,
     /** Bytes that are not a valid response. */
     INVALID_RESPONSE;
 
--- a/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
@@ -50,6 +50,9 @@
     private static final String RIGHT = "HTTP/1.1 500 Status\r\nDate: today\r\nId: 2\r\nSigned: 2.1\r\n"
             + "Content-Length: 21\r\n\r\nbody of the second 21";
 
+    /** A second response to the second request, with another status. */
+    private static final String COPY_OF_RIGHT = RIGHT.replace("500", "201").replace("2.1", "2.2");
+
     /** A connection whose first request has been answered. */
     private static final class Probe {
         private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
@@ -149,6 +152,26 @@
         });
     }
 
+    @Test
+    void aResponseCutInItsHeadIsNotReadAsTheBeginningOfTheNextResponse() {
+        SECOND_RESPONSES.forEach((name, second) -> receiveCutAndRightResponse(name, second, 1, bodyStart(second) - 1));
+    }
+
+    private static int bodyStart(String response) {
+        return response.indexOf("\r\n\r\n", response.lastIndexOf("HTTP/1.1")) + 4;
+    }
+
+    private static void receiveCutAndRightResponse(String name, String second, int firstCut, int lastCut) {
+        for (int cut = firstCut; cut <= lastCut; cut++) {
+            for (int packetBytes : PACKET_BYTES) {
+                Probe probe = new Probe("");
+                probe.exchange("2");
+                probe.receiveInPackets(second.substring(0, cut) + RIGHT + COPY_OF_RIGHT, packetBytes);
+                probe.checkSecondRequest(name + " cut at " + cut + " in packets of " + packetBytes);
+            }
+        }
+    }
+
     /** Guards against a rule that is too strict: targets may send a second response late, and the next one is whole. */
     @Test
     void aWholeResponseToAnEarlierRequestIsSkipped() {
