End an exchange behind a response that was broken off in its body

Callers waited until their deadline (504), and could get the status of a copy of their answer: a second answer to an earlier request that breaks off in its body takes in the beginning of the right answer, or all of it, and is skipped as foreign; what follows is then read as the right answer.

Cause: a foreign answer was skipped by its own framing, whatever it contained. Change: it is skipped only if its length is known from its head and its body contains no status line; otherwise the exchange fails at once as one that may have run. Whole second answers with a length are skipped as before.

Evidence: ResponseAttributionTest. aResponseCutInItsBodyDoesNotHideTheNextResponseNorLeadToACopyOfIt failed on the code before (cut at byte 64 of a longer answer, in packets of 1: the exchange had not ended); it passes now.

--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -43,7 +43,7 @@
     private ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
     private Optional<ResponseMemory.Reservation> reservation = Optional.empty();
     private boolean lengthKnown;
-    private boolean skippingResponse;
+    private Optional<SkippedResponse> skippedResponse = Optional.empty();
     private boolean requestWritten;
     private boolean reusable = true;
     private int exchangeCount;
@@ -108,7 +108,7 @@
      * @return true from the end of the response's head to the end of its body
      */
     public boolean isReceivingResponse() {
-        return responseHead.isPresent() && !skippingResponse;
+        return responseHead.isPresent() && skippedResponse.isEmpty();
     }
 
     /**
@@ -180,14 +180,19 @@
             return;
         }
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        skippingResponse = interim || !matcher.matches(response.status().code(), response.headers());
-        if (skippingResponse && !interim) {
+        boolean expected = !interim && matcher.matches(response.status().code(), response.headers());
+        if (!expected && !interim) {
             reportUnsolicited(UnsolicitedKind.OTHER_RESPONSE, 0);
             reusable = false;
+            if (!SkippedResponse.isSkippable(response, decoder.hasBody(response))) {
+                fail("response to another request, whose end is unknown", true);
+                return;
+            }
         }
         responseHead = Optional.of(response);
         responseBody = Unpooled.EMPTY_BUFFER;
-        if (!skippingResponse) {
+        skippedResponse = expected ? Optional.empty() : Optional.of(new SkippedResponse());
+        if (expected) {
             reserveMemory(response);
         }
     }
@@ -233,7 +238,12 @@
                     true);
             return;
         }
-        if (!skippingResponse && content.content().isReadable()) {
+        if (skippedResponse.isPresent() && !skippedResponse.get().add(content.content())) {
+            reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, 0);
+            fail("response to another request contains the beginning of another response", true);
+            return;
+        }
+        if (skippedResponse.isEmpty() && content.content().isReadable()) {
             if (responseBody.readableBytes() + content.content().readableBytes() > options.maxResponseBytes()) {
                 fail("response body exceeds " + options.maxResponseBytes() + " bytes", true);
                 return;
@@ -254,7 +264,7 @@
     private void completeResponse() {
         HttpResponse response = responseHead.orElseThrow();
         responseHead = Optional.empty();
-        if (skippingResponse) {
+        if (skippedResponse.isPresent()) {
             return;
         }
         // A server that responds before the request is written may still read the rest of its body.
--- a/router/src/main/java/org/snipewind/router/http/MergedResponses.java
+++ b/router/src/main/java/org/snipewind/router/http/MergedResponses.java
@@ -15,6 +15,9 @@
     /** A protocol name without which there is no status line, cheaper to look for than the pattern. */
     private static final String PROTOCOL = "HTTP/1.";
 
+    /** Length of the part of a status line by which it is recognized, in characters. */
+    static final int STATUS_LINE_LENGTH = "HTTP/1.1 200".length();
+
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
 
     private MergedResponses() {}
@@ -35,7 +38,8 @@
         return false;
     }
 
-    private static boolean containsStatusLine(CharSequence text) {
+    /** Returns whether a part of a response contains a status line. */
+    static boolean containsStatusLine(CharSequence text) {
         return text.toString().contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
     }
 }
--- a/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
@@ -157,6 +157,12 @@
         SECOND_RESPONSES.forEach((name, second) -> receiveCutAndRightResponse(name, second, 1, bodyStart(second) - 1));
     }
 
+    @Test
+    void aResponseCutInItsBodyDoesNotHideTheNextResponseNorLeadToACopyOfIt() {
+        SECOND_RESPONSES.forEach(
+                (name, second) -> receiveCutAndRightResponse(name, second, bodyStart(second), second.length()));
+    }
+
     private static int bodyStart(String response) {
         return response.indexOf("\r\n\r\n", response.lastIndexOf("HTTP/1.1")) + 4;
     }
