Read what a kept connection holds before a request is written to it

Cause: the state of the connection was that of the last pass of the event loop. Change: before a connection is reused, its socket is read without waiting; any byte or the end of the connection ends it, and another one is used.

--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -99,7 +99,12 @@
      * @return false if an exchange is in progress, the connection is closed, or later bytes on it can't be attributed
      */
     public boolean isReusable() {
-        return reusable && !closed && listener.isEmpty();
+        return reusable && !closed && listener.isEmpty() && channel.isActive();
+    }
+
+    /** Reads what the server has sent since the last exchange; if it has sent anything, the connection is closed. */
+    public void readPending() {
+        PendingBytes.read(channel);
     }
 
     /**
--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -152,6 +152,7 @@
                     continue;
                 }
                 newestFirst.remove();
+                newest.connection().readPending();
                 long idleMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - newest.idleSinceNanos());
                 if (newest.connection().isReusable()
                         && idleMillis < newest.connection().serverIdleTimeoutMillis() * IDLE_REUSE_FRACTION) {
--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -26,6 +25,7 @@
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.routing.CallerLimits;
 import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.router.http.PendingBytes;
 
 /**
  * The connection of one caller: serves its requests and writes the responses in their order. Idempotent requests that
@@ -244,7 +244,7 @@
     boolean isCallerPresent() {
         // Reads what has arrived so far; otherwise the loop would notice the end of the connection only after the
         // events of other connections.
-        ((AbstractNioChannel.NioUnsafe) channelContext.channel().unsafe()).read();
+        PendingBytes.read(channelContext.channel());
         return channelContext.channel().isActive();
     }
 
--- a/router/src/main/java/org/snipewind/router/path/TargetConnections.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetConnections.java
@@ -132,7 +132,10 @@
                 newest.connection().abort();
             } else if (reusable.test(newest.connection())) {
                 newestFirst.remove();
-                return Optional.of(newest.connection());
+                newest.connection().readPending();
+                if (newest.connection().isReusable()) {
+                    return Optional.of(newest.connection());
+                }
             }
         }
         return Optional.empty();
