Reject a body that another response continues

Callers got a success whose body was not the whole body of the target: a response that breaks off in its body is filled up to its length by the beginning of a second response, and a body without length took in a second response that came before the end of the connection.

Cause: a body was taken by its length, or up to the end of the connection, whatever it contained. Change: if the bytes behind a body continue a status line that begins in it, or if they are no response and the body contains a status line, the exchange fails as one that may have run; so does a body without length that contains a status line. A body with a length may still quote a response.

Evidence: ResponseAttributionTest. On the code before, aBodyThatIsContinuedByAnotherResponseIsNotWhole failed at the first cut (byte 76) and aBodyWithoutLengthEndsBeforeTheNextResponse in packets of one byte; both pass now, and so does aBodyThatQuotesAResponseIsDelivered.

--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -43,7 +43,11 @@
     private ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
     private Optional<ResponseMemory.Reservation> reservation = Optional.empty();
     private boolean lengthKnown;
-    private Optional<SkippedResponse> skippedResponse = Optional.empty();
+    private boolean skippingResponse;
+
+    /** Scans bodies that must not contain another response. */
+    private Optional<StatusLineScanner> scanner = Optional.empty();
+
     private boolean requestWritten;
     private boolean reusable = true;
     private int exchangeCount;
@@ -113,7 +117,7 @@
      * @return true from the end of the response's head to the end of its body
      */
     public boolean isReceivingResponse() {
-        return responseHead.isPresent() && skippedResponse.isEmpty();
+        return responseHead.isPresent() && !skippingResponse;
     }
 
     /**
@@ -179,25 +183,29 @@
                     true);
             return;
         }
-        if (MergedResponses.isInHead(response)) {
+        if (StatusLineScanner.isInHead(response)) {
             reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, 0);
             fail("response head contains the beginning of another response", true);
             return;
         }
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean expected = !interim && matcher.matches(response.status().code(), response.headers());
-        if (!expected && !interim) {
+        skippingResponse = interim || !matcher.matches(response.status().code(), response.headers());
+        boolean lengthInHead = !decoder.hasBody(response)
+                || HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+        if (skippingResponse && !interim) {
             reportUnsolicited(UnsolicitedKind.OTHER_RESPONSE, 0);
             reusable = false;
-            if (!SkippedResponse.isSkippable(response, decoder.hasBody(response))) {
+            if (!lengthInHead) {
+                // If the server broke it off, the expected response can't be told from its body.
                 fail("response to another request, whose end is unknown", true);
                 return;
             }
         }
         responseHead = Optional.of(response);
         responseBody = Unpooled.EMPTY_BUFFER;
-        skippedResponse = expected ? Optional.empty() : Optional.of(new SkippedResponse());
-        if (expected) {
+        boolean endsWithConnection = !lengthInHead && !HttpUtil.isTransferEncodingChunked(response);
+        scanner = skippingResponse || endsWithConnection ? Optional.of(new StatusLineScanner()) : Optional.empty();
+        if (!skippingResponse) {
             reserveMemory(response);
         }
     }
@@ -243,12 +251,13 @@
                     true);
             return;
         }
-        if (skippedResponse.isPresent() && !skippedResponse.get().add(content.content())) {
+        scanner.ifPresent(present -> present.scan(content.content()));
+        if (scanner.isPresent() && scanner.get().hasFound()) {
             reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, 0);
-            fail("response to another request contains the beginning of another response", true);
+            fail("response body contains the beginning of another response", true);
             return;
         }
-        if (skippedResponse.isEmpty() && content.content().isReadable()) {
+        if (!skippingResponse && content.content().isReadable()) {
             if (responseBody.readableBytes() + content.content().readableBytes() > options.maxResponseBytes()) {
                 fail("response body exceeds " + options.maxResponseBytes() + " bytes", true);
                 return;
@@ -269,7 +278,12 @@
     private void completeResponse() {
         HttpResponse response = responseHead.orElseThrow();
         responseHead = Optional.empty();
-        if (skippedResponse.isPresent()) {
+        if (skippingResponse) {
+            return;
+        }
+        if (decoder.undecodedBytes() > 0 && !decoder.isAtStatusLine() && isBodyContinued()) {
+            reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, decoder.undecodedBytes());
+            fail("response body ends within another response", true);
             return;
         }
         // A server that responds before the request is written may still read the rest of its body.
@@ -301,6 +315,14 @@
         currentListener.responseReceived(bufferedResponse);
     }
 
+    /** Returns whether the body, with the bytes behind it, contains the status line of another response. */
+    private boolean isBodyContinued() {
+        StatusLineScanner bodyScanner = new StatusLineScanner();
+        bodyScanner.scan(responseBody);
+        bodyScanner.scan(decoder.undecodedStart());
+        return bodyScanner.hasFound();
+    }
+
     private void readIdleTimeout(HttpResponse response) {
         String value = response.headers().get(HttpHeaderNames.KEEP_ALIVE, "");
         int start = value.indexOf("timeout=");
--- a/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -18,6 +19,8 @@
 
     private static final Set<String> PROTOCOLS = Set.of("HTTP/1.0", "HTTP/1.1");
 
+    private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
+
     private final int maxHeadBytes;
     private int headBytes;
     private boolean respondingToHead;
@@ -38,6 +41,18 @@
         return actualReadableBytes();
     }
 
+    /** Returns the first of the bytes that were received but not decoded, as many as a status line has at least. */
+    ByteBuf undecodedStart() {
+        ByteBuf buffer = internalBuffer();
+        return buffer.slice(buffer.readerIndex(), Math.min(buffer.readableBytes(), STATUS_LINE_BYTES));
+    }
+
+    /** Returns whether the bytes that were not decoded begin like a response. */
+    boolean isAtStatusLine() {
+        String start = undecodedStart().toString(StandardCharsets.ISO_8859_1);
+        return PROTOCOLS.stream().anyMatch(protocol -> start.startsWith(protocol) || protocol.startsWith(start));
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (message instanceof ByteBuf bytes && !bytesFilter.test(bytes)) {
--- a/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
@@ -178,6 +178,44 @@
         }
     }
 
+    /** Guards against a body whose end is the beginning of a second response to the same request. */
+    @Test
+    void aBodyThatIsContinuedByAnotherResponseIsNotWhole() {
+        int bodyStart = bodyStart(RIGHT);
+        for (int cut = bodyStart; cut < RIGHT.length(); cut++) {
+            Probe probe = new Probe("");
+            probe.exchange("2");
+            probe.receive(RIGHT.substring(0, cut) + COPY_OF_RIGHT);
+            probe.checkSecondRequest("cut at " + cut);
+        }
+    }
+
+    /** Guards against a second response that is taken for the end of a body without length. */
+    @Test
+    void aBodyWithoutLengthEndsBeforeTheNextResponse() {
+        for (int packetBytes : PACKET_BYTES) {
+            Probe probe = new Probe("");
+            probe.exchange("2");
+            probe.receiveInPackets(RIGHT.replace("Content-Length: 21\r\n", "") + COPY_OF_RIGHT, packetBytes);
+            probe.channel.close();
+            probe.checkSecondRequest("in packets of " + packetBytes);
+        }
+    }
+
+    /** Guards against a rule that is too strict: a body may quote a response, and a target may send bytes behind it. */
+    @Test
+    void aBodyThatQuotesAResponseIsDelivered() {
+        String quoting = RIGHT.replace("Content-Length: 21\r\n\r\nbody of the second 21", "Content-Length: 15\r\n\r\n")
+                + "HTTP/1.1 200 OK";
+        for (String behind : List.of("", COPY_OF_RIGHT)) {
+            Probe probe = new Probe("");
+            probe.exchange("2");
+            probe.receive(quoting + behind);
+            assertThat(new String(probe.response.orElseThrow().body(), StandardCharsets.ISO_8859_1))
+                    .isEqualTo("HTTP/1.1 200 OK");
+        }
+    }
+
     /** Guards against a rule that is too strict: targets may send a second response late, and the next one is whole. */
     @Test
     void aWholeResponseToAnEarlierRequestIsSkipped() {
