Look for a second response in the bytes, not in the decoded headers

Callers could still get the status of another answer: the decoder drops what stands between the name of a header and its colon, and with it the status line of the right answer if the cut came behind a header name and a space. Two rules were too strict as well: a header such as 'Via: HTTP/1.1 203.0.113.7' counted as a second status line, and a whole chunked answer to another request ended the exchange.

Cause: the search ran over what the decoder had kept. Change: the decoder searches the bytes that it consumes, all of a head and the bodies that must not contain another response; a status line needs a space or the end of the line behind its three digits; chunked answers to other requests are skipped.

Evidence: ResponseAttributionTest with a header line that ends in a space, aHeaderThatNamesAProtocolIsNoSecondStatusLine and the chunked case of aWholeResponseToAnEarlierRequestIsSkipped failed on the code before and pass now, with all cuts as before.

--- a/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -19,10 +20,19 @@
 
     private static final Set<String> PROTOCOLS = Set.of("HTTP/1.0", "HTTP/1.1");
 
-    private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
+    /** Part of a response that is decoded next. */
+    private enum Part {
+        BEFORE,
+        HEAD,
+        BODY,
+        AFTER
+    }
 
     private final int maxHeadBytes;
     private int headBytes;
+    private StatusLineScanner scanner = new StatusLineScanner();
+    private Part part = Part.BEFORE;
+    private boolean scanningBody;
     private boolean respondingToHead;
     private Predicate<ByteBuf> bytesFilter = bytes -> true;
 
@@ -44,7 +54,8 @@
     /** Returns the first of the bytes that were received but not decoded, as many as a status line has at least. */
     ByteBuf undecodedStart() {
         ByteBuf buffer = internalBuffer();
-        return buffer.slice(buffer.readerIndex(), Math.min(buffer.readableBytes(), STATUS_LINE_BYTES));
+        return buffer.slice(
+                buffer.readerIndex(), Math.min(buffer.readableBytes(), StatusLineScanner.STATUS_LINE_BYTES));
     }
 
     /** Returns whether the bytes that were not decoded begin like a response. */
@@ -66,17 +77,51 @@
         respondingToHead = toHead;
     }
 
+    /** Includes the body of the response in the search for another response; heads are always included. */
+    void scanBody() {
+        scanningBody = true;
+    }
+
+    /** Returns whether another response was found within the one that is being decoded. */
+    boolean hasMergedResponses() {
+        return scanner.hasFound();
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        if (part == Part.AFTER) {
+            part = Part.BEFORE;
+            scanner = new StatusLineScanner();
+            scanningBody = false;
+        }
+        int start = buffer.readerIndex();
         int readable = buffer.readableBytes();
         int decoded = out.size();
         super.decode(context, buffer, out);
+        scan(buffer, start);
+        if (out.size() > decoded) {
+            part = out.get(out.size() - 1) instanceof LastHttpContent ? Part.AFTER : Part.BODY;
+        }
         headBytes = out.size() == decoded ? headBytes + readable - buffer.readableBytes() : 0;
         if (headBytes > maxHeadBytes) {
             throw new TooLongHttpHeaderException("response head or chunk header exceeds " + maxHeadBytes + " bytes");
         }
     }
 
+    /** Scans the bytes that were decoded, but not the response's own status line. */
+    private void scan(ByteBuf buffer, int start) {
+        int first = start;
+        while (part == Part.BEFORE && first < buffer.readerIndex()) {
+            if (buffer.getByte(first) > ' ') {
+                part = Part.HEAD;
+            }
+            first++;
+        }
+        if (part != Part.BODY || scanningBody) {
+            scanner.scan(buffer.slice(first, buffer.readerIndex() - first));
+        }
+    }
+
     /** Returns whether a response has a body, which its status and the request's method decide. */
     boolean hasBody(HttpMessage message) {
         return !isContentAlwaysEmpty(message);
