End the exchange on a response that switches the protocol

Callers waited until their deadline (504): after 101 the decoder passes all bytes on undecoded, so the answer behind it was never seen. Change: 101, which no request asks for, fails the exchange as one that may have run. Evidence: ResponseAttributionTest. aResponseThatSwitchesTheProtocolEndsTheExchange failed before (the exchange had not ended) and passes now.

--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -184,6 +185,12 @@
             fail("response head contains the beginning of another response", true);
             return;
         }
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            // No request asks for it, and what follows it is not decoded.
+            reportUnsolicited(UnsolicitedKind.INVALID_RESPONSE, 0);
+            fail("response switches to another protocol", true);
+            return;
+        }
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         skippingResponse = interim || !matcher.matches(response.status().code(), response.headers());
         boolean endsWithConnection = decoder.hasBody(response)
--- a/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
@@ -218,6 +218,15 @@
         }
     }
 
+    /** Guards against an exchange that waits until its deadline, since nothing is decoded after such a response. */
+    @Test
+    void aResponseThatSwitchesTheProtocolEndsTheExchange() {
+        Probe probe = new Probe("");
+        probe.exchange("2");
+        probe.receive("HTTP/1.1 101 Switching Protocols\r\n\r\n" + RIGHT);
+        probe.checkSecondRequest("after 101");
+    }
+
     /** Guards against a rule that is too strict: headers may name a protocol. */
     @Test
     void aHeaderThatNamesAProtocolIsNoSecondStatusLine() {
