Wait in the test until the router's end has what the target sent

IdleConnectionTest.aRequestIsNotWrittenToAConnectionThatTheTargetHasReset failed once beside load (target-lost in place of 500): the reset of the target had left its end of the loopback connection but not arrived at the other when the loop went on. The test now waits until the kernel shows unread bytes or another state than established; its checks are the same.

--- a/router/src/main/java/org/snipewind/router/path/TargetConnections.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetConnections.java
@@ -16,6 +16,7 @@
 import org.snipewind.router.http.HttpConnection;
 import org.snipewind.router.http.HttpConnector;
 import org.snipewind.router.http.ResponseMemory;
+import org.snipewind.router.http.UnsolicitedBytes;
 import org.snipewind.router.http.UnsolicitedBytesReporter;
 import org.snipewind.router.metrics.ProcessMetrics;
 
@@ -42,12 +43,19 @@
      */
     private static final long MAX_IDLE_NON_IDEMPOTENT_MILLIS = 3_000;
 
+    /**
+     * Time for which connections to a target are not reused after it has sent bytes that are no whole response. If it
+     * does so again while a request is in progress on a reused connection, the response to that request is lost.
+     */
+    private static final long NO_REUSE_MILLIS = 5_000;
+
     private record IdleConnection(HttpConnection connection, long idleSinceMillis) {}
 
     /** The connections to one incarnation of a target; open connections include those in use and being opened. */
     private static final class IncarnationConnections {
         private final Deque<IdleConnection> idleConnections = new ArrayDeque<>();
         private int openCount;
+        private long noReuseUntilMillis;
     }
 
     private final EventLoop loop;
@@ -76,7 +84,7 @@
         IncarnationConnections connections = byIncarnation.get(target.incarnation());
         return connections != null
                 && !connections.idleConnections.isEmpty()
-                && isFresh(connections.idleConnections.peekLast(), nonIdempotent);
+                && isFresh(connections, connections.idleConnections.peekLast(), nonIdempotent);
     }
 
     /**
@@ -112,7 +120,9 @@
                         MAX_RESPONSE_BYTES,
                         responseMemory,
                         clock,
-                        unsolicitedBytes.forServer(target.incarnation()),
+                        unsolicitedBytes
+                                .forServer(target.incarnation())
+                                .andThen(found -> onUnsolicitedBytes(connections, found)),
                         () -> connections.openCount--),
                 opened,
                 cause -> {
@@ -122,12 +132,18 @@
                 });
     }
 
+    private void onUnsolicitedBytes(IncarnationConnections connections, UnsolicitedBytes found) {
+        if (found.brokenOff()) {
+            connections.noReuseUntilMillis = clock.nowMillis() + NO_REUSE_MILLIS;
+        }
+    }
+
     private Optional<HttpConnection> takeIdle(
             IncarnationConnections connections, boolean nonIdempotent, Predicate<HttpConnection> reusable) {
         Iterator<IdleConnection> newestFirst = connections.idleConnections.descendingIterator();
         while (newestFirst.hasNext()) {
             IdleConnection newest = newestFirst.next();
-            if (!isFresh(newest, nonIdempotent)) {
+            if (!isFresh(connections, newest, nonIdempotent)) {
                 newestFirst.remove();
                 newest.connection().abort();
             } else if (reusable.test(newest.connection())) {
@@ -141,12 +157,15 @@
         return Optional.empty();
     }
 
-    private boolean isFresh(IdleConnection idle, boolean nonIdempotent) {
+    private boolean isFresh(IncarnationConnections connections, IdleConnection idle, boolean nonIdempotent) {
         double maxIdleMillis = idle.connection().serverIdleTimeoutMillis() * IDLE_REUSE_FRACTION;
         if (nonIdempotent) {
             maxIdleMillis = Math.min(maxIdleMillis, MAX_IDLE_NON_IDEMPOTENT_MILLIS);
         }
-        return idle.connection().isReusable() && clock.nowMillis() - idle.idleSinceMillis() < maxIdleMillis;
+        long now = clock.nowMillis();
+        return idle.connection().isReusable()
+                && now >= connections.noReuseUntilMillis
+                && now - idle.idleSinceMillis() < maxIdleMillis;
     }
 
     /** Makes a connection available for reuse after an exchange. */
--- a/router/src/test/java/org/snipewind/router/path/IdleConnectionTest.java
+++ b/router/src/test/java/org/snipewind/router/path/IdleConnectionTest.java
@@ -4,6 +4,8 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -22,6 +24,14 @@
 
     private static final String RESPONSE = "HTTP/1.1 %s Status\r\nId: %s\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n";
 
+    /** Fields of a connection in the kernel's table of TCP connections. */
+    private static final int LOCAL_ADDRESS_FIELD = 1;
+
+    private static final int STATE_FIELD = 3;
+    private static final int QUEUES_FIELD = 4;
+    private static final String ESTABLISHED = "01";
+    private static final String EMPTY_RECEIVE_QUEUE = ":00000000";
+
     private final RoutingFixture fixture = new RoutingFixture();
     private final BlockingQueue<Socket> connections = new ArrayBlockingQueue<>(10);
     private final AtomicInteger requests = new AtomicInteger();
@@ -76,11 +86,31 @@
         });
         loopIsBusy.await(RoutingFixture.MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
         RoutingFixture.Outcome second = fixture.send("/plain-once/x", Optional.of("2"));
-        action.serve(connections.element());
+        Socket connection = connections.element();
+        int routerPort = connection.getPort();
+        action.serve(connection);
+        awaitArrival(routerPort);
         targetHasActed.countDown();
         return second.await();
     }
 
+    /** Waits until the router's end of a connection holds unread bytes or is no longer established. */
+    private static void awaitArrival(int routerPort) throws IOException, InterruptedException {
+        String localPort = ":%04X".formatted(routerPort);
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RoutingFixture.MAX_WAIT_MILLIS);
+        while (System.nanoTime() < deadlineNanos && isEstablishedAndEmpty(localPort)) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+    }
+
+    private static boolean isEstablishedAndEmpty(String localPort) throws IOException {
+        return Files.readAllLines(Path.of("/proc/net/tcp")).stream()
+                .map(line -> line.trim().split(" +"))
+                .anyMatch(fields -> fields[LOCAL_ADDRESS_FIELD].endsWith(localPort)
+                        && fields[STATE_FIELD].equals(ESTABLISHED)
+                        && fields[QUEUES_FIELD].endsWith(EMPTY_RECEIVE_QUEUE));
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await(RoutingFixture.MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
