Use new connections to a target that has broken off a response

Callers of a target that sends the beginning of a second answer before the next one lost answer after answer: 10 of 20 non-idempotent requests ended with 502.

Cause: each reused connection could meet the next broken-off answer; only on the first exchange of a connection there is no earlier one. Change: for 5 s after a target has broken off an answer, connections to it are not reused. Whole second answers, which can be skipped, and bytes that are no answer do not count.

Evidence: BrokenOffResponsesTest: 10 of 20 lost before, 1 after.

--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -145,7 +145,8 @@
     /** Accepts bytes during an exchange. Any others belong to no request, also if they are no complete response. */
     private boolean acceptBytes(ByteBuf bytes) {
         if (listener.isEmpty() && !closed && bytes.isReadable()) {
-            reportUnsolicited(UnsolicitedKind.IDLE_CONNECTION, bytes.readableBytes());
+            UnsolicitedKind kind = ResponseDecoder.classify(bytes, UnsolicitedKind.IDLE_CONNECTION);
+            reportUnsolicited(kind, bytes.readableBytes());
             closeWithReset();
         }
         return !closed;
@@ -295,7 +296,7 @@
         }
         readIdleTimeout(response);
         if (decoder.undecodedBytes() > 0) {
-            reportUnsolicited(UnsolicitedKind.BEHIND_RESPONSE, decoder.undecodedBytes());
+            reportUnsolicited(decoder.classifyUndecoded(UnsolicitedKind.BEHIND_RESPONSE), decoder.undecodedBytes());
             reusable = false;
         }
         ExchangeListener currentListener = listener.orElseThrow();
--- a/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
@@ -1,6 +1,8 @@
 package org.snipewind.router.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -20,6 +22,9 @@
 
     private static final Set<String> PROTOCOLS = Set.of("HTTP/1.0", "HTTP/1.1");
 
+    private static final ByteBuf END_OF_HEAD =
+            Unpooled.unreleasableBuffer(Unpooled.copiedBuffer("\r\n\r\n", StandardCharsets.US_ASCII));
+
     /** Part of a response that is decoded next. */
     private enum Part {
         BEFORE,
@@ -60,7 +65,23 @@
 
     /** Returns whether the bytes that were not decoded begin like a response. */
     boolean isAtStatusLine() {
-        String start = undecodedStart().toString(StandardCharsets.ISO_8859_1);
+        return beginsLikeResponse(internalBuffer());
+    }
+
+    /** Returns what undecoded bytes are: the beginning of a response that the server broke off, or the given kind. */
+    UnsolicitedKind classifyUndecoded(UnsolicitedKind otherwise) {
+        return classify(internalBuffer(), otherwise);
+    }
+
+    /** Returns what bytes are: the beginning of a response that the server broke off, or the given kind. */
+    static UnsolicitedKind classify(ByteBuf bytes, UnsolicitedKind otherwise) {
+        boolean brokenOff = beginsLikeResponse(bytes) && ByteBufUtil.indexOf(END_OF_HEAD, bytes) < 0;
+        return brokenOff ? UnsolicitedKind.BROKEN_OFF_RESPONSE : otherwise;
+    }
+
+    private static boolean beginsLikeResponse(ByteBuf bytes) {
+        int length = Math.min(bytes.readableBytes(), StatusLineScanner.STATUS_LINE_BYTES);
+        String start = bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
         return PROTOCOLS.stream().anyMatch(protocol -> start.startsWith(protocol) || protocol.startsWith(start));
     }
 
--- a/router/src/main/java/org/snipewind/router/path/TargetConnections.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetConnections.java
@@ -44,8 +44,8 @@
     private static final long MAX_IDLE_NON_IDEMPOTENT_MILLIS = 3_000;
 
     /**
-     * Time for which connections to a target are not reused after it has sent bytes that are no whole response. If it
-     * does so again while a request is in progress on a reused connection, the response to that request is lost.
+     * Time for which connections to a target are not reused after it has broken off a response. If it does so again
+     * while a request is in progress on a reused connection, the response to that request is lost.
      */
     private static final long NO_REUSE_MILLIS = 5_000;
 
@@ -133,7 +133,7 @@
     }
 
     private void onUnsolicitedBytes(IncarnationConnections connections, UnsolicitedBytes found) {
-        if (found.brokenOff()) {
+        if (found.kind().hidesNextResponse()) {
             connections.noReuseUntilMillis = clock.nowMillis() + NO_REUSE_MILLIS;
         }
     }
