Close the connection of an order after a rejection that names no request

A grant could be taken for rejected though the target had applied it. The leader then either did not wait for the end of the grant before it gave the keys to another target (421), or gave the whole table of the pool a new epoch (409).

Cause: targets that repeat no id in their answers to orders get several orders on one connection, and a connection is kept by its address only. A second copy of a 421 to an order for the earlier target of an address, or of a 409 to an earlier epoch, was read as the answer to the next grant on that connection. A 421 counts as evidence that the grant did not arrive.

After a 409 or 421 without an id the connection is closed, so no copy of it can reach another order. Rejections are rare, and the renewals keep their connections. The parameters of OutboundHttpClient.call that say which answers are accepted are now the record ResponseRules.

--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import org.snipewind.coordination.clock.MillisClock;
 
 /**
@@ -66,7 +65,7 @@
      */
     public CompletableFuture<BufferedResponse> call(
             InetSocketAddress address, FullHttpRequest request, long timeoutMillis) {
-        return call(address, request, headers -> ResponseOrigin.THIS_REQUEST, true, timeoutMillis);
+        return call(address, request, ResponseRules.EACH_RESPONSE_ONCE, timeoutMillis);
     }
 
     /**
@@ -74,19 +73,13 @@
      *
      * @param address address of the server
      * @param request the request
-     * @param originOf returns from the headers of a response to which request it belongs
-     * @param tied whether the response must be tied to the request; one of unknown origin is then accepted only on the
-     *     first exchange of a connection, which is closed after it
+     * @param rules what responses are accepted, and on which connections
      * @param timeoutMillis longest time until the response is complete
      * @return the response; fails with {@link ExchangeException}, in which case the connection has been reset
      */
     public CompletableFuture<BufferedResponse> call(
-            InetSocketAddress address,
-            FullHttpRequest request,
-            Function<HttpHeaders, ResponseOrigin> originOf,
-            boolean tied,
-            long timeoutMillis) {
-        Call call = new Call(address, request, originOf, tied);
+            InetSocketAddress address, FullHttpRequest request, ResponseRules rules, long timeoutMillis) {
+        Call call = new Call(address, request, rules);
         if (loop.inEventLoop()) {
             call.start(timeoutMillis);
         } else {
@@ -100,21 +93,15 @@
 
         private final InetSocketAddress address;
         private final FullHttpRequest request;
-        private final Function<HttpHeaders, ResponseOrigin> originOf;
-        private final boolean tied;
+        private final ResponseRules rules;
         private final CompletableFuture<BufferedResponse> result = new CompletableFuture<>();
         private HttpConnection connection;
         private boolean ended;
 
-        Call(
-                InetSocketAddress address,
-                FullHttpRequest request,
-                Function<HttpHeaders, ResponseOrigin> originOf,
-                boolean tied) {
+        Call(InetSocketAddress address, FullHttpRequest request, ResponseRules rules) {
             this.address = address;
             this.request = request;
-            this.originOf = originOf;
-            this.tied = tied;
+            this.rules = rules;
         }
 
         void start(long timeoutMillis) {
@@ -148,7 +135,7 @@
                     idleConnections.getOrDefault(address, new ArrayDeque<>()).descendingIterator();
             while (newestFirst.hasNext()) {
                 IdleConnection newest = newestFirst.next();
-                if (tied && !newest.namesRequests()) {
+                if (rules.tied() && !newest.namesRequests()) {
                     continue;
                 }
                 newestFirst.remove();
@@ -173,10 +160,10 @@
         }
 
         private boolean isResponseToRequest(HttpHeaders headers) {
-            return switch (originOf.apply(headers)) {
+            return switch (rules.originOf().apply(headers)) {
                 case THIS_REQUEST -> true;
                 case OTHER_REQUEST -> false;
-                case UNKNOWN -> !tied || connection.isFirstExchange();
+                case UNKNOWN -> !rules.tied() || connection.isFirstExchange();
             };
         }
 
@@ -198,8 +185,8 @@
                 return;
             }
             ended = true;
-            boolean namesRequests = originOf.apply(response.headers()) == ResponseOrigin.THIS_REQUEST;
-            if (tied && !namesRequests) {
+            boolean namesRequests = rules.originOf().apply(response.headers()) == ResponseOrigin.THIS_REQUEST;
+            if (!namesRequests && (rules.tied() || rules.isRejection().test(response.status()))) {
                 connection.abort();
             } else if (connection.isReusable()) {
                 Deque<IdleConnection> idleToAddress =
