Send orders on new connections to a target that answered twice

A target without ids in its answers to orders that sends an answer twice could have each further copy taken for the answer to the next grant, as the client went on using kept connections to it.

Cause: bytes on an idle connection close that connection only. The next one was kept and used again as if nothing had happened.

For 5 s after bytes that belong to no request, OutboundHttpClient accepts an answer without an id from that server only on the first exchange of a connection, and closes it then. Servers that name requests in their answers and the store, which answers once, are not affected. Other targets keep the connections of their renewals, which were dear to give up.

Before the change aTargetThatSentBytesThatNobodyAskedForGetsItsNextGrantsOnNewConnections met the connection of the grant before; it passes now. aTargetThatGivesIdsKeepsItsConnectionsAfterBytesThatNobodyAskedFor passed before and after.

Still open: a copy that arrives during the next exchange on a kept connection without ids is taken for its answer once, before anything is known of it.

--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.snipewind.coordination.clock.MillisClock;
 
 /**
@@ -26,6 +27,12 @@
     /** Connections are reused only if they were idle for less than this fraction of the server's idle timeout. */
     private static final double IDLE_REUSE_FRACTION = 0.6;
 
+    /**
+     * Time after bytes that belong to no request in which a server's connections are used again only if its responses
+     * name their requests. A server that sends a response twice is likely to do so again soon.
+     */
+    private static final long SINGLE_USE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     /**
      * A connection that is not in use.
      *
@@ -42,6 +49,9 @@
 
     private final Map<InetSocketAddress, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
+    /** Servers that have sent bytes that belong to no request, and when. */
+    private final Map<InetSocketAddress, Long> unsolicitedSinceNanos = new HashMap<>();
+
     /**
      * Creates a client.
      *
@@ -88,6 +98,20 @@
         return call.result;
     }
 
+    private Consumer<UnsolicitedBytes> unsolicitedBytesFrom(InetSocketAddress address) {
+        Consumer<UnsolicitedBytes> reported =
+                unsolicitedBytes.forServer(address.getHostString() + ":" + address.getPort());
+        return found -> {
+            unsolicitedSinceNanos.put(address, System.nanoTime());
+            reported.accept(found);
+        };
+    }
+
+    private boolean hasSentUnsolicitedBytes(InetSocketAddress address) {
+        unsolicitedSinceNanos.values().removeIf(since -> System.nanoTime() - since >= SINGLE_USE_NANOS);
+        return unsolicitedSinceNanos.containsKey(address);
+    }
+
     /** One request and the connection on which it is sent. */
     private final class Call implements ExchangeListener {
 
@@ -98,6 +122,9 @@
         private HttpConnection connection;
         private boolean ended;
 
+        /** Whether the response must be tied to the request. */
+        private boolean tied;
+
         Call(InetSocketAddress address, FullHttpRequest request, ResponseRules rules) {
             this.address = address;
             this.request = request;
@@ -105,6 +132,7 @@
         }
 
         void start(long timeoutMillis) {
+            tied = rules.tied() || hasSentUnsolicitedBytes(address);
             loop.schedule(() -> onTimeout(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
             HttpConnection idleConnection = takeIdle();
             if (idleConnection != null) {
@@ -115,12 +143,7 @@
                     loop,
                     address,
                     (int) Math.min(CONNECT_TIMEOUT_MILLIS, timeoutMillis),
-                    new ConnectionOptions(
-                            MAX_RESPONSE_BYTES,
-                            memory,
-                            clock,
-                            unsolicitedBytes.forServer(address.getHostString() + ":" + address.getPort()),
-                            () -> {}),
+                    new ConnectionOptions(MAX_RESPONSE_BYTES, memory, clock, unsolicitedBytesFrom(address), () -> {}),
                     this::sendOn,
                     this::connectFailed);
         }
@@ -135,7 +158,7 @@
                     idleConnections.getOrDefault(address, new ArrayDeque<>()).descendingIterator();
             while (newestFirst.hasNext()) {
                 IdleConnection newest = newestFirst.next();
-                if (rules.tied() && !newest.namesRequests()) {
+                if (tied && !newest.namesRequests()) {
                     continue;
                 }
                 newestFirst.remove();
@@ -163,7 +186,7 @@
             return switch (rules.originOf().apply(headers)) {
                 case THIS_REQUEST -> true;
                 case OTHER_REQUEST -> false;
-                case UNKNOWN -> !rules.tied() || connection.isFirstExchange();
+                case UNKNOWN -> !tied || connection.isFirstExchange();
             };
         }
 
@@ -186,7 +209,7 @@
             }
             ended = true;
             boolean namesRequests = rules.originOf().apply(response.headers()) == ResponseOrigin.THIS_REQUEST;
-            if (!namesRequests && (rules.tied() || rules.isRejection().test(response.status()))) {
+            if (!namesRequests && (tied || rules.isRejection().test(response.status()))) {
                 connection.abort();
             } else if (connection.isReusable()) {
                 Deque<IdleConnection> idleToAddress =
