Forward all headers of the same name to callers

A caller got only the last one of several headers with the same name, such as Set-Cookie, of a target's response.

Cause: the headers were copied with HttpHeaders.setAll, which replaces the earlier values of a name. The response now takes the headers over as they are.

Evidence: ResponseFramingTest, a new class that lets a target write raw bytes and reads the raw bytes of the caller. allHeadersOfTheSameNameAreForwarded failed before (only "Set-Cookie: b=2" arrived) and passes now; the seven other cases, on unclear lengths, malformed chunks, responses cut after each byte, interim responses, 204 and requests sent ahead with Expect: 100-continue, passed before and after.

--- a/router/src/main/java/org/snipewind/router/path/CallerResponse.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerResponse.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -40,8 +41,9 @@
         FullHttpResponse message = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 new HttpResponseStatus(targetResponse.status(), targetResponse.reason()),
-                Unpooled.wrappedBuffer(targetResponse.body()));
-        message.headers().setAll(headers);
+                Unpooled.wrappedBuffer(targetResponse.body()),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
         return new CallerResponse(message, Optional.of(targetResponse.memory()));
     }
 
