Keep the length that a target gives in a 304

Callers got "content-length: 0" in each 304 response. The length in a 304 is that of the body that a 200 would have had, so a cache could take the stored body for an empty one.

Cause: the length of the received body replaced that of the target except in responses to HEAD. A 304 has no body either way and now keeps its headers.

Evidence: ResponseFramingTest. theLengthInAResponseWithoutItsBodyIsForwardedUnchanged failed before (content-length: 0) and passes now.

--- a/router/src/main/java/org/snipewind/router/path/CallerResponse.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerResponse.java
@@ -35,7 +35,8 @@
         HttpHeaders headers = targetResponse.headers().copy();
         ConnectionHeaders.remove(headers);
         codec.rewriteForCaller(headers);
-        if (!respondingToHead) {
+        // In both cases the length is that of the body that a full response would have had.
+        if (!respondingToHead && targetResponse.status() != HttpResponseStatus.NOT_MODIFIED.code()) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, targetResponse.body().length);
         }
         FullHttpResponse message = new DefaultFullHttpResponse(
--- a/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
+++ b/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
@@ -107,6 +107,18 @@
         assertThat(get()).isEqualTo("HTTP/1.1 204 No Content\r\nId: 1\r\nSigned: 1\r\nconnection: close\r\n\r\n");
     }
 
+    // The length in a 304 is that of the body that is not sent; the caller got a length of 0 in place of it.
+    @Test
+    void theLengthInAResponseWithoutItsBodyIsForwardedUnchanged() throws Exception {
+        targetResponse = "HTTP/1.1 304 Not Modified\r\nId: 1\r\nSigned: 1\r\nContent-Length: 5\r\n\r\n";
+        assertThat(get())
+                .isEqualTo("HTTP/1.1 304 Not Modified\r\nId: 1\r\nSigned: 1\r\nContent-Length: 5\r\n"
+                        + "connection: close\r\n\r\n");
+        targetResponse = SUCCESS + "Content-Length: 5\r\n\r\n";
+        assertThat(ask("HEAD", "Connection: close\r\n"))
+                .isEqualTo(SUCCESS + "Content-Length: 5\r\nconnection: close\r\n\r\n");
+    }
+
     @Test
     void theInterimResponseToARequestSentAheadIsNotWrittenBeforeTheResponsesInFrontOfIt() throws Exception {
         targetResponse = SUCCESS + "Content-Length: 5\r\n\r\nhello";
