Reject responses with a transfer coding other than chunked

A caller got the coded bytes of a body as the body itself, with the status and signature of the target, if the target applied a transfer coding such as gzip.

Cause: Transfer-Encoding is dropped as a header of one connection, and of its value the decoder only looks for "chunked". Such a response now ends the attempt like one without the target's signature, and its connection.

Evidence: ResponseFramingTest. aResponseWithAnUnknownTransferCodingIsNotForwarded failed before (200 for "gzip, chunked") and passes now, also for two headers, for "chunked, chunked" and for gzip with a length.

--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -5,8 +5,10 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import java.util.Optional;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.target.TargetNotices;
@@ -168,6 +170,12 @@
             fail(ErrorKind.TARGET_LOST, response, "rejection without an id on a used connection");
             return;
         }
+        if (hasUnknownTransferCoding(response.headers())) {
+            connection.abort();
+            target.onNoResponse(now, false);
+            fail(ErrorKind.ANSWER_INCOMPLETE, response, "response with an unknown transfer coding");
+            return;
+        }
         recordNotices(headers);
         routedRequest.worker().connections().release(target.registration(), connection);
         boolean success = response.status() >= SUCCESS_STATUS && response.status() < REDIRECTION_STATUS;
@@ -217,6 +225,14 @@
         return headers.requestId().isEmpty() && routedRequest.requestId().isPresent() && !connection.isFirstExchange();
     }
 
+    /** Returns whether the body is coded in another way than in chunks; the caller would get it as it is. */
+    private static boolean hasUnknownTransferCoding(HttpHeaders headers) {
+        List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return codings.size() > 1
+                || codings.stream()
+                        .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding.trim()));
+    }
+
     private void fail(ErrorKind kind, BufferedResponse response, String outcome) {
         response.memory().release();
         routedRequest.attemptFailed(this, kind, true, describe(outcome));
--- a/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
+++ b/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
@@ -94,6 +94,17 @@
         assertThat(get()).isEqualTo(SUCCESS + "content-length: 5\r\nconnection: close\r\n\r\nhello");
     }
 
+    // A target that compresses its response as a transfer coding had its compressed bytes forwarded as the body.
+    @Test
+    void aResponseWithAnUnknownTransferCodingIsNotForwarded() throws Exception {
+        for (String codings : List.of("gzip, chunked", "gzip\r\nTransfer-Encoding: chunked", "chunked, chunked")) {
+            targetResponse = SUCCESS + "Transfer-Encoding: " + codings + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+            assertWithMessage(codings).that(get()).startsWith("HTTP/1.1 502 ");
+        }
+        targetResponse = SUCCESS + "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello";
+        assertThat(get()).startsWith("HTTP/1.1 502 ");
+    }
+
     // Only the last one of several headers with the same name reached the caller.
     @Test
     void allHeadersOfTheSameNameAreForwarded() throws Exception {
