Send no body with a refusal that closes the connection of a HEAD request

A caller whose HEAD request was malformed or too large got the text of the refusal behind the head of the response, where no bytes may follow.

Cause: refusals that close the connection were always written with a body, as the method was not known there. It is now taken from the head of the request.

Evidence: ResponseFramingTest, 11 cases. aRefusalOfAHeadRequestHasNoBody failed before ("malformed-request" behind the head) and passes now. PipelinedRequests, RoutedRequest, LargeResponses, ConnectionCut and DuplicateResponsesTest pass.

--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -114,6 +115,7 @@
     }
 
     private void startRequest(HttpRequest request) {
+        requestHead = request;
         if (request.decoderResult().isFailure()) {
             refuseUndecodable(request.decoderResult().cause());
             return;
@@ -132,7 +134,6 @@
             refuseAndClose(ErrorKind.REQUEST_TOO_LARGE);
             return;
         }
-        requestHead = request;
         requestBody = Unpooled.EMPTY_BUFFER;
         if (HttpUtil.is100ContinueExpected(request) && exchanges.isEmpty()) {
             channelContext.writeAndFlush(new DefaultFullHttpResponse(
@@ -255,6 +256,7 @@
 
     private void refuseAndClose(ErrorKind kind) {
         closing = true;
+        boolean respondingToHead = requestHead != null && HttpMethod.HEAD.equals(requestHead.method());
         requestHead = null;
         messageStartMillis = -1;
         worker.context().metrics().countRefusal(kind);
@@ -263,7 +265,7 @@
             return;
         }
         CallerResponse response = CallerResponse.refusal(
-                kind, Optional.empty(), 0, false, worker.context().headerCodec());
+                kind, Optional.empty(), 0, respondingToHead, worker.context().headerCodec());
         response.announceClose();
         channelContext.writeAndFlush(response.message()).addListener(ChannelFutureListener.CLOSE);
     }
--- a/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
+++ b/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
@@ -130,6 +130,16 @@
                 .isEqualTo(SUCCESS + "Content-Length: 5\r\nconnection: close\r\n\r\n");
     }
 
+    // A refusal that closes the connection had a body also for HEAD, whose responses end with their head.
+    @Test
+    void aRefusalOfAHeadRequestHasNoBody() throws Exception {
+        for (String headers : List.of("Host: h\r\n", "Content-Length: 9999999999\r\n")) {
+            String refusal = ask("HEAD", headers);
+            assertWithMessage(headers).that(refusal).startsWith("HTTP/1.1 4");
+            assertWithMessage(headers).that(refusal).endsWith("\r\n\r\n");
+        }
+    }
+
     @Test
     void theInterimResponseToARequestSentAheadIsNotWrittenBeforeTheResponsesInFrontOfIt() throws Exception {
         targetResponse = SUCCESS + "Content-Length: 5\r\n\r\nhello";
