--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.Consumer;
 import org.snipewind.coordination.clock.MillisClock;
 
 /**
@@ -27,6 +27,12 @@
     /** Connections are reused only if they were idle for less than this fraction of the server's idle timeout. */
     private static final double IDLE_REUSE_FRACTION = 0.6;
 
+    /**
+     * Time after bytes that belong to no request in which a server's connections are used again only if its responses
+     * name their requests. A server that sends a response twice is likely to do so again soon.
+     */
+    private static final long SINGLE_USE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     /**
      * A connection that is not in use.
      *
@@ -43,6 +49,9 @@
 
     private final Map<InetSocketAddress, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
+    /** Servers that have sent bytes that belong to no request, and when. */
+    private final Map<InetSocketAddress, Long> unsolicitedSinceNanos = new HashMap<>();
+
     /**
      * Creates a client.
      *
@@ -66,7 +75,7 @@
      */
     public CompletableFuture<BufferedResponse> call(
             InetSocketAddress address, FullHttpRequest request, long timeoutMillis) {
-        return call(address, request, headers -> ResponseOrigin.THIS_REQUEST, true, timeoutMillis);
+        return call(address, request, ResponseRules.EACH_RESPONSE_ONCE, timeoutMillis);
     }
 
     /**
@@ -74,19 +83,13 @@
      *
      * @param address address of the server
      * @param request the request
-     * @param originOf returns from the headers of a response to which request it belongs
-     * @param tied whether the response must be tied to the request; one of unknown origin is then accepted only on the
-     *     first exchange of a connection, which is closed after it
+     * @param rules what responses are accepted, and on which connections
      * @param timeoutMillis longest time until the response is complete
      * @return the response; fails with {@link ExchangeException}, in which case the connection has been reset
      */
     public CompletableFuture<BufferedResponse> call(
-            InetSocketAddress address,
-            FullHttpRequest request,
-            Function<HttpHeaders, ResponseOrigin> originOf,
-            boolean tied,
-            long timeoutMillis) {
-        Call call = new Call(address, request, originOf, tied);
+            InetSocketAddress address, FullHttpRequest request, ResponseRules rules, long timeoutMillis) {
+        Call call = new Call(address, request, rules);
         if (loop.inEventLoop()) {
             call.start(timeoutMillis);
         } else {
@@ -95,29 +98,41 @@
         return call.result;
     }
 
+    private Consumer<UnsolicitedBytes> unsolicitedBytesFrom(InetSocketAddress address) {
+        Consumer<UnsolicitedBytes> reported =
+                unsolicitedBytes.forServer(address.getHostString() + ":" + address.getPort());
+        return found -> {
+            unsolicitedSinceNanos.put(address, System.nanoTime());
+            reported.accept(found);
+        };
+    }
+
+    private boolean hasSentUnsolicitedBytes(InetSocketAddress address) {
+        unsolicitedSinceNanos.values().removeIf(since -> System.nanoTime() - since >= SINGLE_USE_NANOS);
+        return unsolicitedSinceNanos.containsKey(address);
+    }
+
     /** One request and the connection on which it is sent. */
     private final class Call implements ExchangeListener {
 
         private final InetSocketAddress address;
         private final FullHttpRequest request;
-        private final Function<HttpHeaders, ResponseOrigin> originOf;
-        private final boolean tied;
+        private final ResponseRules rules;
         private final CompletableFuture<BufferedResponse> result = new CompletableFuture<>();
         private HttpConnection connection;
         private boolean ended;
 
-        Call(
-                InetSocketAddress address,
-                FullHttpRequest request,
-                Function<HttpHeaders, ResponseOrigin> originOf,
-                boolean tied) {
+        /** Whether the response must be tied to the request. */
+        private boolean tied;
+
+        Call(InetSocketAddress address, FullHttpRequest request, ResponseRules rules) {
             this.address = address;
             this.request = request;
-            this.originOf = originOf;
-            this.tied = tied;
+            this.rules = rules;
         }
 
         void start(long timeoutMillis) {
+            tied = rules.tied() || hasSentUnsolicitedBytes(address);
             loop.schedule(() -> onTimeout(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
             HttpConnection idleConnection = takeIdle();
             if (idleConnection != null) {
@@ -128,12 +143,7 @@
                     loop,
                     address,
                     (int) Math.min(CONNECT_TIMEOUT_MILLIS, timeoutMillis),
-                    new ConnectionOptions(
-                            MAX_RESPONSE_BYTES,
-                            memory,
-                            clock,
-                            unsolicitedBytes.forServer(address.getHostString() + ":" + address.getPort()),
-                            () -> {}),
+                    new ConnectionOptions(MAX_RESPONSE_BYTES, memory, clock, unsolicitedBytesFrom(address), () -> {}),
                     this::sendOn,
                     this::connectFailed);
         }
@@ -174,7 +184,7 @@
         }
 
         private boolean isResponseToRequest(HttpHeaders headers) {
-            return switch (originOf.apply(headers)) {
+            return switch (rules.originOf().apply(headers)) {
                 case THIS_REQUEST -> true;
                 case OTHER_REQUEST -> false;
                 case UNKNOWN -> !tied || connection.isFirstExchange();
@@ -199,8 +209,8 @@
                 return;
             }
             ended = true;
-            boolean namesRequests = originOf.apply(response.headers()) == ResponseOrigin.THIS_REQUEST;
-            if (tied && !namesRequests) {
+            boolean namesRequests = rules.originOf().apply(response.headers()) == ResponseOrigin.THIS_REQUEST;
+            if (!namesRequests && (tied || rules.isRejection().test(response.status()))) {
                 connection.abort();
             } else if (connection.isReusable()) {
                 Deque<IdleConnection> idleToAddress =
--- a/router/src/main/java/org/snipewind/router/path/CallerResponse.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerResponse.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -34,14 +35,16 @@
         HttpHeaders headers = targetResponse.headers().copy();
         ConnectionHeaders.remove(headers);
         codec.rewriteForCaller(headers);
-        if (!respondingToHead) {
+        // In both cases the length is that of the body that a full response would have had.
+        if (!respondingToHead && targetResponse.status() != HttpResponseStatus.NOT_MODIFIED.code()) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, targetResponse.body().length);
         }
         FullHttpResponse message = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 new HttpResponseStatus(targetResponse.status(), targetResponse.reason()),
-                Unpooled.wrappedBuffer(targetResponse.body()));
-        message.headers().setAll(headers);
+                Unpooled.wrappedBuffer(targetResponse.body()),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
         return new CallerResponse(message, Optional.of(targetResponse.memory()));
     }
 
