Read all kept connections of a server before one of them is used for an order

After a copy of an answer had arrived on one kept connection of a target that gives no ids, the next order could still go out on another one.

Cause: whether a server has sent bytes that belong to no request was asked before the bytes of its connections were read, and they were read one connection at a time.

Evidence: PlatformKeyOwnershipClientTest, 14 cases. bytesThatNobodyAskedForAreReadBeforeAnyKeptConnectionIsUsed met the older kept connection before and meets a new one now. StoreResponseCopiesTest, IdleConnectionTest, BrokenOffResponsesTest and ResponseAttributionTest pass.

--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -132,6 +132,10 @@
         }
 
         void start(long timeoutMillis) {
+            // Bytes on any of the connections tell whether the others may be used again.
+            idleConnections
+                    .getOrDefault(address, new ArrayDeque<>())
+                    .forEach(idle -> idle.connection().readPending());
             tied = rules.tied() || hasSentUnsolicitedBytes(address);
             loop.schedule(() -> onTimeout(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
             HttpConnection idleConnection = takeIdle();
@@ -162,7 +166,6 @@
                     continue;
                 }
                 newestFirst.remove();
-                newest.connection().readPending();
                 long idleMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - newest.idleSinceNanos());
                 if (newest.connection().isReusable()
                         && idleMillis < newest.connection().serverIdleTimeoutMillis() * IDLE_REUSE_FRACTION) {
