Accept no success whose signature is dropped as a hop-by-hop header

A caller could get a success without the target's signature.

Cause: a header that a target names in Connection is not forwarded, but the signature was looked for before these headers were dropped. It is now looked for among the headers that are forwarded; what a target reports to the router itself is still read from all of them.

Evidence: ResponseFramingTest, 12 cases. aSuccessWhoseSignatureIsNotForwardedIsNone failed before (200 without the signature) and passes now. RoutedRequest, LeavingTarget, TargetNoticeRouting and DuplicateResponsesTest pass.

--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -187,7 +187,7 @@
                 target.onErrorResponse(now);
             }
             fail(ErrorKind.TARGET_SHED, response, "status=" + response.status());
-        } else if (success && !headers.signed()) {
+        } else if (success && !isForwardedWithSignature(response, headers)) {
             target.onNoResponse(now, false);
             fail(ErrorKind.ANSWER_INCOMPLETE, response, "response without the target's signature");
         } else if (response.status() >= SERVER_ERROR_STATUS
@@ -225,6 +225,16 @@
         return headers.requestId().isEmpty() && routedRequest.requestId().isPresent() && !connection.isFirstExchange();
     }
 
+    /** Returns whether the caller gets the target's signature, which the target may have declared hop-by-hop. */
+    private boolean isForwardedWithSignature(BufferedResponse response, ResponseHeaders headers) {
+        HttpHeaders forwarded = ConnectionHeaders.endToEnd(response.headers());
+        return forwarded == response.headers()
+                ? headers.signed()
+                : context.headerCodec()
+                        .readResponse(response.status(), forwarded)
+                        .signed();
+    }
+
     /** Returns whether the body is coded in another way than in chunks; the caller would get it as it is. */
     private static boolean hasUnknownTransferCoding(HttpHeaders headers) {
         List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
--- a/router/src/main/java/org/snipewind/router/path/ConnectionHeaders.java
+++ b/router/src/main/java/org/snipewind/router/path/ConnectionHeaders.java
@@ -21,6 +21,16 @@
 
     private ConnectionHeaders() {}
 
+    /** Returns the headers that are forwarded; without a copy if the connection has no options. */
+    static HttpHeaders endToEnd(HttpHeaders headers) {
+        if (!headers.contains(HttpHeaderNames.CONNECTION)) {
+            return headers;
+        }
+        HttpHeaders forwarded = headers.copy();
+        remove(forwarded);
+        return forwarded;
+    }
+
     static void remove(HttpHeaders headers) {
         for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
             for (String name : value.split(",")) {
--- a/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
+++ b/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
@@ -105,6 +105,15 @@
         assertThat(get()).startsWith("HTTP/1.1 502 ");
     }
 
+    // The signature was dropped as a header of one connection only after the response had been accepted for it.
+    @Test
+    void aSuccessWhoseSignatureIsNotForwardedIsNone() throws Exception {
+        targetResponse = SUCCESS + "Connection: keep-alive, Signed\r\nContent-Length: 5\r\n\r\nhello";
+        assertThat(get()).startsWith("HTTP/1.1 502 ");
+        targetResponse = SUCCESS + "Other: 1\r\nConnection: keep-alive, Other\r\nContent-Length: 5\r\n\r\nhello";
+        assertThat(get()).isEqualTo(SUCCESS + "content-length: 5\r\nconnection: close\r\n\r\nhello");
+    }
+
     // Only the last one of several headers with the same name reached the caller.
     @Test
     void allHeadersOfTheSameNameAreForwarded() throws Exception {
