--- a/router/src/main/java/org/snipewind/router/http/HttpConnector.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnector.java
@@ -1,6 +1,7 @@
 package org.snipewind.router.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -23,6 +24,10 @@
 
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
     private static final int KEEP_ALIVE_PROBES = 2;
+
+    /** The reads before each reuse mostly find nothing, which would shrink the buffer of the next response. */
+    private static final int MIN_READ_BYTES = 2_048;
+
     private static final int MAX_HEADER_BYTES = 64 * 1024;
 
     private HttpConnector() {}
@@ -55,6 +60,10 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(
+                                MIN_READ_BYTES, MIN_READ_BYTES, ResponseMemory.SMALL_RESPONSE_BYTES))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel created) {
