--- a/clients/src/main/java/org/snipewind/clients/transport/HttpTransport.java
+++ b/clients/src/main/java/org/snipewind/clients/transport/HttpTransport.java
@@ -39,7 +39,7 @@
  */
 public final class HttpTransport implements AutoCloseable {
 
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}(?: |$)");
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
