Search heads for every status line that the decoder accepts

A caller could get the status of another answer if the target's own status line had a status above 599, two spaces or a tab. Change: the pattern takes what the decoder takes.

--- a/router/src/main/java/org/snipewind/router/http/StatusLineScanner.java
+++ b/router/src/main/java/org/snipewind/router/http/StatusLineScanner.java
@@ -16,8 +16,11 @@
     /** Part of each status line; looking for it is cheaper than for the pattern. */
     private static final String PROTOCOL = "HTTP/1.";
 
-    /** Header values may name a protocol and the beginning of an address, such as that of Via. */
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}[ \\r\\n]");
+    /** Every status line that the decoder accepts; a header value may name a protocol and an address, such as Via. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01][ \\t]+[0-9]{3}[ \\t\\r\\n]");
+
+    /** End of a part that is searched again with the next one, in which a status line may continue. */
+    private static final int KEPT_BYTES = 32;
 
     /** Bytes that are copied at a time, since bodies can be large. */
     private static final int SCANNED_BYTES = 8 * 1024;
@@ -31,7 +34,7 @@
             int length = Math.min(SCANNED_BYTES, part.writerIndex() - start);
             String scanned = end + part.toString(start, length, StandardCharsets.ISO_8859_1);
             found |= scanned.contains(PROTOCOL) && STATUS_LINE.matcher(scanned).find();
-            end = scanned.substring(Math.max(0, scanned.length() - (STATUS_LINE_BYTES - 1)));
+            end = scanned.substring(Math.max(0, scanned.length() - KEPT_BYTES));
         }
     }
 
