--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -45,6 +45,10 @@
     private Optional<ResponseMemory.Reservation> reservation = Optional.empty();
     private boolean lengthKnown;
     private boolean skippingResponse;
+
+    /** Whether a response to another request came during the exchange in progress. */
+    private boolean skippedResponse;
+
     private boolean requestWritten;
     private boolean reusable = true;
     private int exchangeCount;
@@ -84,6 +88,7 @@
         listener = Optional.of(outcomeListener);
         matcher = responseMatcher;
         requestWritten = false;
+        skippedResponse = false;
         decoder.expectResponseToHead(HttpMethod.HEAD.equals(request.method()));
         channel.writeAndFlush(request).addListener((ChannelFutureListener) this::onWriteCompleted);
     }
@@ -173,33 +178,34 @@
     }
 
     private void startResponse(HttpResponse response) {
-        if (response.decoderResult().isFailure()) {
-            reportUnsolicited(UnsolicitedKind.INVALID_RESPONSE, 0);
-            fail(
-                    "response is not valid HTTP: "
-                            + response.decoderResult().cause().getMessage(),
-                    true);
+        if (decoder.hasMergedResponses()) {
+            failMerged("response head contains the beginning of another response");
             return;
         }
-        if (decoder.hasMergedResponses()) {
-            reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, 0);
-            fail("response head contains the beginning of another response", true);
+        if (response.decoderResult().isFailure()) {
+            failInvalid("response is not valid HTTP: "
+                    + response.decoderResult().cause().getMessage());
             return;
         }
         if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             // No request asks for it, and what follows it is not decoded.
-            reportUnsolicited(UnsolicitedKind.INVALID_RESPONSE, 0);
-            fail("response switches to another protocol", true);
+            failInvalid("response switches to another protocol");
             return;
         }
         boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        skippingResponse = interim || !matcher.matches(response.status().code(), response.headers());
+        ResponseOrigin origin = matcher.originOf(response.status().code(), response.headers());
+        if (origin == ResponseOrigin.SEVERAL_REQUESTS) {
+            failMerged("response head belongs to several requests");
+            return;
+        }
+        skippingResponse = interim || origin != ResponseOrigin.THIS_REQUEST;
         boolean endsWithConnection = decoder.hasBody(response)
                 && !HttpUtil.isContentLengthSet(response)
                 && !HttpUtil.isTransferEncodingChunked(response);
         if (skippingResponse && !interim) {
             reportUnsolicited(UnsolicitedKind.OTHER_RESPONSE, 0);
             reusable = false;
+            skippedResponse = true;
             if (endsWithConnection) {
                 fail("response to another request ends with the connection", true);
                 return;
@@ -248,17 +254,13 @@
         if (!(message instanceof HttpContent content) || responseHead.isEmpty() || listener.isEmpty()) {
             return;
         }
-        if (content.decoderResult().isFailure()) {
-            reportUnsolicited(UnsolicitedKind.INVALID_RESPONSE, 0);
-            fail(
-                    "response body is malformed: "
-                            + content.decoderResult().cause().getMessage(),
-                    true);
+        if (decoder.hasMergedResponses()) {
+            failMerged("response body contains the beginning of another response");
             return;
         }
-        if (decoder.hasMergedResponses()) {
-            reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, 0);
-            fail("response body contains the beginning of another response", true);
+        if (content.decoderResult().isFailure()) {
+            failInvalid("response body is malformed: "
+                    + content.decoderResult().cause().getMessage());
             return;
         }
         if (!skippingResponse && content.content().isReadable()) {
@@ -286,8 +288,7 @@
             return;
         }
         if (decoder.undecodedBytes() > 0 && !decoder.isAtStatusLine() && isBodyContinued()) {
-            reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, decoder.undecodedBytes());
-            fail("response body ends within another response", true);
+            failMerged("response body ends within another response");
             return;
         }
         // A server that responds before the request is written may still read the rest of its body.
@@ -355,6 +356,18 @@
         fail("connection was closed before the response was complete", true);
     }
 
+    private void failMerged(String problem) {
+        reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, decoder.undecodedBytes());
+        fail(problem, true);
+    }
+
+    private void failInvalid(String problem) {
+        // Behind a skipped response, it is the rest of the expected one, whose beginning the skipped one took in.
+        UnsolicitedKind kind = skippedResponse ? UnsolicitedKind.MERGED_RESPONSES : UnsolicitedKind.INVALID_RESPONSE;
+        reportUnsolicited(kind, decoder.undecodedBytes());
+        fail(problem, true);
+    }
+
     private void fail(String problem, boolean possiblySent) {
         Optional<ExchangeListener> failedListener = listener;
         listener = Optional.empty();
--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -183,15 +183,13 @@
                 return;
             }
             connection = opened;
-            opened.exchange(request, (status, headers) -> isResponseToRequest(headers), this);
+            opened.exchange(request, (status, headers) -> originOf(headers), this);
         }
 
-        private boolean isResponseToRequest(HttpHeaders headers) {
-            return switch (rules.originOf().apply(headers)) {
-                case THIS_REQUEST -> true;
-                case OTHER_REQUEST -> false;
-                case UNKNOWN -> !tied || connection.isFirstExchange();
-            };
+        private ResponseOrigin originOf(HttpHeaders headers) {
+            ResponseOrigin origin = rules.originOf().apply(headers);
+            boolean attributable = !tied || connection.isFirstExchange();
+            return origin == ResponseOrigin.UNKNOWN && attributable ? ResponseOrigin.THIS_REQUEST : origin;
         }
 
         private void onTimeout(long timeoutMillis) {
--- a/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Decodes responses. A response to a HEAD request has no body, whatever its headers say. Empty lines before a response,
@@ -25,6 +27,9 @@
     private static final ByteBuf END_OF_HEAD =
             Unpooled.unreleasableBuffer(Unpooled.copiedBuffer("\r\n\r\n", StandardCharsets.US_ASCII));
 
+    private static final Pattern CONTENT_LENGTH =
+            Pattern.compile("\r\ncontent-length:[ \t]*([0-9]{1,15})", Pattern.CASE_INSENSITIVE);
+
     /** Part of a response that is decoded next. */
     private enum Part {
         BEFORE,
@@ -75,8 +80,18 @@
 
     /** Returns what bytes are: the beginning of a response that the server broke off, or the given kind. */
     static UnsolicitedKind classify(ByteBuf bytes, UnsolicitedKind otherwise) {
-        boolean brokenOff = beginsLikeResponse(bytes) && ByteBufUtil.indexOf(END_OF_HEAD, bytes) < 0;
-        return brokenOff ? UnsolicitedKind.BROKEN_OFF_RESPONSE : otherwise;
+        return beginsLikeResponse(bytes) && !isWhole(bytes) ? UnsolicitedKind.BROKEN_OFF_RESPONSE : otherwise;
+    }
+
+    /** Returns whether bytes contain the head of a response and as much of its body as the head says. */
+    private static boolean isWhole(ByteBuf bytes) {
+        int headBytes = ByteBufUtil.indexOf(END_OF_HEAD, bytes) - bytes.readerIndex() + END_OF_HEAD.readableBytes();
+        if (headBytes < END_OF_HEAD.readableBytes()) {
+            return false;
+        }
+        Matcher length =
+                CONTENT_LENGTH.matcher(bytes.toString(bytes.readerIndex(), headBytes, StandardCharsets.ISO_8859_1));
+        return !length.find() || Long.parseLong(length.group(1)) <= bytes.readableBytes() - headBytes;
     }
 
     private static boolean beginsLikeResponse(ByteBuf bytes) {
--- a/router/src/main/java/org/snipewind/router/http/ResponseMatcher.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseMatcher.java
@@ -2,19 +2,19 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 
-/** Decides whether a response belongs to the request in progress. */
+/** Decides to which request a response belongs. */
 @FunctionalInterface
 public interface ResponseMatcher {
 
     /** Accepts every response. */
-    ResponseMatcher ANY = (status, headers) -> true;
+    ResponseMatcher ANY = (status, headers) -> ResponseOrigin.THIS_REQUEST;
 
     /**
-     * Returns whether a response belongs to the request in progress.
+     * Returns to which request a response belongs.
      *
      * @param status status code
      * @param headers headers of the response
-     * @return false for a response to another request, which is then skipped
+     * @return the origin; a response that is not tied to the request in progress is skipped
      */
-    boolean matches(int status, HttpHeaders headers);
+    ResponseOrigin originOf(int status, HttpHeaders headers);
 }
--- a/router/src/main/java/org/snipewind/router/http/ResponseOrigin.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseOrigin.java
@@ -6,6 +6,8 @@
     THIS_REQUEST,
     /** Another request. The response is skipped. */
     OTHER_REQUEST,
+    /** The response names several requests, so it was put together from several responses. */
+    SEVERAL_REQUESTS,
     /** The response names no request, so only that it is the first one on its connection can show where it belongs. */
     UNKNOWN
 }
--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -17,6 +17,7 @@
 import org.snipewind.router.http.ExchangeException;
 import org.snipewind.router.http.ExchangeListener;
 import org.snipewind.router.http.HttpConnection;
+import org.snipewind.router.http.ResponseOrigin;
 import org.snipewind.router.port.ResponseHeaders;
 
 /** One attempt to have a target serve a request; confined to the worker's event loop. */
@@ -86,7 +87,7 @@
         }
         connection = opened;
         routedRequest.connectionUsed(opened);
-        opened.exchange(buildTargetRequest(), this::isResponseToRequest, this);
+        opened.exchange(buildTargetRequest(), this::originOf, this);
     }
 
     /** Returns why the target takes no requests since the connection was asked for, empty if it does. */
@@ -134,15 +135,19 @@
     }
 
     /**
-     * Returns whether a response belongs to this request. A response without a request id can be a rejection that the
+     * Returns to which request a response belongs. A response without a request id can be a rejection that the
      * target sent before it read the request. On a connection with earlier exchanges it can also be a second rejection
      * of one of those, which says nothing about this request; it then ends the attempt only if the request is
      * idempotent, and not as one that did not run.
      */
-    private boolean isResponseToRequest(int status, HttpHeaders headers) {
+    private ResponseOrigin originOf(int status, HttpHeaders headers) {
         ResponseHeaders response = context.headerCodec().readResponse(status, headers);
+        if (response.namesSeveralRequests()) {
+            return ResponseOrigin.SEVERAL_REQUESTS;
+        }
         if (response.requestId().isPresent()) {
-            return response.requestId().equals(routedRequest.requestId());
+            boolean named = response.requestId().equals(routedRequest.requestId());
+            return named ? ResponseOrigin.THIS_REQUEST : ResponseOrigin.OTHER_REQUEST;
         }
         boolean rejection = response.notExecuted() || response.misdirected();
         boolean attributable = connection.isFirstExchange() || routedRequest.isIdempotent();
@@ -150,7 +155,9 @@
             context.metrics().count("answers.skipped");
         }
         // Without an id, the request has a connection of its own.
-        return rejection && attributable || routedRequest.requestId().isEmpty();
+        boolean accepted =
+                rejection && attributable || routedRequest.requestId().isEmpty();
+        return accepted ? ResponseOrigin.THIS_REQUEST : ResponseOrigin.UNKNOWN;
     }
 
     @Override
--- a/router/src/main/java/org/snipewind/router/port/ResponseHeaders.java
+++ b/router/src/main/java/org/snipewind/router/port/ResponseHeaders.java
@@ -8,6 +8,7 @@
  * The contents of the headers of a target's response.
  *
  * @param requestId id of the request that the response belongs to
+ * @param namesSeveralRequests whether it has several request ids or signatures, as no response of one target has
  * @param signed whether the response carries the target's signature
  * @param notExecuted whether the target states that it did not run the request
  * @param misdirected whether the address belongs to another target, or the target does not hold the key
@@ -19,6 +20,7 @@
  */
 public record ResponseHeaders(
         Optional<String> requestId,
+        boolean namesSeveralRequests,
         boolean signed,
         boolean notExecuted,
         boolean misdirected,
--- a/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
@@ -149,7 +149,7 @@
             HttpConnection endlessConnection = new HttpConnection(endlessDecoder, options(1_000, memory));
             EmbeddedChannel endlessChannel =
                     new EmbeddedChannel(endlessDecoder, new HttpRequestEncoder(), endlessConnection);
-            endlessConnection.exchange(request(), (status, headers) -> true, new ExchangeListener() {
+            endlessConnection.exchange(request(), ResponseMatcher.ANY, new ExchangeListener() {
                 @Override
                 public void responseReceived(BufferedResponse response) {
                     responses.add(response);
@@ -214,7 +214,7 @@
         channel.pipeline().replace(connection, "waiting", waiting);
         ResponseMemory.Reservation other = scarce.open();
         other.extend(100_000, () -> {});
-        waiting.exchange(request(), (status, headers) -> true, listener);
+        waiting.exchange(request(), ResponseMatcher.ANY, listener);
         channel.releaseOutbound();
         receive("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(1_000));
         assertThat(channel.config().isAutoRead()).isFalse();
@@ -243,7 +243,7 @@
     }
 
     private void send(String id) {
-        connection.exchange(request(), (status, headers) -> id.equals(headers.get("Id")), listener);
+        connection.exchange(request(), TestMatchers.named(id), listener);
     }
 
     private static FullHttpRequest request() {
--- a/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
@@ -79,7 +79,7 @@
             failure = Optional.empty();
             connection.exchange(
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER),
-                    (status, headers) -> id.equals(headers.get("Id")),
+                    TestMatchers.named(id),
                     new ExchangeListener() {
                         @Override
                         public void responseReceived(BufferedResponse received) {
--- a/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
@@ -315,6 +315,7 @@
         public ResponseHeaders readResponse(int status, HttpHeaders headers) {
             return new ResponseHeaders(
                     Optional.ofNullable(headers.get("Id")),
+                    headers.getAll("Id").size() > 1,
                     headers.contains("Signed"),
                     headers.contains("Not-Run"),
                     false,
