Tell an unusable response of a target from none

Cause: an exchange that ended by bytes of the target counted as one without a response, and an owner that does not respond gets no requests. Change: it counts as an error response.

Evidence: BrokenOffResponsesTest. anOwnerWhoseResponsesAreSpoiledStillGetsRequests failed before (target-unreachable at the third request) and passes now; the tests of http and path in router pass.

--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -358,22 +358,26 @@
 
     private void failMerged(String problem) {
         reportUnsolicited(UnsolicitedKind.MERGED_RESPONSES, decoder.undecodedBytes());
-        fail(problem, true);
+        fail(ExchangeException.unusableResponse(problem));
     }
 
     private void failInvalid(String problem) {
         // Behind a skipped response, it is the rest of the expected one, whose beginning the skipped one took in.
         UnsolicitedKind kind = skippedResponse ? UnsolicitedKind.MERGED_RESPONSES : UnsolicitedKind.INVALID_RESPONSE;
         reportUnsolicited(kind, decoder.undecodedBytes());
-        fail(problem, true);
+        fail(ExchangeException.unusableResponse(problem));
     }
 
     private void fail(String problem, boolean possiblySent) {
+        fail(new ExchangeException(problem, possiblySent));
+    }
+
+    private void fail(ExchangeException cause) {
         Optional<ExchangeListener> failedListener = listener;
         listener = Optional.empty();
         responseHead = Optional.empty();
         closeWithReset();
-        failedListener.ifPresent(notified -> notified.exchangeFailed(new ExchangeException(problem, possiblySent)));
+        failedListener.ifPresent(notified -> notified.exchangeFailed(cause));
     }
 
     private void closeWithReset() {
--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -260,7 +260,11 @@
         if (ended) {
             return;
         }
-        target.onNoResponse(context.clock().nowMillis(), false);
+        if (cause.isResponseUnusable()) {
+            target.onErrorResponse(context.clock().nowMillis());
+        } else {
+            target.onNoResponse(context.clock().nowMillis(), false);
+        }
         markEnded();
         ErrorKind kind = cause.isPossiblySent() ? ErrorKind.TARGET_LOST : ErrorKind.TARGET_UNREACHABLE;
         routedRequest.attemptFailed(this, kind, cause.isPossiblySent(), describe(cause.getMessage()));
