Ignore empty lines between the requests of a caller

A caller that sent an empty line behind a request got a 408 on its idle connection 5 s later, with no request waiting. One that sent its next request at that moment read the 408 as the response to it.

Cause: the first bytes behind a request began the header timeout of the next one, whatever they were. Empty lines between requests are now left to the decoder, which skips them, and don't count as activity either, so they keep no connection open.

Evidence: ResponseFramingTest, 13 cases. anEmptyLineBehindARequestGetsNoResponse failed before (a 408 behind the first response) and passes now. PipelinedRequestsTest, RoutedRequestTest and ConnectionCutTest pass.

--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -89,8 +90,15 @@
                 .orElse(CallerLimits.DEFAULT);
     }
 
-    /** Records the arrival of bytes before they are decoded, so that the header timeout covers incomplete headers. */
-    void onBytesReceived() {
+    /**
+     * Records the arrival of bytes before they are decoded, so that the header timeout covers incomplete headers. Empty
+     * lines between requests belong to none (RFC 9112, section 2.2).
+     */
+    void onBytesReceived(ByteBuf bytes) {
+        boolean receiving = messageStartMillis >= 0 || requestHead != null;
+        if (!receiving && bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) < 0) {
+            return;
+        }
         lastActivityMillis = nowMillis();
         if (messageStartMillis < 0) {
             messageStartMillis = lastActivityMillis;
--- a/router/src/main/java/org/snipewind/router/path/CallerServer.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerServer.java
@@ -94,8 +94,8 @@
                         new ChannelInboundHandlerAdapter() {
                             @Override
                             public void channelRead(ChannelHandlerContext handlerContext, Object message) {
-                                if (message instanceof ByteBuf) {
-                                    channel.onBytesReceived();
+                                if (message instanceof ByteBuf bytes) {
+                                    channel.onBytesReceived(bytes);
                                 }
                                 handlerContext.fireChannelRead(message);
                             }
--- a/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
+++ b/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.routing.CallerLimits;
 
 /**
  * Guards against responses of targets whose end is unclear and that reach a caller as complete, and against bytes on a
@@ -23,6 +24,7 @@
 final class ResponseFramingTest {
 
     private static final String SUCCESS = "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\n";
+    private static final long BEYOND_HEADER_TIMEOUT_MILLIS = CallerLimits.DEFAULT.headerTimeoutMillis() + 1_000;
     private static final String CHUNKED_HELLO = "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
 
     private final RoutingFixture fixture = new RoutingFixture();
@@ -162,6 +164,22 @@
         }
     }
 
+    // An empty line behind a request counted as the beginning of the next one, and the caller got a 408 for it.
+    @Test
+    void anEmptyLineBehindARequestGetsNoResponse() throws Exception {
+        targetResponse = SUCCESS + "Content-Length: 5\r\n\r\nhello";
+        try (Socket caller = connect()) {
+            RoutingFixture.write(caller, request("GET", "") + "\r\n");
+            TimeUnit.MILLISECONDS.sleep(BEYOND_HEADER_TIMEOUT_MILLIS / 2);
+            RoutingFixture.write(caller, "\r\n");
+            TimeUnit.MILLISECONDS.sleep(BEYOND_HEADER_TIMEOUT_MILLIS);
+            RoutingFixture.write(caller, "\r\n" + request("GET", "Connection: close\r\n"));
+            assertThat(readToEnd(caller))
+                    .isEqualTo(SUCCESS + "content-length: 5\r\n\r\nhello" + SUCCESS
+                            + "content-length: 5\r\nconnection: close\r\n\r\nhello");
+        }
+    }
+
     private Socket connect() throws IOException {
         Socket caller = new Socket(address.getAddress(), address.getPort());
         caller.setSoTimeout((int) RoutingFixture.MAX_WAIT_MILLIS);
