Reject a response whose status is not from 100 to 599

A caller got a status line that is no HTTP, such as "HTTP/1.1 20 OK", if the target sent one, and a success for "HTTP/1.1 +200" and "HTTP/1.1 0200".

Cause: the base class parses the status as any integer with an optional sign. ResponseDecoder now rejects all but three digits of the five classes, as it rejects other protocols.

Evidence: ResponseFramingTest.aResponseWhoseStatusIsNotOfThreeDigitsIsNotForwarded failed before ("HTTP/1.1 20 OK" was forwarded) and passes now. HttpConnectionTest, ResponseAttributionTest, IdleConnectionTest and BrokenOffResponsesTest pass.

--- a/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseDecoder.java
@@ -24,6 +24,8 @@
 
     private static final Set<String> PROTOCOLS = Set.of("HTTP/1.0", "HTTP/1.1");
 
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
     private static final ByteBuf END_OF_HEAD =
             Unpooled.unreleasableBuffer(Unpooled.copiedBuffer("\r\n\r\n", StandardCharsets.US_ASCII));
 
@@ -169,6 +171,10 @@
         if (!PROTOCOLS.contains(initialLine[0])) {
             throw new IllegalArgumentException("protocol is not HTTP/1.0 or HTTP/1.1");
         }
+        // The base class accepts any integer, and a sign.
+        if (!STATUS.matcher(initialLine[1]).matches()) {
+            throw new IllegalArgumentException("status is not from 100 to 599");
+        }
         return super.createMessage(initialLine);
     }
 
--- a/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
+++ b/router/src/test/java/org/snipewind/router/path/ResponseFramingTest.java
@@ -96,6 +96,15 @@
         assertThat(get()).isEqualTo(SUCCESS + "content-length: 5\r\nconnection: close\r\n\r\nhello");
     }
 
+    // The caller got a status line that is no HTTP, and "+200" as a success.
+    @Test
+    void aResponseWhoseStatusIsNotOfThreeDigitsIsNotForwarded() throws Exception {
+        for (String status : List.of("20", "99", "099", "000", "0200", "+200", "600", "999", "1000", "2 00")) {
+            targetResponse = "HTTP/1.1 " + status + " OK\r\nId: 1\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nhello";
+            assertWithMessage(status).that(get()).startsWith("HTTP/1.1 502 ");
+        }
+    }
+
     // A target that compresses its response as a transfer coding had its compressed bytes forwarded as the body.
     @Test
     void aResponseWithAnUnknownTransferCodingIsNotForwarded() throws Exception {
