Renew the other keys of a target after a response that can't be used

Cause: the renewals of a target's grants are sent one after the other and ended at the first failure, so one spoiled answer, again and again to the same range, let the ranges behind it run out. Change: after an answer that can't be used the next range is renewed, since the target is there; a series with such an answer does not count as acknowledged. After a missing answer the series ends as before.

Evidence: KeyAssignerTest. aSpoiledResponseDoesNotEndTheRenewalsOfTheOtherKeysOfItsTarget failed before (no holder of key 4096 in second 2) and passes now; the tests of lead pass.

--- a/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
+++ b/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
@@ -76,7 +76,7 @@
             HolderState holder = holders.get(incarnation);
             if (holder != null && holder.registration().isPresent() && holder.isRenewalDue(now)) {
                 holder.scheduleRenewal(now + LeaderTimes.GRANT_RENEWAL_INTERVAL_MILLIS);
-                renewNextGrant(holder, holder.registration().get(), ranges.iterator(), isStillHeld);
+                renewNextGrant(holder, holder.registration().get(), ranges.iterator(), isStillHeld, true);
             }
         });
     }
@@ -84,13 +84,15 @@
     /**
      * Renews the grant of the next range of a holder. Renewals of one holder are sent one after another, so that they
      * need only one connection. The table may change in the meantime, and a range that is being moved to another holder
-     * by then must not be granted again.
+     * by then must not be granted again. The renewals go on after a response that can't be used, since the target is
+     * there and would lose its other keys, but not after a missing one, which would delay them.
      */
     private void renewNextGrant(
             HolderState holder,
             TargetRegistration registration,
             Iterator<KeyAssignment> remaining,
-            Predicate<KeyAssignment> isStillHeld) {
+            Predicate<KeyAssignment> isStillHeld,
+            boolean allAcknowledged) {
         KeyAssignment range = null;
         while (range == null && remaining.hasNext()) {
             KeyAssignment next = remaining.next();
@@ -103,12 +105,13 @@
         holder.recordGrantSent();
         start(() -> client.grant(registration, renewed, LeaderTimes.GRANT_LIFETIME_MILLIS, Optional.empty()))
                 .whenComplete((accepted, failure) -> {
-                    if (!recordGrantOutcome(holder, renewed, accepted, failure)) {
+                    boolean acknowledged = recordGrantOutcome(holder, renewed, accepted, failure);
+                    if (!acknowledged && !isResponseUnusable(failure)) {
                         return;
                     }
                     if (remaining.hasNext()) {
-                        renewNextGrant(holder, registration, remaining, isStillHeld);
-                    } else {
+                        renewNextGrant(holder, registration, remaining, isStillHeld, allAcknowledged && acknowledged);
+                    } else if (allAcknowledged && acknowledged) {
                         holder.recordAllGrantsAcknowledged(clock.nowMillis());
                     }
                 });
@@ -127,8 +130,18 @@
     }
 
     private static boolean mayHaveArrived(Throwable failure) {
+        return exchangeFailure(failure).map(ExchangeException::isPossiblySent).orElse(true);
+    }
+
+    private static boolean isResponseUnusable(Throwable failure) {
+        return exchangeFailure(failure)
+                .map(ExchangeException::isResponseUnusable)
+                .orElse(false);
+    }
+
+    private static Optional<ExchangeException> exchangeFailure(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        return !(cause instanceof ExchangeException exchange) || exchange.isPossiblySent();
+        return cause instanceof ExchangeException exchange ? Optional.of(exchange) : Optional.empty();
     }
 
     /** Records the outcome of a grant and returns whether the target accepted it. */
--- a/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
@@ -113,6 +113,25 @@
         assertThat(targets.holders(1)).containsExactly("t0");
     }
 
+    /** Guards against keys without a holder, because the renewals of a target end at the first spoiled response. */
+    @Test
+    void aSpoiledResponseDoesNotEndTheRenewalsOfTheOtherKeysOfItsTarget() {
+        addTargets(4);
+        run(4_000);
+        targets.crash("t1");
+        registrations.remove("t1");
+        run(8_000);
+        targets.setSpoiledKey(0);
+        for (int second = 0; second < 10; second++) {
+            run(1_000);
+            for (int key = 0; key <= KeyTable.LAST_KEY; key += 64) {
+                assertWithMessage("holders of key %s in second %s", key, second)
+                        .that(targets.holders(key))
+                        .hasSize(1);
+            }
+        }
+    }
+
     /** Guards against keys that stay for good with a target to which a request failed to start once. */
     @Test
     void keysOfATargetToWhichNoRequestCanBeStartedMoveAndItGetsSomeAgainLater() {
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
@@ -51,6 +52,7 @@
     private final Map<String, Target> targets = new HashMap<>();
     private final List<Delivery> deliveries = new ArrayList<>();
     private Faults faults = new Faults(0, 0, 5);
+    private OptionalInt spoiledKey = OptionalInt.empty();
 
     SimulatedTargets(ManualMillisClock clock, Random random) {
         this.clock = clock;
@@ -91,6 +93,15 @@
         target(id).unaddressable = unaddressable;
     }
 
+    /** Makes the responses to grants of one key unusable; the grants are carried out. */
+    void setSpoiledKey(int key) {
+        spoiledKey = OptionalInt.of(key);
+    }
+
+    private boolean isSpoiled(KeyAssignment range) {
+        return spoiledKey.isPresent() && range.from() <= spoiledKey.getAsInt() && spoiledKey.getAsInt() <= range.to();
+    }
+
     /** Returns the recent requests that concern a key, for failure messages. */
     String history(int key) {
         return history.stream()
@@ -151,6 +162,9 @@
             // The clock of the target runs slow, so the grant lasts longer than its lifetime by the leader's clock.
             target.grants.add(
                     new Grant(range.from(), range.to(), range.epoch(), arrivedAtMillis + lifetimeMillis * 102 / 100));
+            if (isSpoiled(range)) {
+                response.completeExceptionally(ExchangeException.unusableResponse("a fault of the test"));
+            }
             return true;
         });
         return response;
