Count a foreign response that hides the next one as an unusable response

Cause: the failure behind a foreign response that ends with the connection did not say that the target had answered. Change: it counts as a merged response.

--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -207,7 +207,7 @@
             reusable = false;
             skippedResponse = true;
             if (endsWithConnection) {
-                fail("response to another request ends with the connection", true);
+                failMerged("response to another request ends with the connection");
                 return;
             }
         }
