Test the stand-in's slots without a race of two deadlines

TargetStandInTest.slotsDeadlinesAndCancellationsAreRespected failed once beside load: "second" ran too.

Cause: the test, not the stand-in. The caller's 200 ms count from the send, those of the stand-in from the arrival, as the protocol defines the header. When "second" arrives late and its cancellation is behind that of "first", the slot is free before the deadline of "second", and running it is right.

Change: three cases in place of the one, on a manual clock and waiting for what the stand-in has handled: a request past its deadline is not run, nor is one that was cancelled, and a caller stops at its deadline and cancels. The first two were covered together before, so that a fault of one could be hidden by the other; both callers must now get "shed" too. TargetStandIn takes a clock.

--- a/standins/src/main/java/org/snipewind/standins/target/TargetStandIn.java
+++ b/standins/src/main/java/org/snipewind/standins/target/TargetStandIn.java
@@ -12,6 +12,7 @@
 import org.snipewind.clients.target.GrantRequest;
 import org.snipewind.clients.target.TargetHeaders;
 import org.snipewind.clients.transport.JsonCodec;
+import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.standins.server.StandInHandler;
 import org.snipewind.standins.server.StandInRequest;
@@ -39,12 +40,17 @@
      * @param options fixed properties
      */
     public TargetStandIn(TargetOptions options) {
+        this(options, new SystemMillisClock());
+    }
+
+    /** Creates a target whose deadlines, service times and grants follow the given clock. */
+    TargetStandIn(TargetOptions options, MillisClock clock) {
         worker = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "target " + options.name());
             thread.setDaemon(true);
             return thread;
         });
-        engine = new TargetEngine(options, new SystemMillisClock(), worker);
+        engine = new TargetEngine(options, clock, worker);
     }
 
     /**
--- a/standins/src/test/java/org/snipewind/standins/target/TargetStandInTest.java
+++ b/standins/src/test/java/org/snipewind/standins/target/TargetStandInTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -16,16 +17,25 @@
 import org.snipewind.clients.target.GrantAcknowledgement;
 import org.snipewind.clients.target.GrantRequest;
 import org.snipewind.clients.target.HttpTargetClient;
+import org.snipewind.clients.target.TargetHeaders;
 import org.snipewind.clients.target.TargetRequest;
 import org.snipewind.clients.target.TargetResponse;
+import org.snipewind.coordination.clock.ManualMillisClock;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Refusal;
+import org.snipewind.standins.server.StandInRequest;
+import org.snipewind.standins.server.StandInResponse;
 import org.snipewind.standins.server.StandInServer;
 
 /** Guards against a stand-in for a target that hides the faults that the measurements look for. */
 @Timeout(30)
 final class TargetStandInTest {
 
+    private static final TargetOptions ONE_SLOT = new TargetOptions("t", 1, 1, 9, 0, 1_000, false, 0, 0);
+
+    private final List<String> arrivals = new CopyOnWriteArrayList<>();
     private TargetStandIn target;
     private StandInServer server;
     private HttpTargetClient client;
@@ -80,17 +90,50 @@
         assertThat(target.executions().get(0).outcome()).isEqualTo("aborted");
     }
 
+    /** Guards against a request that gets the slot of another after its own deadline. */
     @Test
-    void slotsDeadlinesAndCancellationsAreRespected() throws Exception {
-        start(new TargetOptions("t", 1, 1, 9, 0, 1_000, false, 0, 0));
-        var first = send("first", 4, 1, 5_000);
+    void aRequestWhoseDeadlinePassesBeforeASlotIsFreeIsNotRun() throws Exception {
+        ManualMillisClock clock = new ManualMillisClock(0);
+        start(ONE_SLOT, clock);
+        var first = client.send(request("first", 4, 1, 50_000, 60_000));
         awaitExecutions(1);
-        var second = client.send(request("second", 4, 1, 1, 200));
-        assertThat(kindOf(second.get())).isEqualTo(ErrorKind.DEADLINE_AFTER_SEND);
+        var second = client.send(request("second", 4, 1, 1, 10_000));
+        awaitArrival("POST second");
+        clock.advance(10_000);
+        client.cancel("first");
+        assertThat(first.get().get().status()).isEqualTo(499);
+        assertThat(kindOf(second.get())).isEqualTo(ErrorKind.TARGET_SHED);
+        assertThatOnlyFirstRanBefore("third", clock);
+    }
+
+    /** Guards against a request that runs although its caller has cancelled it before a slot was free. */
+    @Test
+    void aRequestThatIsCancelledBeforeASlotIsFreeIsNotRun() throws Exception {
+        ManualMillisClock clock = new ManualMillisClock(0);
+        start(ONE_SLOT, clock);
+        var first = client.send(request("first", 4, 1, 50_000, 60_000));
+        awaitExecutions(1);
+        var second = client.send(request("second", 4, 1, 1, 10_000));
+        awaitArrival("POST second");
+        client.cancel("second");
+        awaitArrival("DELETE second");
         client.cancel("first");
         assertThat(first.get().get().status()).isEqualTo(499);
-        assertThat(send("third", 4, 1, 1).get().isRight()).isTrue();
-        assertThat(target.executions().stream().map(ExecutionRecord::requestId)).containsExactly("first", "third");
+        assertThat(kindOf(second.get())).isEqualTo(ErrorKind.TARGET_SHED);
+        assertThatOnlyFirstRanBefore("third", clock);
+    }
+
+    /** Guards against a client that waits past the deadline or leaves the request at the target. */
+    @Test
+    void aCallerStopsWaitingAtItsDeadlineAndCancelsItsRequest() throws Exception {
+        start(ONE_SLOT, new ManualMillisClock(0));
+        var first = client.send(request("first", 4, 1, 50_000, 60_000));
+        awaitExecutions(1);
+        var second = client.send(request("second", 4, 1, 1, 200));
+        assertThat(kindOf(second.get())).isEqualTo(ErrorKind.DEADLINE_AFTER_SEND);
+        awaitArrival("DELETE second");
+        assertThat(first.isDone()).isFalse();
+        assertThat(target.executions()).hasSize(1);
     }
 
     @Test
@@ -128,8 +171,18 @@
     }
 
     private void start(TargetOptions options) {
-        target = new TargetStandIn(options);
-        server = StandInServer.start(target, 0);
+        start(options, new SystemMillisClock());
+    }
+
+    private void start(TargetOptions options, MillisClock clock) {
+        target = new TargetStandIn(options, clock);
+        server = StandInServer.start(
+                request -> {
+                    CompletableFuture<StandInResponse> response = target.handle(request);
+                    arrivals.add(describe(request));
+                    return response;
+                },
+                0);
         client = new HttpTargetClient(server.address(), 8, 1_000, 1_000);
     }
 
@@ -152,6 +205,32 @@
                 id, "org", "POST", "/book", headers, new byte[] {'b'}, OptionalInt.of(slice), token, deadlineMillis);
     }
 
+    /** Sends a request that must be the second one to run. */
+    private void assertThatOnlyFirstRanBefore(String id, ManualMillisClock clock) throws Exception {
+        var last = send(id, 4, 1, 1);
+        awaitExecutions(2);
+        clock.advance(1);
+        assertThat(last.get().isRight()).isTrue();
+        assertThat(target.executions().stream().map(ExecutionRecord::requestId))
+                .containsExactly("first", id)
+                .inOrder();
+    }
+
+    /** Returns the method and the id of the request that is sent or cancelled. */
+    private static String describe(StandInRequest request) {
+        String lastSegment = request.path().substring(request.path().lastIndexOf('/') + 1);
+        return request.method() + " " + request.header(TargetHeaders.REQUEST).orElse(lastSegment);
+    }
+
+    /** Waits until the target has handled a request, so that its deadline counts from the current time. */
+    private void awaitArrival(String description) throws Exception {
+        while (!arrivals.contains(description)) {
+            Thread.sleep(2);
+        }
+        // The target handles one call after the other, so the end of this one is the end of those before it.
+        target.setFaults(TargetFaults.NONE).get();
+    }
+
     private void awaitExecutions(int count) throws InterruptedException {
         while (target.executions().size() < count) {
             Thread.sleep(2);
