--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -14,8 +14,8 @@
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.coordination.election.CandidatePriority;
 import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.router.http.BufferMemory;
 import org.snipewind.router.http.OutboundHttpClient;
-import org.snipewind.router.http.ResponseMemory;
 import org.snipewind.router.http.UnsolicitedBytesReporter;
 import org.snipewind.router.lead.LeaderElection;
 import org.snipewind.router.lead.LeaderService;
@@ -80,8 +80,8 @@
     private final StoreChangeBroadcaster changeBroadcaster;
     private final SharedRoutingState sharedState;
     private final CallerServer callers;
-    private final ResponseMemory responseMemory =
-            new ResponseMemory((long) (Runtime.getRuntime().maxMemory() * RESPONSE_MEMORY_FRACTION));
+    private final BufferMemory responseMemory =
+            new BufferMemory((long) (Runtime.getRuntime().maxMemory() * RESPONSE_MEMORY_FRACTION));
     private volatile boolean stopping;
     private final ActivityLog activityLog;
     private boolean wasReady;
--- a/router/src/main/java/org/snipewind/router/http/ResponseMemory.java
+++ b/router/src/main/java/org/snipewind/router/http/BufferMemory.java
@@ -9,10 +9,10 @@
  * Limits the memory for responses that are being received or written, in bytes over all connections. Thread-safe: the
  * counts are guarded by the monitor of this object, and callbacks run without it.
  */
-public final class ResponseMemory {
+public final class BufferMemory {
 
     /** Responses up to this size never wait, so that large responses can't delay small ones. */
-    static final int SMALL_RESPONSE_BYTES = 64 * 1024;
+    static final int SMALL_BYTES = 64 * 1024;
 
     private final long maxBytes;
     private final Deque<Reservation> waiting = new ArrayDeque<>();
@@ -23,7 +23,7 @@
      *
      * @param maxBytes bytes that all responses together may take, not counting small ones
      */
-    public ResponseMemory(long maxBytes) {
+    public BufferMemory(long maxBytes) {
         this.maxBytes = maxBytes;
     }
 
@@ -72,8 +72,8 @@
          * @return whether the bytes are reserved now
          */
         public boolean extend(long bytes, Runnable granted) {
-            synchronized (ResponseMemory.this) {
-                boolean small = heldBytes + bytes <= SMALL_RESPONSE_BYTES;
+            synchronized (BufferMemory.this) {
+                boolean small = heldBytes + bytes <= SMALL_BYTES;
                 if (small || waiting.isEmpty() && reservedBytes + bytes <= maxBytes) {
                     hold(bytes);
                     return true;
@@ -97,7 +97,7 @@
          * exceeded by the size of a receive buffer.
          */
         public void takeAwaited() {
-            synchronized (ResponseMemory.this) {
+            synchronized (BufferMemory.this) {
                 if (awaitedBytes > 0) {
                     waiting.remove(this);
                     hold(awaitedBytes);
@@ -109,7 +109,7 @@
         /** Releases all bytes; later calls have no effect. */
         public void release() {
             List<Runnable> callbacks;
-            synchronized (ResponseMemory.this) {
+            synchronized (BufferMemory.this) {
                 if (released) {
                     return;
                 }
--- a/router/src/main/java/org/snipewind/router/http/BufferedResponse.java
+++ b/router/src/main/java/org/snipewind/router/http/BufferedResponse.java
@@ -13,4 +13,4 @@
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record BufferedResponse(
-        int status, String reason, HttpHeaders headers, byte[] body, ResponseMemory.Reservation memory) {}
+        int status, String reason, HttpHeaders headers, byte[] body, BufferMemory.Reservation memory) {}
--- a/router/src/main/java/org/snipewind/router/http/ConnectionOptions.java
+++ b/router/src/main/java/org/snipewind/router/http/ConnectionOptions.java
@@ -14,7 +14,7 @@
  */
 public record ConnectionOptions(
         int maxResponseBytes,
-        ResponseMemory memory,
+        BufferMemory memory,
         MillisClock clock,
         Consumer<UnsolicitedBytes> onUnsolicited,
         Runnable onClosed) {}
--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -42,7 +42,7 @@
     private ResponseMatcher matcher = ResponseMatcher.ANY;
     private Optional<HttpResponse> responseHead = Optional.empty();
     private ByteBuf responseBody = Unpooled.EMPTY_BUFFER;
-    private Optional<ResponseMemory.Reservation> reservation = Optional.empty();
+    private Optional<BufferMemory.Reservation> reservation = Optional.empty();
     private boolean lengthKnown;
     private boolean skippingResponse;
 
@@ -231,20 +231,20 @@
         }
         reservation = Optional.of(options.memory().open());
         if (length > 0) {
-            responseBody = Unpooled.buffer((int) Math.min(length, ResponseMemory.SMALL_RESPONSE_BYTES));
+            responseBody = Unpooled.buffer((int) Math.min(length, BufferMemory.SMALL_BYTES));
             extendReservation(length);
         }
     }
 
     /** Reserves memory; if there is none, stops reading until it is available, so that the server has to wait. */
     private void extendReservation(long bytes) {
-        ResponseMemory.Reservation extended = reservation.orElseThrow();
+        BufferMemory.Reservation extended = reservation.orElseThrow();
         if (!extended.extend(bytes, () -> channel.eventLoop().execute(() -> resumeReading(extended)))) {
             channel.config().setAutoRead(false);
         }
     }
 
-    private void resumeReading(ResponseMemory.Reservation granted) {
+    private void resumeReading(BufferMemory.Reservation granted) {
         if (!closed && reservation.filter(current -> current == granted).isPresent()) {
             channel.config().setAutoRead(true);
         }
@@ -303,7 +303,7 @@
         ExchangeListener currentListener = listener.orElseThrow();
         listener = Optional.empty();
         phaseStartMillis = options.clock().nowMillis();
-        ResponseMemory.Reservation received = reservation.orElseThrow();
+        BufferMemory.Reservation received = reservation.orElseThrow();
         reservation = Optional.empty();
         received.takeAwaited();
         channel.config().setAutoRead(true);
@@ -382,7 +382,7 @@
 
     private void closeWithReset() {
         reusable = false;
-        reservation.ifPresent(ResponseMemory.Reservation::release);
+        reservation.ifPresent(BufferMemory.Reservation::release);
         reservation = Optional.empty();
         if (!closed) {
             closed = true;
--- a/router/src/main/java/org/snipewind/router/http/HttpConnector.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnector.java
@@ -62,8 +62,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(
-                                MIN_READ_BYTES, MIN_READ_BYTES, ResponseMemory.SMALL_RESPONSE_BYTES))
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MIN_READ_BYTES, BufferMemory.SMALL_BYTES))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel created) {
--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -45,7 +45,7 @@
     private final UnsolicitedBytesReporter unsolicitedBytes;
 
     /** The router's own requests are few, so their responses are limited by their size only. */
-    private final ResponseMemory memory = new ResponseMemory(Long.MAX_VALUE);
+    private final BufferMemory memory = new BufferMemory(Long.MAX_VALUE);
 
     private final Map<InetSocketAddress, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
--- a/router/src/main/java/org/snipewind/router/path/CallerResponse.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerResponse.java
@@ -13,8 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.router.http.BufferMemory;
 import org.snipewind.router.http.BufferedResponse;
-import org.snipewind.router.http.ResponseMemory;
 import org.snipewind.router.port.HeaderCodec;
 
 /** A response to a caller that is ready to be written, with the memory that its body takes until then. */
@@ -23,9 +23,9 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final FullHttpResponse message;
-    private final Optional<ResponseMemory.Reservation> memory;
+    private final Optional<BufferMemory.Reservation> memory;
 
-    private CallerResponse(FullHttpResponse message, Optional<ResponseMemory.Reservation> memory) {
+    private CallerResponse(FullHttpResponse message, Optional<BufferMemory.Reservation> memory) {
         this.message = message;
         this.memory = memory;
     }
@@ -83,6 +83,6 @@
     }
 
     void releaseMemory() {
-        memory.ifPresent(ResponseMemory.Reservation::release);
+        memory.ifPresent(BufferMemory.Reservation::release);
     }
 }
--- a/router/src/main/java/org/snipewind/router/path/RoutingContext.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutingContext.java
@@ -1,7 +1,7 @@
 package org.snipewind.router.path;
 
 import org.snipewind.coordination.clock.MillisClock;
-import org.snipewind.router.http.ResponseMemory;
+import org.snipewind.router.http.BufferMemory;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
 import org.snipewind.router.port.HeaderCodec;
@@ -24,7 +24,7 @@
         FleetTracker tracker,
         SharedRoutingState sharedState,
         OrganisationRateLimiter rateLimiter,
-        ResponseMemory responseMemory,
+        BufferMemory responseMemory,
         HeaderCodec headerCodec,
         MillisClock clock,
         ProcessMetrics metrics,
--- a/router/src/main/java/org/snipewind/router/path/TargetConnections.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetConnections.java
@@ -12,10 +12,10 @@
 import java.util.function.Predicate;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.target.TargetRegistration;
+import org.snipewind.router.http.BufferMemory;
 import org.snipewind.router.http.ConnectionOptions;
 import org.snipewind.router.http.HttpConnection;
 import org.snipewind.router.http.HttpConnector;
-import org.snipewind.router.http.ResponseMemory;
 import org.snipewind.router.http.UnsolicitedBytes;
 import org.snipewind.router.http.UnsolicitedBytesReporter;
 import org.snipewind.router.metrics.ProcessMetrics;
@@ -61,7 +61,7 @@
     private final EventLoop loop;
     private final MillisClock clock;
     private final ProcessMetrics metrics;
-    private final ResponseMemory responseMemory;
+    private final BufferMemory responseMemory;
     private final UnsolicitedBytesReporter unsolicitedBytes;
     private final Map<String, IncarnationConnections> byIncarnation = new HashMap<>();
 
--- a/router/src/test/java/org/snipewind/router/http/ResponseMemoryTest.java
+++ b/router/src/test/java/org/snipewind/router/http/BufferMemoryTest.java
@@ -7,17 +7,17 @@
 import org.junit.jupiter.api.Test;
 
 /** Guards against large responses that exhaust the heap, and against responses that wait for memory without end. */
-final class ResponseMemoryTest {
+final class BufferMemoryTest {
 
     private static final long LARGE = 540_000;
 
-    private final ResponseMemory memory = new ResponseMemory(2 * LARGE);
+    private final BufferMemory memory = new BufferMemory(2 * LARGE);
     private final List<String> granted = new ArrayList<>();
 
     @Test
     void largeResponsesBeyondTheLimitWaitInTheOrderOfTheirArrival() {
-        ResponseMemory.Reservation first = reserve("first", LARGE);
-        ResponseMemory.Reservation second = reserve("second", LARGE);
+        BufferMemory.Reservation first = reserve("first", LARGE);
+        BufferMemory.Reservation second = reserve("second", LARGE);
         reserve("third", LARGE);
         reserve("fourth", LARGE);
         assertThat(memory.isExhausted()).isTrue();
@@ -37,8 +37,8 @@
 
     @Test
     void aResponseThatIsDroppedWhileItWaitsTakesNoMemory() {
-        ResponseMemory.Reservation first = reserve("first", 2 * LARGE);
-        ResponseMemory.Reservation second = reserve("second", LARGE);
+        BufferMemory.Reservation first = reserve("first", 2 * LARGE);
+        BufferMemory.Reservation second = reserve("second", LARGE);
         second.release();
         first.release();
         assertThat(granted).isEmpty();
@@ -47,7 +47,7 @@
 
     @Test
     void bytesAreReleasedOnce() {
-        ResponseMemory.Reservation first = reserve("first", LARGE);
+        BufferMemory.Reservation first = reserve("first", LARGE);
         reserve("second", LARGE);
         first.release();
         first.release();
@@ -57,14 +57,14 @@
     @Test
     void bytesThatHaveBeenReceivedCountAtOnce() {
         reserve("first", 2 * LARGE);
-        ResponseMemory.Reservation second = reserve("second", LARGE);
+        BufferMemory.Reservation second = reserve("second", LARGE);
         second.takeAwaited();
         assertThat(memory.reservedBytes()).isEqualTo(3 * LARGE);
         assertThat(memory.isExhausted()).isFalse();
     }
 
-    private ResponseMemory.Reservation reserve(String name, long bytes) {
-        ResponseMemory.Reservation reservation = memory.open();
+    private BufferMemory.Reservation reserve(String name, long bytes) {
+        BufferMemory.Reservation reservation = memory.open();
         reservation.extend(bytes, () -> granted.add(name));
         return reservation;
     }
--- a/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/HttpConnectionTest.java
@@ -31,7 +31,7 @@
     private final List<UnsolicitedBytes> unsolicited = new ArrayList<>();
     private final ManualMillisClock clock = new ManualMillisClock(1_000);
     private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
-    private final ResponseMemory memory = new ResponseMemory(1_000_000);
+    private final BufferMemory memory = new BufferMemory(1_000_000);
     private final HttpConnection connection = new HttpConnection(decoder, options(1_000, memory));
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
     private final ExchangeListener listener = new ExchangeListener() {
@@ -209,10 +209,10 @@
     /** Guards against targets that fill the heap of an instance while slow callers still take earlier responses. */
     @Test
     void readingPausesWhileThereIsNoMemoryForTheResponse() {
-        ResponseMemory scarce = new ResponseMemory(150_000);
+        BufferMemory scarce = new BufferMemory(150_000);
         HttpConnection waiting = new HttpConnection(decoder, options(1_000_000, scarce));
         channel.pipeline().replace(connection, "waiting", waiting);
-        ResponseMemory.Reservation other = scarce.open();
+        BufferMemory.Reservation other = scarce.open();
         other.extend(100_000, () -> {});
         waiting.exchange(request(), ResponseMatcher.ANY, listener);
         channel.releaseOutbound();
@@ -238,7 +238,7 @@
         assertThat(failures).hasSize(1);
     }
 
-    private ConnectionOptions options(int maxResponseBytes, ResponseMemory responseMemory) {
+    private ConnectionOptions options(int maxResponseBytes, BufferMemory responseMemory) {
         return new ConnectionOptions(maxResponseBytes, responseMemory, clock, unsolicited::add, () -> {});
     }
 
--- a/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
@@ -62,7 +62,7 @@
         private final HttpConnection connection = new HttpConnection(
                 decoder,
                 new ConnectionOptions(
-                        100_000, new ResponseMemory(1_000_000), new ManualMillisClock(0), unsolicited::add, () -> {}));
+                        100_000, new BufferMemory(1_000_000), new ManualMillisClock(0), unsolicited::add, () -> {}));
         private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
         private Optional<BufferedResponse> response = Optional.empty();
         private Optional<ExchangeException> failure = Optional.empty();
--- a/router/src/test/java/org/snipewind/router/http/ResponseSplicingTest.java
+++ b/router/src/test/java/org/snipewind/router/http/ResponseSplicingTest.java
@@ -49,7 +49,7 @@
                 decoder,
                 new ConnectionOptions(
                         100_000,
-                        new ResponseMemory(1_000_000),
+                        new BufferMemory(1_000_000),
                         new ManualMillisClock(0),
                         found -> kinds.add(found.kind()),
                         () -> {}));
--- a/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
@@ -38,8 +38,8 @@
 import org.snipewind.coordination.routing.RoutingConfiguration;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.protocol.BudgetGrant;
+import org.snipewind.router.http.BufferMemory;
 import org.snipewind.router.http.BufferedResponse;
-import org.snipewind.router.http.ResponseMemory;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
 import org.snipewind.router.port.HeaderCodec;
@@ -87,7 +87,7 @@
                     clock,
                     loop,
                     request -> CompletableFuture.completedFuture(new BudgetGrant(true, request.tokens(), 0))),
-            new ResponseMemory(MAX_RESPONSE_MEMORY_BYTES),
+            new BufferMemory(MAX_RESPONSE_MEMORY_BYTES),
             new TestHeaderCodec(),
             clock,
             new ProcessMetrics(),
