Bound the memory of request bodies

Callers saw: with 40 bodies of 3.9 MB at a time, each within max_body_bytes, an instance answered nobody for seconds; small requests had no answer half a second after their route's timeout.

Cause: each body was collected on the heap without a bound over all of them, in a growing array and a copy, up to four times its length for a while. The collector and OutOfMemoryErrors stopped the event loop.

Change: bodies share a budget of a quarter of the heap. An announced length is reserved before the body is read, and a body in chunks as it arrives; without memory reading pauses, and after 200 ms the request is refused as daemon-bytes-limit (503, not run). Bodies up to 32 KB never wait. What the caller of a refused body still sends is read and dropped for up to 5 s, so that the answer isn't lost to a reset. A body is kept in pieces of at most 64 KB, which all attempts share, until the request has ended.

--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -59,6 +59,12 @@
     /** Fraction of the heap for responses; connections, the store cache and the garbage collector need the rest. */
     private static final double RESPONSE_MEMORY_FRACTION = 0.25;
 
+    /** Fraction of the heap for the bodies of requests. */
+    private static final double REQUEST_MEMORY_FRACTION = 0.25;
+
+    /** Size up to which the body of a request is received at once, however many large ones wait. */
+    private static final long SMALL_REQUEST_BYTES = 32 * 1024;
+
     private static final long STOP_CHECK_INTERVAL_MILLIS = 20;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -80,6 +86,8 @@
     private final StoreChangeBroadcaster changeBroadcaster;
     private final SharedRoutingState sharedState;
     private final CallerServer callers;
+    private final BufferMemory requestMemory =
+            new BufferMemory((long) (Runtime.getRuntime().maxMemory() * REQUEST_MEMORY_FRACTION), SMALL_REQUEST_BYTES);
     private final BufferMemory responseMemory =
             new BufferMemory((long) (Runtime.getRuntime().maxMemory() * RESPONSE_MEMORY_FRACTION));
     private volatile boolean stopping;
@@ -161,6 +169,7 @@
                         tracker,
                         sharedState,
                         rateLimiter,
+                        requestMemory,
                         responseMemory,
                         headerCodec,
                         clock,
@@ -217,6 +226,7 @@
         metrics.gauge("configuration.unreadable-revision", tracker::unreadableConfigurationRevision);
         metrics.gauge("fleet.members", () -> tracker.view().members().size());
         metrics.gauge("fleet.targets", () -> tracker.view().targets().size());
+        metrics.gauge("requests.reserved-bytes", requestMemory::reservedBytes);
         metrics.gauge("responses.reserved-bytes", responseMemory::reservedBytes);
         metrics.gauge("store.contact-age-millis", storeCache::contactAgeMillis);
         metrics.gauge("store.confirmation-age-millis", storeCache::ageMillis);
--- a/router/src/main/java/org/snipewind/router/http/BufferMemory.java
+++ b/router/src/main/java/org/snipewind/router/http/BufferMemory.java
@@ -6,8 +6,8 @@
 import java.util.List;
 
 /**
- * Limits the memory for responses that are being received or written, in bytes over all connections. Thread-safe: the
- * counts are guarded by the monitor of this object, and callbacks run without it.
+ * Limits the memory for bodies of requests, or of responses, that are being received, held or written, in bytes over
+ * all connections. Thread-safe: the counts are guarded by the monitor of this object, and callbacks run without it.
  */
 public final class BufferMemory {
 
@@ -15,20 +15,42 @@
     static final int SMALL_BYTES = 64 * 1024;
 
     private final long maxBytes;
+    private final long smallBytes;
     private final Deque<Reservation> waiting = new ArrayDeque<>();
     private long reservedBytes;
 
     /**
-     * Creates a limit.
+     * Creates a limit for responses.
      *
-     * @param maxBytes bytes that all responses together may take, not counting small ones
+     * @param maxBytes bytes that all responses together may take before large ones wait
      */
     public BufferMemory(long maxBytes) {
+        this(maxBytes, SMALL_BYTES);
+    }
+
+    /**
+     * Creates a limit.
+     *
+     * @param maxBytes bytes that all bodies together may take before large ones wait
+     * @param smallBytes size up to which a body never waits
+     */
+    public BufferMemory(long maxBytes, long smallBytes) {
         this.maxBytes = maxBytes;
+        this.smallBytes = smallBytes;
+    }
+
+    /**
+     * Returns whether a body of the given size could be held if there were no others.
+     *
+     * @param bytes size of the body
+     * @return false if the body would wait without end
+     */
+    public boolean mayHold(long bytes) {
+        return bytes <= Math.max(maxBytes, smallBytes);
     }
 
     /**
-     * Starts a reservation for one response.
+     * Starts a reservation for one body.
      *
      * @return a reservation of no bytes, which must be released
      */
@@ -37,9 +59,9 @@
     }
 
     /**
-     * Returns whether responses wait for memory, so that further large responses could only wait as well.
+     * Returns whether bodies wait for memory, so that further large ones could only wait as well.
      *
-     * @return true if at least one response waits
+     * @return true if at least one body waits
      */
     public synchronized boolean isExhausted() {
         return !waiting.isEmpty();
@@ -54,7 +76,7 @@
         return reservedBytes;
     }
 
-    /** The share of one response. */
+    /** The share of one body. */
     public final class Reservation {
         private long heldBytes;
         private long awaitedBytes;
@@ -64,16 +86,16 @@
         private Reservation() {}
 
         /**
-         * Reserves more bytes. A small response gets them at once. Otherwise, if they are not available, they are
-         * reserved in the order of the calls as other responses are released.
+         * Reserves more bytes. A small body gets them at once. Otherwise, if they are not available, they are reserved
+         * in the order of the calls as other bodies are released.
          *
          * @param bytes number of bytes
-         * @param granted called on the thread that releases another response if the bytes are reserved only later
+         * @param granted called on the thread that releases another body if the bytes are reserved only later
          * @return whether the bytes are reserved now
          */
         public boolean extend(long bytes, Runnable granted) {
             synchronized (BufferMemory.this) {
-                boolean small = heldBytes + bytes <= SMALL_BYTES;
+                boolean small = heldBytes + bytes <= smallBytes;
                 if (small || waiting.isEmpty() && reservedBytes + bytes <= maxBytes) {
                     hold(bytes);
                     return true;
--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -1,6 +1,5 @@
 package org.snipewind.router.path;
 
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -120,16 +119,16 @@
                         target.registration().id(),
                         routedRequest.organisationName(),
                         Math.max(1, routedRequest.remainingMillis()));
-        boolean hasBody = request.body().length > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+        boolean hasBody = request.body().length() > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH);
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         if (hasBody) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length());
         }
         return new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 request.method(),
                 request.uri(),
-                Unpooled.wrappedBuffer(request.body()),
+                request.body().content(),
                 headers,
                 EmptyHttpHeaders.INSTANCE);
     }
--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -1,23 +1,19 @@
 package org.snipewind.router.path;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
@@ -26,14 +22,13 @@
 import java.util.Optional;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.routing.CallerLimits;
-import org.snipewind.coordination.routing.RoutingConfiguration;
 import org.snipewind.router.http.PendingBytes;
 
 /**
  * The connection of one caller: serves its requests and writes the responses in their order. Idempotent requests that
  * the caller sends ahead are served side by side; any other request is served alone.
  */
-final class CallerChannel extends ChannelInboundHandlerAdapter {
+final class CallerChannel extends ChannelInboundHandlerAdapter implements BodyReceiver.Connection {
 
     /** Number of unanswered requests at which reading from the connection pauses. */
     private static final int MAX_PIPELINED_REQUESTS = 8;
@@ -44,17 +39,26 @@
     /** Longest time that a caller's next request takes from a new connection or the last response to its arrival. */
     private static final long REQUEST_IN_TRANSIT_MILLIS = 200;
 
+    /** Longest time for which the rest of a refused request is read, which covers the upload of some megabytes. */
+    private static final long MAX_DISCARD_MILLIS = 5_000;
+
     private final Worker worker;
     private final CallerServer server;
     private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
     private ChannelHandlerContext channelContext;
     private HttpRequest requestHead;
-    private ByteBuf requestBody = Unpooled.EMPTY_BUFFER;
+    private final BodyReceiver bodyReceiver;
     private boolean writing;
 
     /** Whether further bytes of the caller are ignored, because the connection is closed after the responses. */
     private boolean closing;
 
+    /** Whether the caller may still be sending a request that was refused. */
+    private boolean requestUnread;
+
+    /** Time until which the rest of a refused request is read and dropped, -1 before its response is written. */
+    private long discardUntilMillis = -1;
+
     private long lastActivityMillis;
     private int unwrittenBytes;
 
@@ -64,6 +68,7 @@
     CallerChannel(Worker worker, CallerServer server) {
         this.worker = worker;
         this.server = server;
+        this.bodyReceiver = new BodyReceiver(worker, this);
     }
 
     @Override
@@ -81,22 +86,13 @@
         return worker.context().clock().nowMillis();
     }
 
-    private CallerLimits limits() {
-        return worker.context()
-                .tracker()
-                .view()
-                .configuration()
-                .map(RoutingConfiguration::limits)
-                .orElse(CallerLimits.DEFAULT);
-    }
-
     /**
      * Records the arrival of bytes before they are decoded, so that the header timeout covers incomplete headers. Empty
      * lines between requests belong to none (RFC 9112, section 2.2).
      */
     void onBytesReceived(ByteBuf bytes) {
         boolean receiving = messageStartMillis >= 0 || requestHead != null;
-        if (!receiving && bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) < 0) {
+        if (closing || !receiving && bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) < 0) {
             return;
         }
         lastActivityMillis = nowMillis();
@@ -128,27 +124,53 @@
             refuseUndecodable(request.decoderResult().cause());
             return;
         }
-        HttpHeaders headers = request.headers();
-        boolean chunked = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-        // With two framings or an unknown transfer coding, the router and the target could disagree on where the
-        // request ends, and a second request could be smuggled in.
-        if (chunked && !"chunked".equalsIgnoreCase(headers.get(HttpHeaderNames.TRANSFER_ENCODING))
-                || headers.getAll(HttpHeaderNames.TRANSFER_ENCODING).size() > 1
-                || headers.getAll(HttpHeaderNames.HOST).size() > 1) {
+        if (RequestFraming.isAmbiguous(request)) {
             refuseAndClose(ErrorKind.MALFORMED_REQUEST);
             return;
         }
-        if (HttpUtil.getContentLength(request, 0L) > limits().maxBodyBytes()) {
+        long announcedBytes = RequestFraming.announcedBodyBytes(request);
+        if (announcedBytes > worker.limits().maxBodyBytes()) {
             refuseAndClose(ErrorKind.REQUEST_TOO_LARGE);
             return;
         }
-        requestBody = Unpooled.EMPTY_BUFFER;
-        if (HttpUtil.is100ContinueExpected(request) && exchanges.isEmpty()) {
+        bodyReceiver.start(announcedBytes);
+    }
+
+    @Override
+    public void bodyAllowed() {
+        lastActivityMillis = nowMillis();
+        if (HttpUtil.is100ContinueExpected(requestHead) && bodyReceiver.length() == 0 && exchanges.isEmpty()) {
             channelContext.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
+    @Override
+    public void readingChanged() {
+        boolean paused = exchanges.size() >= MAX_PIPELINED_REQUESTS || bodyReceiver.isWaiting();
+        channelContext.channel().config().setAutoRead(!paused);
+    }
+
+    @Override
+    public void bodyRefused(String reason) {
+        CallerRequest request =
+                new CallerRequest(requestHead.method(), requestHead.uri(), requestHead.headers(), RequestBody.empty());
+        String detail = reason + " received=" + bodyReceiver.length();
+        endRequest();
+        closing = true;
+        requestUnread = true;
+        CallerExchange exchange = new CallerExchange(this, request, true);
+        exchanges.addLast(exchange);
+        exchange.refuseUnread(ErrorKind.DAEMON_BYTES_LIMIT, RequestClassifier.NOT_READY_RETRY_AFTER_MILLIS, detail);
+    }
+
+    /** Forgets the request that was being received, and releases the memory of its body. */
+    private void endRequest() {
+        bodyReceiver.drop();
+        requestHead = null;
+        messageStartMillis = -1;
+    }
+
     private void readContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             refuseUndecodable(content.decoderResult().cause());
@@ -156,21 +178,17 @@
         }
         int receivedBytes = content.content().readableBytes();
         if (receivedBytes > 0) {
-            if (requestBody.readableBytes() + (long) receivedBytes > limits().maxBodyBytes()) {
+            if (bodyReceiver.length() + (long) receivedBytes > worker.limits().maxBodyBytes()) {
                 refuseAndClose(ErrorKind.REQUEST_TOO_LARGE);
                 return;
             }
-            if (requestBody == Unpooled.EMPTY_BUFFER) {
-                requestBody = Unpooled.buffer(receivedBytes);
-            }
-            requestBody.writeBytes(content.content());
+            bodyReceiver.append(content.content());
         }
         if (content instanceof LastHttpContent) {
             CallerRequest request = new CallerRequest(
-                    requestHead.method(), requestHead.uri(), requestHead.headers(), ByteBufUtil.getBytes(requestBody));
+                    requestHead.method(), requestHead.uri(), requestHead.headers(), bodyReceiver.finish());
             boolean last = !HttpUtil.isKeepAlive(requestHead);
             requestHead = null;
-            requestBody = Unpooled.EMPTY_BUFFER;
             messageStartMillis = -1;
             enqueue(new CallerExchange(this, request, last));
         }
@@ -179,9 +197,7 @@
     private void enqueue(CallerExchange exchange) {
         exchanges.addLast(exchange);
         closing |= exchange.isLastOnConnection();
-        if (exchanges.size() >= MAX_PIPELINED_REQUESTS) {
-            channelContext.channel().config().setAutoRead(false);
-        }
+        readingChanged();
         // The caller may have disconnected while the request waited in the socket buffer; this task runs only after the
         // end of the connection has been read.
         worker.loop().execute(this::startRequests);
@@ -233,16 +249,30 @@
             writing = false;
             lastActivityMillis = nowMillis();
             exchanges.remove(exchange);
-            if (last || !done.isSuccess()) {
+            if (last && requestUnread && done.isSuccess()) {
+                discardRequest();
+            } else if (last || !done.isSuccess()) {
                 channelContext.close();
             } else {
-                channelContext.channel().config().setAutoRead(exchanges.size() < MAX_PIPELINED_REQUESTS);
+                readingChanged();
                 startRequests();
                 writeNextResponse();
             }
         });
     }
 
+    /**
+     * Reads and drops what the caller still sends of a refused request. Closing a connection with unread bytes resets
+     * it, upon which the caller may lose the response.
+     */
+    private void discardRequest() {
+        discardUntilMillis = nowMillis() + MAX_DISCARD_MILLIS;
+        channelContext.channel().config().setAutoRead(true);
+        if (channelContext.channel() instanceof DuplexChannel duplexChannel) {
+            duplexChannel.shutdownOutput();
+        }
+    }
+
     /** Returns whether the connection is closed after a response: no request behind it has been started or may be. */
     private boolean isLast(CallerExchange exchange) {
         boolean startedBehind = exchanges.stream().anyMatch(other -> other != exchange && other.isStarted());
@@ -258,15 +288,13 @@
     }
 
     private void refuseUndecodable(Throwable cause) {
-        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        refuseAndClose(tooLong ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.MALFORMED_REQUEST);
+        refuseAndClose(RequestFraming.kindOf(cause));
     }
 
     private void refuseAndClose(ErrorKind kind) {
         closing = true;
         boolean respondingToHead = requestHead != null && HttpMethod.HEAD.equals(requestHead.method());
-        requestHead = null;
-        messageStartMillis = -1;
+        endRequest();
         worker.context().metrics().countRefusal(kind);
         if (!exchanges.isEmpty()) {
             // The requests before it are answered first, and then the connection is closed.
@@ -283,12 +311,20 @@
      * or whose caller does not take its response.
      */
     void checkTimeouts() {
-        // While reading pauses, the end of the connection is noticed only by an explicit read.
-        if (!channelContext.channel().config().isAutoRead() && !isCallerPresent()) {
+        // While reading pauses, the end of the connection is noticed only by an explicit read. A pause for lack of
+        // memory is short, and the read would take some of it.
+        boolean reading = channelContext.channel().config().isAutoRead() || bodyReceiver.isWaiting();
+        if (!reading && !isCallerPresent()) {
             return;
         }
         long now = nowMillis();
-        CallerLimits limits = limits();
+        if (discardUntilMillis >= 0) {
+            if (now > discardUntilMillis) {
+                channelContext.close();
+            }
+            return;
+        }
+        CallerLimits limits = worker.limits();
         if (isWriteStalled(now, limits)) {
             worker.context().metrics().count("callers.stalled");
             channelContext.close();
@@ -336,6 +372,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
+        endRequest();
         worker.removeChannel(this);
         server.channelClosed(this);
         exchanges.forEach(CallerExchange::cancel);
--- a/router/src/main/java/org/snipewind/router/path/CallerExchange.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerExchange.java
@@ -1,9 +1,11 @@
 package org.snipewind.router.path;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Optional;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.router.http.BufferedResponse;
+import org.snipewind.router.log.RouterEvent;
 
 /**
  * One request on a caller's connection and its response, which is written after the responses to the requests before
@@ -51,6 +53,28 @@
         routedRequest = Optional.of(channel.worker().serve(request, this));
     }
 
+    /**
+     * Refuses a request whose body is not received, so that it never runs.
+     *
+     * @param kind why the request is refused
+     * @param retryAfterMillis time after which it may be sent again
+     * @param detail details for the log
+     */
+    void refuseUnread(ErrorKind kind, long retryAfterMillis, String detail) {
+        started = true;
+        RoutingContext context = channel.worker().context();
+        Optional<String> requestId =
+                context.headerCodec().readRequest(request.headers()).requestId();
+        context.metrics().countRefusal(kind);
+        context.log()
+                .write(
+                        RouterEvent.REQUEST_REFUSED,
+                        () -> "request=" + requestId.orElse("none") + " path=" + request.path() + " kind="
+                                + kind.wireName() + " status=" + kind.status() + " announced="
+                                + request.headers().get(HttpHeaderNames.CONTENT_LENGTH, "none") + " " + detail);
+        refuse(kind, requestId, retryAfterMillis);
+    }
+
     /** Answers the request if it is in progress, because the process is about to end. */
     void endForShutdown() {
         routedRequest.ifPresent(RoutedRequest::endForShutdown);
@@ -59,6 +83,7 @@
     /** Cancels the request, or drops its response, because the caller has disconnected. */
     void cancel() {
         response.ifPresent(CallerResponse::releaseMemory);
+        request.body().release();
         if (response.isEmpty()) {
             routedRequest.ifPresent(RoutedRequest::cancel);
         }
--- a/router/src/main/java/org/snipewind/router/path/CallerRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerRequest.java
@@ -9,10 +9,9 @@
  * @param method HTTP method
  * @param uri request target as received
  * @param headers headers as received
- * @param body complete body
+ * @param body complete body, whose memory is released when the request has ended
  */
-@SuppressWarnings("ArrayRecordComponent")
-record CallerRequest(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+record CallerRequest(HttpMethod method, String uri, HttpHeaders headers, RequestBody body) {
 
     /** Returns the request target without its query. */
     String path() {
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -471,6 +471,7 @@
         timers.forEach(timer -> timer.cancel(false));
         activeAttempts.forEach(Attempt::abort);
         activeAttempts.clear();
+        request.body().release();
         worker.requestFinished();
         return true;
     }
--- a/router/src/main/java/org/snipewind/router/path/RoutingContext.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutingContext.java
@@ -13,6 +13,7 @@
  * @param tracker source of the fleet view
  * @param sharedState retry budgets, cold-start rate limits and load counts
  * @param rateLimiter enforces the rate limits of organisations
+ * @param requestMemory memory for the bodies of callers' requests
  * @param responseMemory memory for the responses of targets
  * @param headerCodec reads and writes the headers of requests and responses
  * @param clock clock for deadlines
@@ -24,6 +25,7 @@
         FleetTracker tracker,
         SharedRoutingState sharedState,
         OrganisationRateLimiter rateLimiter,
+        BufferMemory requestMemory,
         BufferMemory responseMemory,
         HeaderCodec headerCodec,
         MillisClock clock,
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -8,7 +8,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.snipewind.coordination.routing.CallerLimits;
 import org.snipewind.coordination.routing.Route;
+import org.snipewind.coordination.routing.RoutingConfiguration;
 import org.snipewind.coordination.target.LeastResponseTimeSelector;
 import org.snipewind.router.log.GuardedTask;
 
@@ -89,6 +91,14 @@
         return context;
     }
 
+    CallerLimits limits() {
+        return context.tracker()
+                .view()
+                .configuration()
+                .map(RoutingConfiguration::limits)
+                .orElse(CallerLimits.DEFAULT);
+    }
+
     TargetConnections connections() {
         return connections;
     }
--- a/router/src/test/java/org/snipewind/router/path/LeavingTargetTest.java
+++ b/router/src/test/java/org/snipewind/router/path/LeavingTargetTest.java
@@ -42,7 +42,7 @@
                         HttpMethod.GET,
                         path,
                         new DefaultHttpHeaders().set("Host", "h").set("Id", "1"),
-                        new byte[0]),
+                        RequestBody.empty()),
                 responder);
     }
 
--- a/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
@@ -58,6 +58,8 @@
     static final String PLAIN_POOL = "plain";
     static final long MAX_WAIT_MILLIS = 5_000;
     static final long MAX_RESPONSE_MEMORY_BYTES = 1 << 20;
+    static final long MAX_REQUEST_MEMORY_BYTES = 1 << 20;
+    private static final long SMALL_REQUEST_BYTES = 32 * 1024;
 
     final MillisClock clock = new SystemMillisClock();
     final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -87,6 +89,7 @@
                     clock,
                     loop,
                     request -> CompletableFuture.completedFuture(new BudgetGrant(true, request.tokens(), 0))),
+            new BufferMemory(MAX_REQUEST_MEMORY_BYTES, SMALL_REQUEST_BYTES),
             new BufferMemory(MAX_RESPONSE_MEMORY_BYTES),
             new TestHeaderCodec(),
             clock,
@@ -166,7 +169,8 @@
         HttpHeaders headers = new DefaultHttpHeaders().set("Host", "h");
         requestId.ifPresent(id -> headers.set("Id", id));
         Outcome outcome = new Outcome();
-        loop.execute(() -> worker.serve(new CallerRequest(HttpMethod.GET, path, headers, new byte[0]), outcome));
+        loop.execute(
+                () -> worker.serve(new CallerRequest(HttpMethod.GET, path, headers, RequestBody.empty()), outcome));
         return outcome;
     }
 
