--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -20,7 +20,6 @@
  */
 public final class OutboundHttpClient {
 
-    private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
     private static final int MAX_IDLE_CONNECTIONS = 4;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
@@ -44,7 +43,7 @@
     private final MillisClock clock;
     private final UnsolicitedBytesReporter unsolicitedBytes;
 
-    /** The router's own requests are few, so their responses are limited by their size only. */
+    /** Responses to the router's own requests are limited by their size only, each kind by its rules. */
     private final BufferMemory memory = new BufferMemory(Long.MAX_VALUE);
 
     private final Map<InetSocketAddress, Deque<IdleConnection>> idleConnections = new HashMap<>();
@@ -147,7 +146,7 @@
                     loop,
                     address,
                     (int) Math.min(CONNECT_TIMEOUT_MILLIS, timeoutMillis),
-                    new ConnectionOptions(MAX_RESPONSE_BYTES, memory, clock, unsolicitedBytesFrom(address), () -> {}),
+                    new ConnectionOptions(rules.maxBytes(), memory, clock, unsolicitedBytesFrom(address), () -> {}),
                     this::sendOn,
                     this::connectFailed);
         }
--- a/router/src/main/java/org/snipewind/router/http/ResponseRules.java
+++ b/router/src/main/java/org/snipewind/router/http/ResponseRules.java
@@ -13,10 +13,15 @@
  *     first exchange of a connection, which is closed after it
  * @param isRejection whether a response with a status shows that the request had no effect; after one of unknown origin
  *     the connection is closed, so that no copy of it can be taken for the rejection of the next request
+ * @param maxBytes longest body of a response; a longer one fails the request
  */
-public record ResponseRules(Function<HttpHeaders, ResponseOrigin> originOf, boolean tied, IntPredicate isRejection) {
+public record ResponseRules(
+        Function<HttpHeaders, ResponseOrigin> originOf, boolean tied, IntPredicate isRejection, int maxBytes) {
+
+    /** The watch of a store may return many changes at once, and there are few such requests at a time. */
+    private static final int MAX_STORE_RESPONSE_BYTES = 16 * 1024 * 1024;
 
     /** Rules for a server that responds to each request once, in their order on the connection. */
     public static final ResponseRules EACH_RESPONSE_ONCE =
-            new ResponseRules(headers -> ResponseOrigin.THIS_REQUEST, true, status -> false);
+            new ResponseRules(headers -> ResponseOrigin.THIS_REQUEST, true, status -> false, MAX_STORE_RESPONSE_BYTES);
 }
