--- a/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
+++ b/router/src/test/java/org/snipewind/router/http/ResponseAttributionTest.java
@@ -3,20 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import org.snipewind.coordination.clock.ManualMillisClock;
 
 /**
  * Guards against a response that is put together from two: the beginning of a late second response to the first request
@@ -49,92 +39,23 @@
             "with a folded header",
             "HTTP/1.1 200 Status\r\nId: 1\r\nFolded: 1\r\n 2\r\nSigned: 1.1\r\nContent-Length: 2\r\n\r\nab");
 
+    private static final String RIGHT_BODY = "body of the second 21";
+
     private static final String RIGHT = "HTTP/1.1 500 Status\r\nDate: today\r\nId: 2\r\nSigned: 2.1\r\n"
-            + "Content-Length: 21\r\n\r\nbody of the second 21";
+            + "Content-Length: 21\r\n\r\n" + RIGHT_BODY;
 
     /** A second response to the second request, with another status. */
     private static final String COPY_OF_RIGHT = RIGHT.replace("500", "201").replace("2.1", "2.2");
 
-    /** A connection whose first request has been answered. */
-    private static final class Probe {
-        private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
-        private final List<UnsolicitedBytes> unsolicited = new ArrayList<>();
-        private final HttpConnection connection = new HttpConnection(
-                decoder,
-                new ConnectionOptions(
-                        100_000, new BufferMemory(1_000_000), new ManualMillisClock(0), unsolicited::add, () -> {}));
-        private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
-        private Optional<BufferedResponse> response = Optional.empty();
-        private Optional<ExchangeException> failure = Optional.empty();
-
-        /** Sends the first request and receives its response, with further bytes in the same packet. */
-        Probe(String bytesBehindResponse) {
-            exchange("1");
-            receive("HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1.1\r\nContent-Length: 2\r\n\r\nok" + bytesBehindResponse);
-            assertThat(response).isPresent();
-        }
-
-        void exchange(String id) {
-            response = Optional.empty();
-            failure = Optional.empty();
-            connection.exchange(
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER),
-                    TestMatchers.named(id),
-                    new ExchangeListener() {
-                        @Override
-                        public void responseReceived(BufferedResponse received) {
-                            response = Optional.of(received);
-                        }
-
-                        @Override
-                        public void exchangeFailed(ExchangeException cause) {
-                            failure = Optional.of(cause);
-                        }
-                    });
-            channel.releaseOutbound();
-        }
-
-        void receive(String text) {
-            channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
-        }
-
-        void receiveInPackets(String text, int packetBytes) {
-            for (int start = 0; start < text.length() && channel.isActive(); start += packetBytes) {
-                receive(text.substring(start, Math.min(text.length(), start + packetBytes)));
-            }
-        }
-
-        /** Checks that the second request has its own response, or failed as one that may have run. */
-        void checkSecondRequest(String description) {
-            assertWithMessage(description + ": the exchange has ended")
-                    .that(response.isPresent() || failure.isPresent())
-                    .isTrue();
-            response.ifPresent(received -> {
-                assertWithMessage(description).that(received.status()).isEqualTo(500);
-                assertWithMessage(description)
-                        .that(received.headers().getAll("Id"))
-                        .containsExactly("2");
-                assertWithMessage(description)
-                        .that(received.headers().getAll("Signed"))
-                        .containsExactly("2.1");
-                assertWithMessage(description)
-                        .that(new String(received.body(), StandardCharsets.ISO_8859_1))
-                        .isEqualTo("body of the second 21");
-            });
-            failure.ifPresent(cause ->
-                    assertWithMessage(description).that(cause.isPossiblySent()).isTrue());
-        }
-    }
-
     @Test
     void bytesBehindAResponseEndItsConnection() {
         SECOND_RESPONSES.forEach((name, second) -> {
             for (int cut = 1; cut <= second.length(); cut++) {
-                Probe probe = new Probe(second.substring(0, cut));
+                ConnectionProbe probe = new ConnectionProbe(second.substring(0, cut));
                 assertWithMessage(name + " cut at " + cut)
-                        .that(probe.connection.isReusable())
+                        .that(probe.isReusable())
                         .isFalse();
-                assertThat(probe.channel.isActive()).isFalse();
+                assertThat(probe.isOpen()).isFalse();
             }
         });
     }
@@ -143,13 +64,13 @@
     void bytesOnAnIdleConnectionEndItAlsoIfTheyAreNoWholeResponse() {
         SECOND_RESPONSES.forEach((name, second) -> {
             for (int cut = 1; cut <= second.length(); cut++) {
-                Probe probe = new Probe("");
-                assertThat(probe.connection.isReusable()).isTrue();
+                ConnectionProbe probe = new ConnectionProbe("");
+                assertThat(probe.isReusable()).isTrue();
                 probe.receive(second.substring(0, cut));
                 assertWithMessage(name + " cut at " + cut)
-                        .that(probe.connection.isReusable())
+                        .that(probe.isReusable())
                         .isFalse();
-                assertThat(probe.channel.isActive()).isFalse();
+                assertThat(probe.isOpen()).isFalse();
             }
         });
     }
@@ -172,10 +93,9 @@
     private static void receiveCutAndRightResponse(String name, String second, int firstCut, int lastCut) {
         for (int cut = firstCut; cut <= lastCut; cut++) {
             for (int packetBytes : PACKET_BYTES) {
-                Probe probe = new Probe("");
-                probe.exchange("2");
-                probe.receiveInPackets(second.substring(0, cut) + RIGHT + COPY_OF_RIGHT, packetBytes);
-                probe.checkSecondRequest(name + " cut at " + cut + " in packets of " + packetBytes);
+                ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
+                probe.receiveInPackets(second.substring(0, cut) + RIGHT + COPY_OF_RIGHT, () -> packetBytes);
+                probe.checkOwnResponseOrFailure(name + " cut at " + cut + " in packets of " + packetBytes, RIGHT_BODY);
             }
         }
     }
@@ -185,10 +105,9 @@
     void aBodyThatIsContinuedByAnotherResponseIsNotWhole() {
         int bodyStart = bodyStart(RIGHT);
         for (int cut = bodyStart; cut < RIGHT.length(); cut++) {
-            Probe probe = new Probe("");
-            probe.exchange("2");
+            ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
             probe.receive(RIGHT.substring(0, cut) + COPY_OF_RIGHT);
-            probe.checkSecondRequest("cut at " + cut);
+            probe.checkOwnResponseOrFailure("cut at " + cut, RIGHT_BODY);
         }
     }
 
@@ -196,11 +115,10 @@
     @Test
     void aBodyWithoutLengthEndsBeforeTheNextResponse() {
         for (int packetBytes : PACKET_BYTES) {
-            Probe probe = new Probe("");
-            probe.exchange("2");
-            probe.receiveInPackets(RIGHT.replace("Content-Length: 21\r\n", "") + COPY_OF_RIGHT, packetBytes);
-            probe.channel.close();
-            probe.checkSecondRequest("in packets of " + packetBytes);
+            ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
+            probe.receiveInPackets(RIGHT.replace("Content-Length: 21\r\n", "") + COPY_OF_RIGHT, () -> packetBytes);
+            probe.close();
+            probe.checkOwnResponseOrFailure("in packets of " + packetBytes, RIGHT_BODY);
         }
     }
 
@@ -210,10 +128,9 @@
         String quoting = RIGHT.replace("Content-Length: 21\r\n\r\nbody of the second 21", "Content-Length: 15\r\n\r\n")
                 + "HTTP/1.1 200 OK";
         for (String behind : List.of("", COPY_OF_RIGHT)) {
-            Probe probe = new Probe("");
-            probe.exchange("2");
+            ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
             probe.receive(quoting + behind);
-            assertThat(new String(probe.response.orElseThrow().body(), StandardCharsets.ISO_8859_1))
+            assertThat(new String(probe.response().orElseThrow().body(), StandardCharsets.ISO_8859_1))
                     .isEqualTo("HTTP/1.1 200 OK");
         }
     }
@@ -221,20 +138,18 @@
     /** Guards against an exchange that waits until its deadline, since nothing is decoded after such a response. */
     @Test
     void aResponseThatSwitchesTheProtocolEndsTheExchange() {
-        Probe probe = new Probe("");
-        probe.exchange("2");
+        ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
         probe.receive("HTTP/1.1 101 Switching Protocols\r\n\r\n" + RIGHT);
-        probe.checkSecondRequest("after 101");
+        probe.checkOwnResponseOrFailure("after 101", RIGHT_BODY);
     }
 
     /** Guards against a rule that is too strict: headers may name a protocol. */
     @Test
     void aHeaderThatNamesAProtocolIsNoSecondStatusLine() {
-        Probe probe = new Probe("");
-        probe.exchange("2");
+        ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
         probe.receive(RIGHT.replace("Date: today", "Via: HTTP/1.1 203.0.113.7"));
-        probe.checkSecondRequest("with Via");
-        assertThat(probe.response).isPresent();
+        probe.checkOwnResponseOrFailure("with Via", RIGHT_BODY);
+        assertThat(probe.response()).isPresent();
     }
 
     /** Guards against a rule that is too strict: targets may send a second response late, and the next one is whole. */
@@ -242,11 +157,10 @@
     void aWholeResponseToAnEarlierRequestIsSkipped() {
         for (int packetBytes : PACKET_BYTES) {
             for (String name : List.of("with length", "chunked", "without id", "after an interim response")) {
-                Probe probe = new Probe("");
-                probe.exchange("2");
-                probe.receiveInPackets(SECOND_RESPONSES.get(name) + RIGHT, packetBytes);
-                probe.checkSecondRequest(name + " in packets of " + packetBytes);
-                assertThat(probe.response).isPresent();
+                ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
+                probe.receiveInPackets(SECOND_RESPONSES.get(name) + RIGHT, () -> packetBytes);
+                probe.checkOwnResponseOrFailure(name + " in packets of " + packetBytes, RIGHT_BODY);
+                assertThat(probe.response()).isPresent();
             }
         }
     }
--- a/router/src/test/java/org/snipewind/router/http/ResponseSplicingTest.java
+++ b/router/src/test/java/org/snipewind/router/http/ResponseSplicingTest.java
@@ -3,22 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpVersion;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
-import org.snipewind.coordination.clock.ManualMillisClock;
 
 /**
  * Guards against late responses that hide the response behind them, and against sound responses that are taken for
@@ -28,7 +18,8 @@
 
     private static final String RIGHT_HEAD =
             "HTTP/1.1 500 Status\r\nDate: today\r\nId: 2\r\nSigned: 2.1\r\nContent-Length: 4\r\n";
-    private static final String RIGHT = RIGHT_HEAD + "\r\nbody";
+    private static final String RIGHT_BODY = "body";
+    private static final String RIGHT = RIGHT_HEAD + "\r\n" + RIGHT_BODY;
 
     /** Late responses to the first request; all of their names and values are legal or common. */
     private static final List<String> LATE = List.of(
@@ -41,90 +32,13 @@
             "HTTP/1.1 304 Not Modified\r\nId: 1\r\nContent-Length: 4\r\n\r\n",
             "HTTP/1.0 200 Status\r\nId: 1\r\n\r\nlate");
 
-    /** A connection whose first request has been answered and whose second one has been sent. */
-    private static final class Probe {
-        private final ResponseDecoder decoder = new ResponseDecoder(new HttpDecoderConfig());
-        private final List<UnsolicitedKind> kinds = new ArrayList<>();
-        private final HttpConnection connection = new HttpConnection(
-                decoder,
-                new ConnectionOptions(
-                        100_000,
-                        new BufferMemory(1_000_000),
-                        new ManualMillisClock(0),
-                        found -> kinds.add(found.kind()),
-                        () -> {}));
-        private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
-        private Optional<BufferedResponse> response = Optional.empty();
-        private Optional<ExchangeException> failure = Optional.empty();
-
-        Probe() {
-            exchange("1");
-            receive("HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1.1\r\nContent-Length: 2\r\n\r\nok");
-            assertThat(response).isPresent();
-            exchange("2");
-        }
-
-        private void exchange(String id) {
-            response = Optional.empty();
-            connection.exchange(
-                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER),
-                    TestMatchers.named(id),
-                    new ExchangeListener() {
-                        @Override
-                        public void responseReceived(BufferedResponse received) {
-                            response = Optional.of(received);
-                        }
-
-                        @Override
-                        public void exchangeFailed(ExchangeException cause) {
-                            failure = Optional.of(cause);
-                        }
-                    });
-            channel.releaseOutbound();
-        }
-
-        void receive(String text) {
-            channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
-        }
-
-        void receiveInPackets(String text, Random random) {
-            int start = 0;
-            while (start < text.length() && channel.isActive()) {
-                int end = Math.min(text.length(), start + 1 + random.nextInt(40));
-                receive(text.substring(start, end));
-                start = end;
-            }
-        }
-
-        void checkNotMixed(String description) {
-            assertWithMessage(description + ": the exchange has ended")
-                    .that(response.isPresent() || failure.isPresent())
-                    .isTrue();
-            response.ifPresent(received -> checkRight(description));
-        }
-
-        void checkRight(String description) {
-            assertWithMessage(description + failure.map(Throwable::getMessage))
-                    .that(response)
-                    .isPresent();
-            BufferedResponse received = response.orElseThrow();
-            assertWithMessage(description).that(received.status()).isEqualTo(500);
-            assertWithMessage(description)
-                    .that(received.headers().getAll("Signed"))
-                    .containsExactly("2.1");
-            assertWithMessage(description)
-                    .that(new String(received.body(), StandardCharsets.ISO_8859_1))
-                    .isEqualTo("body");
-        }
-    }
-
     /** Guards against a status line that the decoder drops, since the name of a header is not followed by a colon. */
     @Test
     void aHeaderLineWithoutAColonDoesNotHideTheNextStatusLine() {
         for (String cut : List.of("Note ", "Note\t", "body of the first 20", "late and later")) {
-            Probe probe = new Probe();
+            ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
             probe.receive("HTTP/1.1 200 Status\r\n" + cut + RIGHT);
-            probe.checkNotMixed("cut behind '" + cut + "'");
+            probe.checkOwnResponseOrFailure("cut behind '" + cut + "'", RIGHT_BODY);
         }
     }
 
@@ -132,9 +46,9 @@
     @Test
     void aSwitchOfProtocolsDoesNotHideTheNextResponse() {
         for (String headers : List.of("", "Upgrade: h2c\r\n", "Upgrade: websocket\r\n", "Id: 1\r\n")) {
-            Probe probe = new Probe();
+            ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
             probe.receive("HTTP/1.1 101 Switching Protocols\r\n" + headers + "\r\n" + RIGHT);
-            probe.checkNotMixed("101 with " + headers);
+            probe.checkOwnResponseOrFailure("101 with " + headers, RIGHT_BODY);
         }
     }
 
@@ -147,34 +61,34 @@
             String late = LATE.get(random.nextInt(LATE.size()));
             stream.append(late, 0, random.nextInt(3) == 0 ? late.length() : 1 + random.nextInt(late.length()));
         }
-        Probe probe = new Probe();
-        probe.receiveInPackets(stream + RIGHT, random);
-        probe.checkNotMixed(stream.toString());
+        ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
+        probe.receiveInPackets(stream + RIGHT, () -> 1 + random.nextInt(40));
+        probe.checkOwnResponseOrFailure(stream.toString(), RIGHT_BODY);
     }
 
     /** Guards against sound responses that are refused because a header names a protocol (RFC 9110, 7.6.3). */
     @Test
     void aHeaderMayNameAProtocolAndAnAddress() {
-        Probe probe = new Probe();
+        ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
         probe.receive(RIGHT_HEAD + "Via: HTTP/1.1 203.0.113.7\r\n\r\nbody");
-        probe.checkRight("Via with an address");
+        probe.checkOwnResponse("Via with an address", RIGHT_BODY);
     }
 
     /** Guards against requests that fail because the late response in front of theirs is chunked. */
     @Test
     void aWholeChunkedResponseToAnEarlierRequestIsSkipped() {
-        Probe probe = new Probe();
+        ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
         probe.receive(LATE.get(2) + RIGHT);
-        probe.checkRight("whole chunked response in front");
+        probe.checkOwnResponse("whole chunked response in front", RIGHT_BODY);
     }
 
     /** Guards against a head that is put together from the lines of two responses. */
     @Test
     void aHeadThatNamesTwoRequestsIsNoResponse() {
-        Probe probe = new Probe();
+        ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
         probe.receive(RIGHT_HEAD + "Id: 1\r\n\r\nbody");
-        assertThat(probe.response).isEmpty();
-        assertThat(probe.failure.orElseThrow().isPossiblySent()).isTrue();
+        assertThat(probe.response()).isEmpty();
+        assertThat(probe.failure().orElseThrow().isPossiblySent()).isTrue();
     }
 
     /** Guards against connections that are reused after a late response that was cut in its body. */
@@ -182,15 +96,15 @@
     void aLateResponseOnAnIdleConnectionThatIsCutInItsBodyIsReportedAsBrokenOff() {
         for (String late : List.of(LATE.get(0), LATE.get(1))) {
             for (int cut = late.indexOf("\r\n\r\n") + 4; cut < late.length(); cut++) {
-                Probe probe = new Probe();
+                ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
                 probe.receive(RIGHT);
                 probe.receive(late.substring(0, cut));
-                assertThat(probe.kinds).containsExactly(UnsolicitedKind.BROKEN_OFF_RESPONSE);
+                assertThat(probe.kinds()).containsExactly(UnsolicitedKind.BROKEN_OFF_RESPONSE);
             }
-            Probe probe = new Probe();
+            ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
             probe.receive(RIGHT);
             probe.receive(late);
-            assertThat(probe.kinds).containsExactly(UnsolicitedKind.IDLE_CONNECTION);
+            assertThat(probe.kinds()).containsExactly(UnsolicitedKind.IDLE_CONNECTION);
         }
     }
 
@@ -198,10 +112,14 @@
     @Test
     void anyStatusLineThatTheDecoderAcceptsIsFoundWithinAHead() {
         for (String statusLine : List.of("HTTP/1.1 600 Status", "HTTP/1.1  500 Status", "HTTP/1.1\t500 Status")) {
-            Probe probe = new Probe();
+            ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
             probe.receive("HTTP/1.1 200 Sta" + RIGHT.replace("HTTP/1.1 500 Status", statusLine));
-            assertWithMessage(statusLine + " behind a cut").that(probe.response).isEmpty();
-            assertWithMessage(statusLine + " behind a cut").that(probe.failure).isPresent();
+            assertWithMessage(statusLine + " behind a cut")
+                    .that(probe.response())
+                    .isEmpty();
+            assertWithMessage(statusLine + " behind a cut")
+                    .that(probe.failure())
+                    .isPresent();
         }
     }
 
@@ -211,11 +129,11 @@
         String late = LATE.get(1);
         List<String> otherReports = new ArrayList<>();
         for (int cut = 1; cut < late.length(); cut++) {
-            Probe probe = new Probe();
+            ConnectionProbe probe = ConnectionProbe.awaitingSecondResponse();
             probe.receive(late.substring(0, cut) + RIGHT);
-            probe.checkNotMixed("cut at " + cut);
-            if (probe.failure.isPresent() && probe.kinds.stream().noneMatch(UnsolicitedKind::hidesNextResponse)) {
-                otherReports.add("cut at " + cut + ": " + probe.kinds);
+            probe.checkOwnResponseOrFailure("cut at " + cut, RIGHT_BODY);
+            if (probe.failure().isPresent() && probe.kinds().stream().noneMatch(UnsolicitedKind::hidesNextResponse)) {
+                otherReports.add("cut at " + cut + ": " + probe.kinds());
             }
         }
         assertThat(otherReports).isEmpty();
