Read times of kept connections from the clock, and reword comments

Change: the clock in milliseconds; plain words. Measured: the tests of http and lead in router and the client tests of platform pass.

--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -30,14 +30,14 @@
      * Time after bytes that belong to no request in which a server's connections are used again only if its responses
      * name their requests. A server that sends a response twice is likely to do so again soon.
      */
-    private static final long SINGLE_USE_NANOS = TimeUnit.SECONDS.toNanos(5);
+    private static final long SINGLE_USE_MILLIS = 5_000;
 
     /**
      * A connection that is not in use.
      *
      * @param namesRequests whether the last response named its request, so that the next one is expected to do so
      */
-    private record IdleConnection(HttpConnection connection, long idleSinceNanos, boolean namesRequests) {}
+    private record IdleConnection(HttpConnection connection, long idleSinceMillis, boolean namesRequests) {}
 
     private final EventLoop loop;
     private final MillisClock clock;
@@ -49,13 +49,13 @@
     private final Map<InetSocketAddress, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
     /** Servers that have sent bytes that belong to no request, and when. */
-    private final Map<InetSocketAddress, Long> unsolicitedSinceNanos = new HashMap<>();
+    private final Map<InetSocketAddress, Long> unsolicitedSinceMillis = new HashMap<>();
 
     /**
      * Creates a client.
      *
      * @param loop event loop of the connections, on which the results are completed
-     * @param clock clock for the age of findings
+     * @param clock clock for the ages of connections and of findings
      * @param unsolicitedBytes reports bytes that belong to no request
      */
     public OutboundHttpClient(EventLoop loop, MillisClock clock, UnsolicitedBytesReporter unsolicitedBytes) {
@@ -101,14 +101,14 @@
         Consumer<UnsolicitedBytes> reported =
                 unsolicitedBytes.forServer(address.getHostString() + ":" + address.getPort());
         return found -> {
-            unsolicitedSinceNanos.put(address, System.nanoTime());
+            unsolicitedSinceMillis.put(address, clock.nowMillis());
             reported.accept(found);
         };
     }
 
     private boolean hasSentUnsolicitedBytes(InetSocketAddress address) {
-        unsolicitedSinceNanos.values().removeIf(since -> System.nanoTime() - since >= SINGLE_USE_NANOS);
-        return unsolicitedSinceNanos.containsKey(address);
+        unsolicitedSinceMillis.values().removeIf(since -> clock.nowMillis() - since >= SINGLE_USE_MILLIS);
+        return unsolicitedSinceMillis.containsKey(address);
     }
 
     /** One request and the connection on which it is sent. */
@@ -165,7 +165,7 @@
                     continue;
                 }
                 newestFirst.remove();
-                long idleMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - newest.idleSinceNanos());
+                long idleMillis = clock.nowMillis() - newest.idleSinceMillis();
                 if (newest.connection().isReusable()
                         && idleMillis < newest.connection().serverIdleTimeoutMillis() * IDLE_REUSE_FRACTION) {
                     return newest.connection();
@@ -215,7 +215,7 @@
             } else if (connection.isReusable()) {
                 Deque<IdleConnection> idleToAddress =
                         idleConnections.computeIfAbsent(address, key -> new ArrayDeque<>());
-                idleToAddress.addLast(new IdleConnection(connection, System.nanoTime(), namesRequests));
+                idleToAddress.addLast(new IdleConnection(connection, clock.nowMillis(), namesRequests));
                 if (idleToAddress.size() > MAX_IDLE_CONNECTIONS) {
                     idleToAddress.pollFirst().connection().abort();
                 }
--- a/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
+++ b/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
@@ -118,7 +118,7 @@
     }
 
     /**
-     * Starts a request. One that can't be started counts as failed, so that it neither stays in flight for good nor
+     * Starts a request. One that can't be started counts as failed, so that it neither stays in flight forever nor
      * ends the requests to other targets. It may have arrived, since it is unknown where it failed.
      */
     private static <T> CompletableFuture<T> start(Supplier<CompletableFuture<T>> request) {
--- a/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
@@ -132,7 +132,7 @@
         }
     }
 
-    /** Guards against keys that stay for good with a target to which a request failed to start once. */
+    /** Guards against keys that stay permanently with a target to which a request failed to start once. */
     @Test
     void keysOfATargetToWhichNoRequestCanBeStartedMoveAndItGetsSomeAgainLater() {
         addTargets(3);
--- a/router/src/test/java/org/snipewind/router/peer/PeerNetworkTest.java
+++ b/router/src/test/java/org/snipewind/router/peer/PeerNetworkTest.java
@@ -92,7 +92,7 @@
         }
     }
 
-    /** Guards against an instance that hears of no peer for good because the secret was unreadable at its start. */
+    /** Guards against an instance that permanently hears of no peer because the secret was unreadable at its start. */
     @Test
     void anUnreadableSecretIsReplacedByALaterOne() throws Exception {
         int port = freePort();
@@ -103,7 +103,7 @@
         await(() -> accepts(port));
     }
 
-    /** Guards against an instance that no peer reaches for good because its port was taken at its start. */
+    /** Guards against an instance that no peer ever reaches because its port was taken at its start. */
     @Test
     void aPortThatIsTakenAtFirstIsBoundOnceItIsFree() throws Exception {
         int port;
--- a/router/src/test/java/org/snipewind/router/state/FleetTrackerTest.java
+++ b/router/src/test/java/org/snipewind/router/state/FleetTrackerTest.java
@@ -91,7 +91,7 @@
         assertThat(called).containsExactly("second");
     }
 
-    /** Guards against a configuration that is lost for good because memory was short at the moment of its arrival. */
+    /** Guards against a configuration that is never applied because memory was short at the moment of its arrival. */
     @Test
     void aConfigurationWhoseParserRanOutOfMemoryIsParsedAgainAndHoldsUpNothingElse() {
         parser.outOfMemory = true;
--- a/router/src/test/java/org/snipewind/router/state/MembershipTest.java
+++ b/router/src/test/java/org/snipewind/router/state/MembershipTest.java
@@ -18,7 +18,7 @@
 import org.snipewind.router.port.StorePage;
 import org.snipewind.router.port.StoreWrite;
 
-/** Guards against an instance that leaves the fleet for good because one call to the store could not be started. */
+/** Guards against an instance that leaves the fleet permanently because one call to the store could not be started. */
 final class MembershipTest {
 
     /** A store that accepts everything, but some calls fail to start. */
