Test an expired grant of a paused target on a manual clock

Cause: the test. Its grant lasts 150 ms of wall time from its first call, so beside load the grant can be over before the request arrives, which is then refused as it should be.

Change: the clock is moved by hand, and the test waits until the second request has arrived; its checks are the same.

--- a/standins/src/test/java/org/snipewind/standins/target/TargetStandInTest.java
+++ b/standins/src/test/java/org/snipewind/standins/target/TargetStandInTest.java
@@ -76,14 +76,16 @@
 
     @Test
     void aResumedTargetAbortsTheRequestsOfItsExpiredGrant() throws Exception {
-        start(TargetOptions.withoutColdStart("t", 2, 1));
+        ManualMillisClock clock = new ManualMillisClock(0);
+        start(TargetOptions.withoutColdStart("t", 2, 1), clock);
         grant(7, Set.of(4), 150);
         var running = send("long", 4, 7, 100);
         awaitExecutions(1);
         target.setFaults(new TargetFaults(true, 1, false, false, false, TargetFaults.Drop.NONE))
                 .get();
         var late = send("late", 4, 7, 1);
-        Thread.sleep(200);
+        awaitReceived("POST late");
+        clock.advance(200);
         target.setFaults(TargetFaults.NONE).get();
         assertThat(kindOf(late.get())).isEqualTo(ErrorKind.FENCED);
         assertThat(running.get().get().status()).isEqualTo(503);
@@ -224,11 +226,15 @@
 
     /** Waits until the target has handled a request, so that its deadline counts from the current time. */
     private void awaitArrival(String description) throws Exception {
+        awaitReceived(description);
+        // The target handles one call after the other, so the end of this one is the end of those before it.
+        target.setFaults(TargetFaults.NONE).get();
+    }
+
+    private void awaitReceived(String description) throws InterruptedException {
         while (!arrivals.contains(description)) {
             Thread.sleep(2);
         }
-        // The target handles one call after the other, so the end of this one is the end of those before it.
-        target.setFaults(TargetFaults.NONE).get();
     }
 
     private void awaitExecutions(int count) throws InterruptedException {
