Keep requests in their data centre until it is loaded

Cause: a target in another data centre counted 1.3 times its expected response time and 5 ms, whatever the load. The fastest of many targets is usually elsewhere, so nearly half of the requests crossed between data centres, where bytes are expensive in some deployments.

Change: on instances with links below 250 Mbit/s, DataCentreSelector selects a target in the own data centre while it is expected to respond within 0.8 of what is left of the objective. SpilloverPolicy moves the excess with hysteresis, and large bodies only if they would be refused or miss their deadline. Instances with larger links keep the fixed weighting. Requests that cross are counted by reason (requests.other-data-centre.*).

--- a/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
@@ -68,23 +68,34 @@
             long nowMillis,
             Predicate<TargetState> allowed,
             Predicate<TargetState> connected) {
-        Optional<TargetState> unpaused = bestTarget(targets, nowMillis, allowed, connected, false);
-        return unpaused.isPresent() ? unpaused : bestTarget(targets, nowMillis, allowed, connected, true);
+        Candidates candidates = new Candidates(targets, allowed, connected);
+        return best(candidates, nowMillis, false, target -> true)
+                .or(() -> best(candidates, nowMillis, true, target -> true))
+                .map(ScoredTarget::target);
     }
 
-    private Optional<TargetState> bestTarget(
-            List<TargetState> targets,
-            long nowMillis,
-            Predicate<TargetState> allowed,
-            Predicate<TargetState> connected,
-            boolean paused) {
+    /**
+     * Returns the target with the shortest expected time among those that a request may be sent to.
+     *
+     * @param candidates the targets
+     * @param nowMillis current time
+     * @param paused whether to consider those that are paused after failures, instead of the others
+     * @param place whether to consider a target because of its data centre
+     */
+    Optional<ScoredTarget> best(Candidates candidates, long nowMillis, boolean paused, Predicate<TargetState> place) {
+        List<TargetState> targets = candidates.targets();
         int start = targets.isEmpty() ? 0 : (int) (random.getAsDouble() * targets.size());
         List<TargetState> connectedTargets = new ArrayList<>(MAX_COMPARED);
         List<TargetState> unconnectedTargets = new ArrayList<>(MAX_COMPARED);
         for (int offset = 0; offset < targets.size(); offset++) {
             TargetState candidate = targets.get((start + offset) % targets.size());
-            List<TargetState> compared = connected.test(candidate) ? connectedTargets : unconnectedTargets;
-            if (compared.size() < MAX_COMPARED && candidate.isPaused(nowMillis) == paused && allowed.test(candidate)) {
+            if (!place.test(candidate)) {
+                continue;
+            }
+            List<TargetState> compared = candidates.connected().test(candidate) ? connectedTargets : unconnectedTargets;
+            if (compared.size() < MAX_COMPARED
+                    && candidate.isPaused(nowMillis) == paused
+                    && candidates.allowed().test(candidate)) {
                 compared.add(candidate);
             }
         }
@@ -106,7 +117,7 @@
                 bestScore = score;
             }
         }
-        return Optional.ofNullable(best);
+        return best == null ? Optional.empty() : Optional.of(new ScoredTarget(best, bestScore));
     }
 
     /**
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -162,24 +162,26 @@
         OrganisationRateLimiter rateLimiter =
                 new OrganisationRateLimiter(tracker, clock, controlLoop, leaderClient::fetchTokens);
         tracker.addObserver(rateLimiter::onViewChanged);
-        callers = new CallerServer(
-                controlGroup,
-                workerGroup,
-                new RoutingContext(
-                        tracker,
-                        sharedState,
-                        rateLimiter,
-                        requestMemory,
-                        responseMemory,
-                        headerCodec,
-                        clock,
-                        metrics,
-                        log,
-                        settings.dataCentre()));
+        callers = new CallerServer(controlGroup, workerGroup, routingContext(rateLimiter, headerCodec));
         activityLog = new ActivityLog(metrics, log, clock, this::describeView);
         registerGauges();
     }
 
+    private RoutingContext routingContext(OrganisationRateLimiter rateLimiter, HeaderCodec headerCodec) {
+        return new RoutingContext(
+                tracker,
+                sharedState,
+                rateLimiter,
+                requestMemory,
+                responseMemory,
+                headerCodec,
+                clock,
+                metrics,
+                log,
+                settings.dataCentre(),
+                settings.linkMegabits());
+    }
+
     private void onTermStart(long formerTermEndMillis, Optional<MemberRecord> formerLeader) {
         leaderService.onTermStart(formerTermEndMillis, formerLeader);
         changeBroadcaster.onTermStart();
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -13,6 +13,7 @@
 import org.snipewind.coordination.routing.Organisation;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.routing.Route;
+import org.snipewind.coordination.target.SpilloverRequest;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.http.BufferedResponse;
 import org.snipewind.router.http.HttpConnection;
@@ -214,7 +215,8 @@
     private void selectTargetAndSend() {
         Either<TargetResolver.NoTarget, TargetState> found = pool.keyed()
                 ? worker.targetResolver().resolveOwner(pool, headers.shardKey().getAsInt(), queueLimit())
-                : worker.targetResolver().selectFromPool(pool, triedIncarnations, !route.idempotent(), queueLimit());
+                : worker.targetResolver()
+                        .selectFromPool(pool, triedIncarnations, !route.idempotent(), queueLimit(), spilloverRequest());
         found.peek(this::send).peekLeft(this::handleNoTarget);
     }
 
@@ -226,6 +228,12 @@
         return new TargetResolver.QueueLimit(Math.min(allowedMillis, remainingMillis()), lengthFactor);
     }
 
+    private SpilloverRequest spilloverRequest() {
+        long elapsedMillis = context.clock().nowMillis() - arrivedMillis;
+        return SpilloverRequest.of(
+                pool, route, elapsedMillis, remainingMillis(), request.body().length(), attempts > 0);
+    }
+
     private void handleNoTarget(TargetResolver.NoTarget noTarget) {
         if (noTarget.ownerExpectedMillis().isPresent()) {
             awaitOwner(noTarget, noTarget.ownerExpectedMillis().getAsLong());
--- a/router/src/main/java/org/snipewind/router/path/RoutingContext.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutingContext.java
@@ -20,6 +20,7 @@
  * @param metrics counters, gauges and timers
  * @param log event log
  * @param dataCentre data centre of this instance
+ * @param linkMegabits bandwidth of this instance's network link, in Mbit/s
  */
 public record RoutingContext(
         FleetTracker tracker,
@@ -31,4 +32,5 @@
         MillisClock clock,
         ProcessMetrics metrics,
         RouterEventLog log,
-        String dataCentre) {}
+        String dataCentre,
+        double linkMegabits) {}
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -10,8 +10,12 @@
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.routing.Pool;
+import org.snipewind.coordination.target.Candidates;
 import org.snipewind.coordination.target.ConnectionQuota;
-import org.snipewind.coordination.target.LeastResponseTimeSelector;
+import org.snipewind.coordination.target.DataCentreSelector;
+import org.snipewind.coordination.target.Selection;
+import org.snipewind.coordination.target.SpilloverReason;
+import org.snipewind.coordination.target.SpilloverRequest;
 import org.snipewind.coordination.target.TargetNotices;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.state.FleetView;
@@ -80,9 +84,9 @@
 
     private final RoutingContext context;
     private final TargetConnections connections;
-    private final LeastResponseTimeSelector selector;
+    private final DataCentreSelector selector;
 
-    TargetResolver(RoutingContext context, TargetConnections connections, LeastResponseTimeSelector selector) {
+    TargetResolver(RoutingContext context, TargetConnections connections, DataCentreSelector selector) {
         this.context = context;
         this.connections = connections;
         this.selector = selector;
@@ -95,20 +99,26 @@
      * @param triedIncarnations incarnations of targets that are not selected again
      * @param nonIdempotent whether the request must not run twice
      * @param queueLimit limit on the queue of the target
+     * @param spillover determines whether the request may leave the data centre of this instance
      * @return the target, or the reason why there is none
      */
     Either<NoTarget, TargetState> selectFromPool(
-            Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueLimit queueLimit) {
+            Pool pool,
+            Set<String> triedIncarnations,
+            boolean nonIdempotent,
+            QueueLimit queueLimit,
+            SpilloverRequest spillover) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
         List<TargetState> targets = inServiceTargets(pool, view);
         int limit = connectionLimit(pool, view);
-        Optional<TargetState> chosen = selector.choose(
+        Candidates candidates = new Candidates(
                 targets,
-                nowMillis,
                 target -> !triedIncarnations.contains(target.incarnation())
                         && canSendTo(pool, target, nowMillis, limit, queueLimit),
                 target -> connections.hasIdleConnection(target.registration(), nonIdempotent));
+        Optional<Selection> selection = selector.choose(spillover, candidates, nowMillis);
+        Optional<TargetState> chosen = selection.map(Selection::target);
         long leastPauseMillis =
                 targets.stream().mapToLong(this::pauseRemainingMillis).min().orElse(0);
         if (leastPauseMillis > 0) {
@@ -128,9 +138,14 @@
                     "cold-start rate limit reached target="
                             + chosen.get().registration().id());
         }
+        selection.flatMap(Selection::spillover).ifPresent(this::countSpillover);
         return Either.right(chosen.get());
     }
 
+    private void countSpillover(SpilloverReason reason) {
+        context.metrics().count("requests.other-data-centre." + reason.wireName());
+    }
+
     private boolean canSendTo(
             Pool pool, TargetState target, long nowMillis, int connectionLimit, QueueLimit queueLimit) {
         return pauseRemainingMillis(target) == 0
@@ -186,7 +201,14 @@
                 .flatMap(owner -> exceedsColdStartRate(
                                 pool, owner, context.clock().nowMillis())
                         ? NoTarget.refuse(ErrorKind.OVERLOADED, POOL_RETRY_AFTER_MILLIS, "key=" + key + " cold=true")
-                        : Either.right(owner));
+                        : Either.right(owner))
+                .peek(this::countIfElsewhere);
+    }
+
+    private void countIfElsewhere(TargetState owner) {
+        if (!owner.registration().dataCentre().equals(context.dataCentre())) {
+            countSpillover(SpilloverReason.OWNER_ELSEWHERE);
+        }
     }
 
     /**
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -11,21 +11,12 @@
 import org.snipewind.coordination.routing.CallerLimits;
 import org.snipewind.coordination.routing.Route;
 import org.snipewind.coordination.routing.RoutingConfiguration;
-import org.snipewind.coordination.target.LeastResponseTimeSelector;
+import org.snipewind.coordination.target.DataCentreSelector;
 import org.snipewind.router.log.GuardedTask;
 
 /** An event loop that serves callers over its own connections to targets; its state is confined to that loop. */
 final class Worker {
 
-    /**
-     * Factor by which the response time of a target in another data centre is weighted. Traffic between data centres
-     * costs money and time, so a remote target must be clearly faster than a local one.
-     */
-    private static final double REMOTE_RESPONSE_TIME_FACTOR = 1.3;
-
-    /** Time added to the response time of a target in another data centre. */
-    private static final double REMOTE_PENALTY_MILLIS = 5;
-
     /** Each tick wakes up the process, which costs an idle instance more than the work of the tick itself. */
     private static final long TICK_INTERVAL_MILLIS = 100;
 
@@ -59,10 +50,9 @@
         this.targetResolver = new TargetResolver(
                 context,
                 connections,
-                new LeastResponseTimeSelector(
+                new DataCentreSelector(
                         context.dataCentre(),
-                        REMOTE_RESPONSE_TIME_FACTOR,
-                        REMOTE_PENALTY_MILLIS,
+                        context.linkMegabits(),
                         () -> ThreadLocalRandom.current().nextDouble()));
         this.classifier = new RequestClassifier(context);
         this.lastTickMillis = context.clock().nowMillis();
--- a/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
@@ -60,6 +60,7 @@
     static final long MAX_RESPONSE_MEMORY_BYTES = 1 << 20;
     static final long MAX_REQUEST_MEMORY_BYTES = 1 << 20;
     private static final long SMALL_REQUEST_BYTES = 32 * 1024;
+    private static final double LINK_MEGABITS = 10;
 
     final MillisClock clock = new SystemMillisClock();
     final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -95,7 +96,8 @@
             clock,
             new ProcessMetrics(),
             log,
-            "dc");
+            "dc",
+            LINK_MEGABITS);
     final Worker worker = new Worker(loop, context);
     private long revision = 1;
 
