Send the leader's broadcast through one relay per data centre

Cause: the leader sent each change and each confirmation of the store to every instance, so the bytes between data centres grew with the fleet.

Change: RelayedBroadcast sends a delta to one relay in each other data centre that has 4 instances or more and directly to all others. If it does not within 300 ms, RelayChoice names another one, and what is unacknowledged is sent again in order; after two failures in a row the instances get it directly for 5 s. The acknowledgement contains the relay's clock, from which the leader derives a bound (ClockOffset), so that a relay can tell how long a delta was on its way and adds that to its age. The announcements at the start and end of a term still go to each instance directly.

Result: in RelayedBroadcastTest, a change crosses between data centres in 4 messages with 5 and with 9 instances in each of 3 data centres, 2 deltas and 2 acknowledgements. RelayedBroadcastTest (11), RelayChoiceTest (7), ClockOffsetTest (3), RelayDirectoryTest, MessageCodecTest, MirrorDeltaApplierTest, PeerNetworkTest, RouterEventCatalogueTest, LeaderElectionTest and StoreCacheTest pass.

--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -202,7 +202,7 @@
             new MessageLayout<>(
                     21,
                     MirrorDelta.class,
-                    6,
+                    8,
                     (out, message) -> out.writeLong(message.fromRevision())
                             .writeLong(message.toRevision())
                             .writeLong(message.storeAgeMillis())
@@ -214,14 +214,18 @@
                                             .writeString(patch.key())
                                             .writeLong(patch.baseRevision())
                                             .writeLong(patch.revision())
-                                            .writeBytes(patch.content())),
+                                            .writeBytes(patch.content()))
+                            .writeBoolean(message.forward())
+                            .writeLong(message.sentMillis()),
                     in -> new MirrorDelta(
                             in.readLong("fromRevision"),
                             in.readLong("toRevision"),
                             in.readLong("storeAgeMillis"),
                             in.readList("written", () -> readItem(in)),
                             in.readList("removed", () -> readItem(in)),
-                            in.readList("patches", () -> readPatch(in)))),
+                            in.readList("patches", () -> readPatch(in)),
+                            in.readBoolean("forward"),
+                            in.readLong("sentMillis"))),
             new MessageLayout<>(
                     22,
                     TermEndRequest.class,
@@ -239,7 +243,13 @@
                     LeavingTargets.class,
                     1,
                     (out, message) -> out.writeList(message.incarnations(), out::writeString),
-                    in -> new LeavingTargets(in.readList("incarnations", () -> in.readString("incarnations")))));
+                    in -> new LeavingTargets(in.readList("incarnations", () -> in.readString("incarnations")))),
+            new MessageLayout<>(
+                    29,
+                    RelayAcknowledgement.class,
+                    2,
+                    (out, message) -> out.writeBoolean(message.accepted()).writeLong(message.receivedMillis()),
+                    in -> new RelayAcknowledgement(in.readBoolean("accepted"), in.readLong("receivedMillis"))));
 
     private MessageLayouts() {}
 
--- a/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
+++ b/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
@@ -21,6 +21,7 @@
                 RecordAnswer,
                 RecordFetch,
                 RecordPush,
+                RelayAcknowledgement,
                 ReportAnswer,
                 TargetReport,
                 TargetReportAnswer,
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -139,6 +139,7 @@
                 leaderService,
                 controlLoop,
                 controlGroup,
+                clock,
                 log,
                 metrics,
                 self,
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -37,6 +37,8 @@
     MIRROR_AHEAD(5107, Level.WARNING),
     /** The reads and watches of the store stalled and were started again. */
     STORE_CALLS_RESTARTED(5108, Level.WARNING),
+    /** A relay of the broadcast did not acknowledge it, and another instance takes its place, or none. */
+    RELAY_REPLACED(5121, Level.WARNING),
     /** A new version of the configuration is in force. */
     CONFIGURATION_IN_FORCE(5201, Level.INFO),
     /** A store item is invalid and is ignored. */
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.protocol.BudgetRequest;
 import org.snipewind.protocol.LeavingTargets;
 import org.snipewind.protocol.LoadSummary;
@@ -59,10 +61,11 @@
     private final CoordinationStore store;
     private final StoreCache cache;
     private final FleetTracker tracker;
-    private final MirrorDeltaApplier deltaApplier;
+    private final BroadcastReceiver broadcastReceiver;
     private final LeaderService leaderService;
     private final EventLoop controlLoop;
     private final EventLoopGroup eventLoops;
+    private final MillisClock clock;
     private final RouterEventLog log;
     private final ProcessMetrics metrics;
     private final MemberRecord self;
@@ -79,6 +82,7 @@
      * @param leaderService handles messages to the leader
      * @param controlLoop the control event loop
      * @param eventLoops event loops of the connections
+     * @param clock clock that measures the time since the leader last responded, and how long broadcasts are held
      * @param log the event log
      * @param metrics counts messages by type
      * @param self this instance
@@ -91,6 +95,7 @@
             LeaderService leaderService,
             EventLoop controlLoop,
             EventLoopGroup eventLoops,
+            MillisClock clock,
             RouterEventLog log,
             ProcessMetrics metrics,
             MemberRecord self,
@@ -98,14 +103,15 @@
         this.store = new GuardedStore(store);
         this.cache = cache;
         this.tracker = tracker;
-        this.deltaApplier = new MirrorDeltaApplier(cache);
         this.leaderService = leaderService;
         this.controlLoop = controlLoop;
         this.eventLoops = eventLoops;
+        this.clock = clock;
         this.log = log;
         this.metrics = metrics;
         this.self = self;
         this.port = port;
+        this.broadcastReceiver = new BroadcastReceiver(cache, tracker, clock, metrics, self, this::broadcast);
     }
 
     /** Opens the network as soon as the secret is known. The first instance of a fleet generates and writes it. */
@@ -193,8 +199,7 @@
             return Optional.of(leaderService.handleTermEndRequest(request));
         }
         if (message instanceof MirrorDelta delta) {
-            deltaApplier.applyDelta(delta);
-            return Optional.empty();
+            return broadcastReceiver.receive(delta);
         }
         if (message instanceof MirrorRequest request) {
             return Optional.of(answerTo(request));
@@ -217,7 +222,7 @@
         return new MirrorAnswer(
                 cache.revision(),
                 cache.ageMillis(),
-                nowMillis() - lastLeaderContactMillis,
+                clock.nowMillis() - lastLeaderContactMillis,
                 changes.isEmpty(),
                 items,
                 removed);
@@ -240,8 +245,22 @@
         }
     }
 
-    private static long nowMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    /**
+     * Creates the broadcast of a leader that reaches other data centres through relays.
+     *
+     * @param confirmation creates a delta without changes
+     * @return the broadcast
+     */
+    RelayedBroadcast newRelayedBroadcast(Supplier<MirrorDelta> confirmation) {
+        return new RelayedBroadcast(
+                self,
+                () -> tracker.view().members().values(),
+                confirmation,
+                this::broadcast,
+                (relay, delta) -> call(relay.peerAddress(), delta, RelayedBroadcast.ACKNOWLEDGEMENT_TIMEOUT_MILLIS),
+                clock,
+                log,
+                metrics);
     }
 
     /**
@@ -273,7 +292,7 @@
 
     /** Records that the leader has just responded. */
     void recordLeaderContact() {
-        lastLeaderContactMillis = nowMillis();
+        lastLeaderContactMillis = clock.nowMillis();
     }
 
     /**
--- a/router/src/main/java/org/snipewind/router/peer/StoreChangeBroadcaster.java
+++ b/router/src/main/java/org/snipewind/router/peer/StoreChangeBroadcaster.java
@@ -30,6 +30,7 @@
     private static final long CONFIRMATION_INTERVAL_MILLIS = 400;
 
     private final PeerNetwork network;
+    private final RelayedBroadcast relayedBroadcast;
     private final StoreCache cache;
     private final FleetTracker tracker;
     private final LeaderElection leaderElection;
@@ -57,6 +58,7 @@
             EventLoop loop,
             RouterEventLog log) {
         this.network = network;
+        this.relayedBroadcast = network.newRelayedBroadcast(this::confirmation);
         this.cache = cache;
         this.tracker = tracker;
         this.leaderElection = leaderElection;
@@ -76,17 +78,27 @@
 
     private void broadcastConfirmation() {
         if (leaderElection.isLeading()) {
-            broadcastChanges(cache.revision(), cache.revision(), List.of());
+            relayedBroadcast.broadcast(confirmation());
         } else {
             sentTables.clear();
+            relayedBroadcast.clear();
         }
     }
 
-    /** Announces at once that this instance leads, so that the other instances request tokens from it. */
+    private MirrorDelta confirmation() {
+        return new MirrorDelta(
+                cache.revision(), cache.revision(), cache.confirmationAgeMillis(), List.of(), List.of(), List.of());
+    }
+
+    /**
+     * Announces at once that this instance leads, so that the other instances request tokens from it. This goes to each
+     * instance directly, since a lost relay would delay it.
+     */
     public void onTermStart() {
         cache.item(StoreKeys.LEADER)
-                .ifPresent(item -> broadcastChanges(
-                        item.revision(), item.revision(), List.of(new StoreChanges.Change(item, false))));
+                .ifPresent(item -> network.broadcast(
+                        deltaOf(item.revision(), item.revision(), List.of(new StoreChanges.Change(item, false))),
+                        tracker.view().members().values()));
     }
 
     /**
@@ -103,6 +115,10 @@
     }
 
     private void broadcastChanges(long fromRevision, long toRevision, List<StoreChanges.Change> changes) {
+        relayedBroadcast.broadcast(deltaOf(fromRevision, toRevision, changes));
+    }
+
+    private MirrorDelta deltaOf(long fromRevision, long toRevision, List<StoreChanges.Change> changes) {
         List<MirrorAnswer.Item> written = new ArrayList<>();
         List<MirrorAnswer.Item> removed = new ArrayList<>();
         List<MirrorDelta.Patch> patches = new ArrayList<>();
@@ -114,9 +130,7 @@
                 (change.removed() ? removed : written).add(MirrorItemConverter.toMessage(change.item()));
             }
         }
-        MirrorDelta delta =
-                new MirrorDelta(fromRevision, toRevision, cache.confirmationAgeMillis(), written, removed, patches);
-        network.broadcast(delta, tracker.view().members().values());
+        return new MirrorDelta(fromRevision, toRevision, cache.confirmationAgeMillis(), written, removed, patches);
     }
 
     private Optional<MirrorDelta.Patch> patchFor(StoreChanges.Change change) {
--- a/router/src/test/java/org/snipewind/router/peer/PeerNetworkTest.java
+++ b/router/src/test/java/org/snipewind/router/peer/PeerNetworkTest.java
@@ -69,7 +69,18 @@
         MemberRecord self = new MemberRecord("entry", "boot", "127.0.0.1:" + port, "dc-1", 1);
         LeaderService leaderService =
                 new LeaderService(store, cache, tracker, new UnresponsiveTargets(), clock, log, self);
-        new PeerNetwork(store, cache, tracker, leaderService, loop, network, log, new ProcessMetrics(), self, port)
+        new PeerNetwork(
+                        store,
+                        cache,
+                        tracker,
+                        leaderService,
+                        loop,
+                        network,
+                        clock,
+                        log,
+                        new ProcessMetrics(),
+                        self,
+                        port)
                 .start();
     }
 
