Divide keys over targets by capacity

Cause: a target without measurements was assumed to take 60 ms, whatever the others take, so that after a change of leader the measured targets of a slow pool lost keys; keys without a holder were dealt by count; slow targets that were not busy kept an even share, although fast ones would answer sooner; keys never went to cold targets, however overloaded the warm ones were.

Change: KeyPlanner keeps recent and usual requests and service times. An unmeasured target is assumed to be like the mean of the measured ones. Unheld keys are dealt by capacity, to cold targets only beyond the warm capacity and within their cold-start rate. In fleets of more than 20 instances the usual load is divided by the square-root rule if the gain is clear.

With the former rules 3 of 8 tests of KeysByCapacityTest and 2 of 4 of TargetCapacitiesTest fail. KeyAssignmentPlannerTest, KeyTableTest and KeyAssignerTest pass.

--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyAssignmentPlanner.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyAssignmentPlanner.java
@@ -41,9 +41,24 @@
     /** Standard deviations of a measured load that are attributed to chance. */
     private static final double NOISE_DEVIATIONS = 2;
 
+    /** The same for the usual load; what it gains is not urgent, and its plans are many. */
+    private static final double BALANCE_NOISE_DEVIATIONS = 3;
+
     /** Maximum number of moves off busy targets in one plan, so that their effect is measured before the next plan. */
     private static final int MAX_OFFLOAD_MOVES = 8;
 
+    /** Maximum number of moves in one plan that evens out the usual load, which is not urgent. */
+    private static final int MAX_BALANCE_MOVES = 4;
+
+    /** Factor by which the usual load of a target must exceed its fair load before it is moved. */
+    private static final double BALANCE_EXCESS = 1.5;
+
+    /**
+     * Utilization that a warm target would have with more keys, above which keys are assigned to targets in cold start
+     * instead. A cold target refuses most requests for its keys, a warm one only those beyond its capacity.
+     */
+    private static final double COLD_PLACEMENT_UTILIZATION = 1;
+
     /** Number of chunks per usable target into which the whole key space would be cut when unheld keys are assigned. */
     private static final int CHUNKS_PER_TARGET = 4;
 
@@ -51,15 +66,34 @@
     private final Map<String, Integer> keyCounts = new HashMap<>();
     private final Map<String, HolderCandidate> candidates;
     private final NavigableMap<Integer, Double> ratesPerSecond;
+    private final double timeConstantSeconds;
+    /** Whether the usual load is divided, see {@link #planBalance}, as opposed to a momentary excess of load. */
+    private final boolean balancing;
+
+    private final double totalLoad;
+    private final double meanCapacity;
     /** Targets from which this plan may still move load. */
     private final Set<String> offloadSources;
 
-    private final List<KeyMove> moves = new ArrayList<>();
+    private List<KeyMove> moves = new ArrayList<>();
     private KeyTable table;
 
-    private KeyAssignmentPlanner(KeyTable table, List<HolderCandidate> targets, NavigableMap<Integer, Double> rates) {
+    private KeyAssignmentPlanner(
+            KeyTable table,
+            List<HolderCandidate> targets,
+            NavigableMap<Integer, Double> rates,
+            double timeConstantSeconds,
+            boolean balancing) {
         this.table = table;
         this.ratesPerSecond = rates;
+        this.timeConstantSeconds = timeConstantSeconds;
+        this.balancing = balancing;
+        this.totalLoad =
+                rates.values().stream().mapToDouble(Double::doubleValue).sum();
+        this.meanCapacity = targets.stream()
+                .mapToDouble(HolderCandidate::capacityPerSecond)
+                .average()
+                .orElse(1);
         this.candidates =
                 targets.stream().collect(Collectors.toMap(HolderCandidate::incarnation, candidate -> candidate));
         this.offloadSources = targets.stream().map(HolderCandidate::incarnation).collect(Collectors.toSet());
@@ -81,15 +115,45 @@
         if (targets.isEmpty()) {
             return List.of();
         }
-        KeyAssignmentPlanner planner = new KeyAssignmentPlanner(table, targets, rates);
+        KeyAssignmentPlanner planner =
+                new KeyAssignmentPlanner(table, targets, rates, KeyRequestRates.TIME_CONSTANT_SECONDS, false);
         planner.assignUnheldKeys();
         if (planner.moves.isEmpty()) {
-            planner.offloadBusyTargets();
+            planner.offloadBusyTargets(MAX_OFFLOAD_MOVES);
             planner.moveLoadToNewTargets();
         }
         return planner.moves;
     }
 
+    /**
+     * Plans moves that divide the usual load over the targets by their capacity. In a large pool, the short-term load
+     * of one target is a few requests, so that {@link #plan} can't tell an unsuitable share of the keys from chance; it
+     * also accepts a slow target that is not busy, although others would answer sooner.
+     *
+     * @param table current holders, in which all keys have a usable holder
+     * @param targets targets that may hold keys
+     * @param rates requests per second by key, averaged over a longer time
+     * @param timeConstantSeconds time constant of these averages
+     * @return planned moves, to be carried out together
+     */
+    public static List<KeyMove> planBalance(
+            KeyTable table,
+            List<HolderCandidate> targets,
+            NavigableMap<Integer, Double> rates,
+            double timeConstantSeconds) {
+        List<HolderCandidate> warm =
+                targets.stream().filter(target -> !target.coldStarting()).toList();
+        if (warm.isEmpty() || rates.isEmpty()) {
+            return List.of();
+        }
+        // Targets count as busy from the stated excess over their fair load.
+        List<HolderCandidate> scaled =
+                FairLoads.asCapacities(warm, rates.values(), BALANCE_EXCESS / OFFLOAD_UTILIZATION);
+        KeyAssignmentPlanner planner = new KeyAssignmentPlanner(table, scaled, rates, timeConstantSeconds, true);
+        planner.offloadBusyTargets(MAX_BALANCE_MOVES);
+        return planner.moves;
+    }
+
     private void assignUnheldKeys() {
         List<KeyMove> unheldRanges = new ArrayList<>();
         int next = 0;
@@ -106,66 +170,61 @@
         if (next <= KeyTable.LAST_KEY) {
             unheldRanges.add(new KeyMove(next, KeyTable.LAST_KEY, Optional.empty(), ""));
         }
-        List<HolderCandidate> holders = preferredCandidates();
-        int chunkSize = Math.max(1, (KeyTable.LAST_KEY + 1) / (CHUNKS_PER_TARGET * holders.size()));
+        int chunkSize = Math.max(1, (KeyTable.LAST_KEY + 1) / (CHUNKS_PER_TARGET * candidates.size()));
         for (KeyMove unheld : unheldRanges) {
             for (int from = unheld.from(); from <= unheld.to(); from += chunkSize) {
-                int to = Math.min(unheld.to(), from + chunkSize - 1);
-                assignChunk(from, to, unheld.source(), holders);
+                assignChunk(from, Math.min(unheld.to(), from + chunkSize - 1), unheld.source());
             }
         }
-        mergeAdjacentMoves();
-    }
-
-    private List<HolderCandidate> preferredCandidates() {
-        List<HolderCandidate> notColdStarting = candidates.values().stream()
-                .filter(candidate -> !candidate.coldStarting())
-                .toList();
-        return notColdStarting.isEmpty() ? List.copyOf(candidates.values()) : notColdStarting;
+        moves = KeyMove.merge(moves);
     }
 
-    private void assignChunk(int from, int to, Optional<String> source, List<HolderCandidate> holders) {
-        HolderCandidate best = holders.stream()
-                .min(Comparator.comparingDouble(this::relativeLoad).thenComparing(HolderCandidate::incarnation))
-                .orElseThrow();
+    private void assignChunk(int from, int to, Optional<String> source) {
         source.ifPresent(holder -> addToTotals(holder, from, to, -1));
+        double load = load(from, to);
+        double keyFraction = (to - from + 1) / (double) (KeyTable.LAST_KEY + 1);
+        Optional<HolderCandidate> warm = leastLoadedWith(load, keyFraction, false);
+        HolderCandidate best = warm.filter(candidate ->
+                        expectedUtilizationWith(candidate, load, keyFraction) <= COLD_PLACEMENT_UTILIZATION)
+                .or(() -> leastLoadedWith(load, keyFraction, true)
+                        .filter(candidate -> warm.isEmpty()
+                                || expectedUtilizationWith(candidate, load, keyFraction) <= COLD_PLACEMENT_UTILIZATION))
+                .or(() -> warm)
+                .orElseThrow();
         addToTotals(best.incarnation(), from, to, 1);
         moves.add(new KeyMove(from, to, source, best.incarnation()));
     }
 
-    /**
-     * Returns the load relative to the capacity, plus the fraction of all keys that the target holds. That fraction
-     * also counts as expected load, and decides between targets if no key has been requested yet.
-     */
-    private double relativeLoad(HolderCandidate candidate) {
-        double load = loadsPerSecond.getOrDefault(candidate.incarnation(), 0.0);
-        double keyFraction = keyCounts.getOrDefault(candidate.incarnation(), 0) / (double) (KeyTable.LAST_KEY + 1);
-        return (load + keyFraction * totalLoad()) / candidate.capacityPerSecond() + keyFraction;
+    private Optional<HolderCandidate> leastLoadedWith(double load, double keyFraction, boolean coldStarting) {
+        return candidates.values().stream()
+                .filter(candidate -> candidate.coldStarting() == coldStarting)
+                .min(Comparator.<HolderCandidate>comparingDouble(
+                                candidate -> relativeLoadWith(candidate, load, keyFraction))
+                        .thenComparing(HolderCandidate::incarnation));
     }
 
-    private double totalLoad() {
-        return loadsPerSecond.values().stream().mapToDouble(Double::doubleValue).sum();
+    /** Returns the expected load relative to the capacity; each key is also expected to get its part of all load. */
+    private double expectedUtilizationWith(HolderCandidate candidate, double load, double keyFraction) {
+        double measured = loadsPerSecond.getOrDefault(candidate.incarnation(), 0.0) + load;
+        return Math.max(measured, keyFractionWith(candidate, keyFraction) * totalLoad) / candidate.capacityPerSecond();
     }
 
-    private void mergeAdjacentMoves() {
-        List<KeyMove> merged = new ArrayList<>();
-        for (KeyMove move : moves) {
-            int last = merged.size() - 1;
-            if (last >= 0
-                    && merged.get(last).to() + 1 == move.from()
-                    && merged.get(last).destination().equals(move.destination())
-                    && merged.get(last).source().equals(move.source())) {
-                merged.set(last, new KeyMove(merged.get(last).from(), move.to(), move.source(), move.destination()));
-            } else {
-                merged.add(move);
-            }
-        }
-        moves.clear();
-        moves.addAll(merged);
+    /**
+     * Returns the load relative to the capacity, plus the keys that the target holds relative to its capacity. These
+     * keys count as expected load, and decide between targets if no key has been requested yet.
+     */
+    private double relativeLoadWith(HolderCandidate candidate, double load, double keyFraction) {
+        double measured = loadsPerSecond.getOrDefault(candidate.incarnation(), 0.0) + load;
+        double expected = keyFractionWith(candidate, keyFraction) * (totalLoad + meanCapacity);
+        return (measured + expected) / candidate.capacityPerSecond();
+    }
+
+    private double keyFractionWith(HolderCandidate candidate, double additional) {
+        return keyCounts.getOrDefault(candidate.incarnation(), 0) / (double) (KeyTable.LAST_KEY + 1) + additional;
     }
 
-    private void offloadBusyTargets() {
-        for (int round = 0; round < MAX_OFFLOAD_MOVES; round++) {
+    private void offloadBusyTargets(int maxMoves) {
+        for (int round = 0; round < maxMoves; round++) {
             Optional<HolderCandidate> busiest = candidates.values().stream()
                     .filter(candidate -> offloadSources.contains(candidate.incarnation()))
                     .max(Comparator.comparingDouble(this::utilization));
@@ -173,7 +232,8 @@
             if (busiest.isEmpty() || leastBusy.isEmpty() || utilization(busiest.get()) < OFFLOAD_UTILIZATION) {
                 return;
             }
-            if (!moveLoad(busiest.get(), leastBusy.get(), false) && !moveHotKeyToFasterTarget(busiest.get())) {
+            if (!moveLoad(busiest.get(), leastBusy.get(), false)
+                    && (balancing || !moveHotKeyToFasterTarget(busiest.get()))) {
                 offloadSources.remove(busiest.get().incarnation());
             }
         }
@@ -249,17 +309,20 @@
         }
         Optional<LoadedRange> range = rangesWithLoad(source.incarnation(), loadToMove / 2, loadToMove).stream()
                 .min(Comparator.comparingInt(LoadedRange::length))
-                .or(() -> heaviestRangeBesideHotKey(source, loadToMove));
+                .or(() -> heaviestRange(source, loadToMove));
         range.ifPresent(moved -> recordMove(moved.from(), moved.to(), source, destination));
         return range.isPresent();
     }
 
-    /** Finds the range with the most load to move off a target whose load is mostly that of one key. */
-    private Optional<LoadedRange> heaviestRangeBesideHotKey(HolderCandidate source, double loadToMove) {
+    /**
+     * Finds the range with the most load to move off a target whose load is mostly that of one key. When the usual load
+     * is divided, also off one whose ranges each have less than half of the load to move.
+     */
+    private Optional<LoadedRange> heaviestRange(HolderCandidate source, double loadToMove) {
         boolean hotKey = hottestKey(source)
                 .filter(hottest -> hottest.getValue() > loadToMove)
                 .isPresent();
-        return hotKey
+        return hotKey || balancing
                 ? rangesWithLoad(source.incarnation(), source.capacityPerSecond() * MIN_MOVED_UTILIZATION, loadToMove)
                         .stream()
                         .max(Comparator.comparingDouble(LoadedRange::load))
@@ -283,10 +346,9 @@
 
     /** Returns the excess load that may be due to chance, given that requests arrive independently of each other. */
     private double randomDeviation(HolderCandidate source) {
-        double deviations = utilization(source) > CRITICAL_UTILIZATION ? 1 : NOISE_DEVIATIONS;
-        return deviations
-                * Math.sqrt(
-                        loadsPerSecond.getOrDefault(source.incarnation(), 0.0) / KeyRequestRates.TIME_CONSTANT_SECONDS);
+        double urgentDeviations = utilization(source) > CRITICAL_UTILIZATION ? 1 : NOISE_DEVIATIONS;
+        return (balancing ? BALANCE_NOISE_DEVIATIONS : urgentDeviations)
+                * Math.sqrt(loadsPerSecond.getOrDefault(source.incarnation(), 0.0) / timeConstantSeconds);
     }
 
     /** A range of keys with its requests per second. */
@@ -325,10 +387,13 @@
     }
 
     private void addToTotals(String holder, int from, int to, int sign) {
-        double load = ratesPerSecond.subMap(from, true, to, true).values().stream()
+        loadsPerSecond.merge(holder, sign * load(from, to), Double::sum);
+        keyCounts.merge(holder, sign * (to - from + 1), Integer::sum);
+    }
+
+    private double load(int from, int to) {
+        return ratesPerSecond.subMap(from, true, to, true).values().stream()
                 .mapToDouble(Double::doubleValue)
                 .sum();
-        loadsPerSecond.merge(holder, sign * load, Double::sum);
-        keyCounts.merge(holder, sign * (to - from + 1), Integer::sum);
     }
 }
--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyRequestRates.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyRequestRates.java
@@ -14,22 +14,32 @@
      */
     static final double TIME_CONSTANT_SECONDS = 1.5;
 
-    private static final double TIME_CONSTANT_MILLIS = TIME_CONSTANT_SECONDS * 1_000;
-
-    /** Keys below this rate are removed. */
-    private static final double NEGLIGIBLE_RATE_PER_SECOND = 0.02;
+    /** Keys whose rate is below this fraction of the rate of a single new request are removed. */
+    private static final double NEGLIGIBLE_FRACTION = 0.03;
 
     private final MillisClock clock;
+    private final double timeConstantMillis;
     private final NavigableMap<Integer, Double> ratesPerSecond = new TreeMap<>();
     private long decayedAtMillis;
 
     /**
-     * Creates a tracker without requests.
+     * Creates a tracker without requests, which follows changes quickly.
      *
      * @param clock the clock by which the average decays
      */
     public KeyRequestRates(MillisClock clock) {
+        this(clock, TIME_CONSTANT_SECONDS);
+    }
+
+    /**
+     * Creates a tracker without requests.
+     *
+     * @param clock the clock by which the average decays
+     * @param timeConstantSeconds time after which a request counts for 1/e
+     */
+    public KeyRequestRates(MillisClock clock, double timeConstantSeconds) {
         this.clock = clock;
+        this.timeConstantMillis = timeConstantSeconds * 1_000;
         this.decayedAtMillis = clock.nowMillis();
     }
 
@@ -40,7 +50,7 @@
      * @param requests number of requests since the last call for this key
      */
     public void recordRequests(int key, double requests) {
-        ratesPerSecond.merge(key, requests * 1_000 / TIME_CONSTANT_MILLIS, Double::sum);
+        ratesPerSecond.merge(key, requests * 1_000 / timeConstantMillis, Double::sum);
     }
 
     /**
@@ -50,9 +60,10 @@
      */
     public NavigableMap<Integer, Double> rates() {
         long now = clock.nowMillis();
-        double factor = Math.exp((decayedAtMillis - now) / TIME_CONSTANT_MILLIS);
+        double factor = Math.exp((decayedAtMillis - now) / timeConstantMillis);
+        double negligible = NEGLIGIBLE_FRACTION * 1_000 / timeConstantMillis;
         decayedAtMillis = now;
-        ratesPerSecond.entrySet().removeIf(entry -> entry.getValue() * factor < NEGLIGIBLE_RATE_PER_SECOND);
+        ratesPerSecond.entrySet().removeIf(entry -> entry.getValue() * factor < negligible);
         for (Map.Entry<Integer, Double> entry : ratesPerSecond.entrySet()) {
             entry.setValue(entry.getValue() * factor);
         }
--- a/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
@@ -7,14 +7,15 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.snipewind.coordination.clock.MillisClock;
-import org.snipewind.coordination.keyspace.HolderCandidate;
 import org.snipewind.coordination.keyspace.KeyAssignment;
-import org.snipewind.coordination.keyspace.KeyAssignmentPlanner;
 import org.snipewind.coordination.keyspace.KeyMove;
-import org.snipewind.coordination.keyspace.KeyRequestRates;
+import org.snipewind.coordination.keyspace.KeyPlanner;
 import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.coordination.keyspace.PoolTarget;
+import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.log.RouterEvent;
@@ -44,16 +45,11 @@
 
     private static final long WRITE_RETRY_DELAY_MILLIS = 250;
 
-    /** Assumed service time of a target without measurements. */
-    private static final double DEFAULT_SERVICE_MILLIS = 60;
-
     /**
-     * Responses over which the service time of a target is averaged. They take a busy target some seconds, in which
-     * several slow moments of its machine pass; a capacity that follows these moments would move keys back and forth.
+     * Number of instances beyond which the usual load is divided by capacity. Each target of smaller fleets gets enough
+     * requests for its momentary load to show whether its keys suit it.
      */
-    private static final double SERVICE_TIME_SAMPLES = 40;
-
-    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final int MAX_FLEET_WITHOUT_BALANCE = 20;
 
     private final String pool;
     private final StoreCache cache;
@@ -61,8 +57,7 @@
     private final RouterEventLog log;
     private final OwnershipRequestSender requestSender;
     private final KeyTableWriter tableWriter;
-    private final KeyRequestRates requestRates;
-    private final Map<String, Double> serviceMillis = new HashMap<>();
+    private final KeyPlanner planner;
     private final Map<String, HolderState> holders = new HashMap<>();
     private final List<MoveTask> tasks = new ArrayList<>();
     private final BooleanSupplier leading;
@@ -95,7 +90,7 @@
         this.requestSender =
                 new OwnershipRequestSender(pool, ownershipClient, clock, log, leading, () -> epochRejected = true);
         this.tableWriter = new KeyTableWriter(store, cache, StoreKeys.KEY_TABLE_PREFIX + pool);
-        this.requestRates = new KeyRequestRates(clock);
+        this.planner = new KeyPlanner(clock);
         this.formerGrantsExpireAtMillis = formerLeaderUntilMillis
                 + LeaderTimes.OWNERSHIP_REQUEST_TIMEOUT_MILLIS
                 + LeaderTimes.maxGrantLifetimeMillis();
@@ -104,13 +99,12 @@
 
     /** Counts requests for a key. */
     void recordRequests(int key, int requests) {
-        requestRates.recordRequests(key, requests);
+        planner.recordRequests(key, requests);
     }
 
     /** Updates the average service time of a target with the mean of a number of responses. */
     void recordServiceTime(String incarnation, int responses, double meanMillis) {
-        double weight = responses / (responses + SERVICE_TIME_SAMPLES);
-        serviceMillis.merge(incarnation, meanMillis, (average, sample) -> average + weight * (sample - average));
+        planner.recordServiceTime(incarnation, responses, meanMillis);
     }
 
     /** Sends the ownership requests that are due, and plans and writes changes of the table. */
@@ -272,14 +266,20 @@
         if (base.assignments().isEmpty() && now - targetsUnchangedSinceMillis < STABLE_TARGETS_MILLIS) {
             return List.of();
         }
-        List<HolderCandidate> usable = new ArrayList<>();
-        for (TargetState state : view.inService().getOrDefault(pool, List.of())) {
-            String incarnation = state.registration().incarnation();
-            if (!holder(incarnation).isUnresponsive(now)) {
-                usable.add(new HolderCandidate(incarnation, capacity(state), state.isColdStarting(now)));
-            }
-        }
-        List<KeyMove> moves = KeyAssignmentPlanner.plan(base, usable, requestRates.rates());
+        planner.retainTargets(view.targets().values().stream()
+                .filter(state -> state.registration().pool().equals(pool))
+                .map(TargetState::incarnation)
+                .collect(Collectors.toSet()));
+        List<PoolTarget> usable = view.inService().getOrDefault(pool, List.of()).stream()
+                .filter(state -> !holder(state.incarnation()).isUnresponsive(now))
+                .map(state ->
+                        new PoolTarget(state.incarnation(), state.registration().slots(), state.isColdStarting(now)))
+                .toList();
+        double coldStartRate = view.configuration()
+                .flatMap(configuration -> configuration.pool(pool))
+                .map(Pool::coldStartRatePerSecond)
+                .orElse(0.0);
+        List<KeyMove> moves = planner.plan(base, usable, coldStartRate, view.fleetSize() > MAX_FLEET_WITHOUT_BALANCE);
         if (moves.isEmpty()) {
             return List.of();
         }
@@ -294,11 +294,6 @@
                 .toList();
     }
 
-    private double capacity(TargetState state) {
-        double meanMillis = serviceMillis.getOrDefault(state.registration().incarnation(), DEFAULT_SERVICE_MILLIS);
-        return Math.max(1, state.registration().slots()) * MILLIS_PER_SECOND / meanMillis;
-    }
-
     /** Returns the incarnations that may hold keys of a range, and suspends the moves that overlap it. */
     private List<String> possibleHolders(KeyMove move, long now) {
         KeyAssignment range = new KeyAssignment(move.from(), move.to(), move.destination(), epoch, List.of());
