--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -249,7 +249,21 @@
                     RelayAcknowledgement.class,
                     2,
                     (out, message) -> out.writeBoolean(message.accepted()).writeLong(message.receivedMillis()),
-                    in -> new RelayAcknowledgement(in.readBoolean("accepted"), in.readLong("receivedMillis"))));
+                    in -> new RelayAcknowledgement(in.readBoolean("accepted"), in.readLong("receivedMillis"))),
+            new MessageLayout<>(
+                    30,
+                    ObservationDelta.class,
+                    2,
+                    (out, message) ->
+                            ObservationLayout.writeAll(out.writeLong(message.knownSequence()), message.observations()),
+                    in -> new ObservationDelta(in.readLong("knownSequence"), ObservationLayout.readAll(in))),
+            new MessageLayout<>(
+                    31,
+                    ObservationAnswer.class,
+                    2,
+                    (out, message) ->
+                            ObservationLayout.writeAll(out.writeLong(message.sequence()), message.observations()),
+                    in -> new ObservationAnswer(in.readLong("sequence"), ObservationLayout.readAll(in))));
 
     private MessageLayouts() {}
 
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -39,6 +39,10 @@
     STORE_CALLS_RESTARTED(5108, Level.WARNING),
     /** A relay of the broadcast did not acknowledge it, and another instance takes its place, or none. */
     RELAY_REPLACED(5121, Level.WARNING),
+    /** The relay of this data centre did not answer an exchange of observations. */
+    OBSERVATIONS_LOST(5122, Level.WARNING),
+    /** Observations are exchanged again. */
+    OBSERVATIONS_REGAINED(5123, Level.INFO),
     /** A new version of the configuration is in force. */
     CONFIGURATION_IN_FORCE(5201, Level.INFO),
     /** A store item is invalid and is ignored. */
