Send second attempts by the route's response times, within a share of requests

Cause: a second attempt is sent after a fixed 0.6 of the latency objective, however long the route usually takes, and is limited by the retry budget only, so that an operator can't bound the extra work.

Change: coordination/hedging decides when (the quantile 1 - share of the route's recent response times, at most three times the median and at least the time expected of the first target; 0.6 of the objective with fewer than 20 samples) and whether (free capacity in the pool, a free target, time left, the share as a token bucket with a cap of 3, the retry budget). router/path/SecondAttempt applies it and takes the scheduling out of RoutedRequest. The setting secondAttempts.share turns it on; without it, the fixed delay stays.

--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
@@ -15,6 +15,9 @@
     private static final long MAX_PAUSE_MILLIS = 2_000;
     private static final int FAILURES_BEFORE_PAUSE = 2;
 
+    /** Reported slowdown from which a target counts as slow; its usual spread of service times is smaller. */
+    public static final double SLOW_FACTOR = 1.5;
+
     /** The clock counts whole milliseconds, so that a measured time can be 0. */
     private static final double MIN_SERVICE_MILLIS = 0.5;
 
@@ -280,6 +283,17 @@
         return excess <= 1 || nowMillis - lastSentMillis >= shareMillis * excess * excess;
     }
 
+    /**
+     * Returns whether a request sent now would be started at once, at the target's usual speed, as far as this instance
+     * knows.
+     *
+     * @param nowMillis current time
+     * @return true if a slot is free and the target is not slow
+     */
+    public synchronized boolean isFree(long nowMillis) {
+        return load(nowMillis) + 1 <= slots() && slowdown(nowMillis) < SLOW_FACTOR;
+    }
+
     /**
      * Returns the time until the queue of the newest load report has become short enough for one more request, provided
      * that no other requests are sent.
--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -66,7 +66,9 @@
                 .acquire(
                         target.registration(),
                         !routedRequest.isIdempotent(),
-                        routedRequest::mayReuse,
+                        open -> routedRequest
+                                .usedConnections()
+                                .mayReuse(open, routedRequest.requestId().isPresent()),
                         this::sendOn,
                         this::connectFailed);
     }
@@ -85,7 +87,7 @@
             return;
         }
         connection = opened;
-        routedRequest.connectionUsed(opened);
+        routedRequest.usedConnections().add(opened);
         opened.exchange(buildTargetRequest(), this::originOf, this);
     }
 
@@ -167,7 +169,10 @@
         }
         long now = context.clock().nowMillis();
         ResponseHeaders headers = context.headerCodec().readResponse(response.status(), response.headers());
-        headers.load().ifPresent(load -> target.onLoadReport(load, now));
+        headers.load().ifPresent(load -> {
+            target.onLoadReport(load, now);
+            context.sharedState().recordReport(target.registration().pool(), load);
+        });
         headers.coldStartRemainingMillis().ifPresent(millis -> target.setColdStartRemaining(millis, now));
         double elapsed = elapsedMillis();
         markEnded();
@@ -191,6 +196,7 @@
             // A pause is no failure, and the target is not avoided beyond it.
             if (headers.pauseMillis().isEmpty()) {
                 target.onErrorResponse(now);
+                context.sharedState().recordRejection(target.registration().pool());
             }
             fail(ErrorKind.TARGET_SHED, response, "status=" + response.status());
         } else if (success && !isForwardedWithSignature(response, headers)) {
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -15,7 +15,6 @@
 import org.snipewind.coordination.routing.Route;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.http.BufferedResponse;
-import org.snipewind.router.http.HttpConnection;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.RequestHeaders;
 
@@ -41,9 +40,6 @@
      */
     private static final int MAX_ATTEMPTS_AT_OWNER = 4;
 
-    /** Fraction of the latency objective after which an idempotent request is also sent to a second target. */
-    private static final double HEDGE_DELAY_FRACTION = 0.6;
-
     /**
      * Fraction of the latency objective that a request may expect to take at a target, waiting included. The rest is
      * for the spread of the service time and for load that this instance does not know of.
@@ -65,11 +61,12 @@
     private final long arrivedMillis;
     private final List<Attempt> activeAttempts = new ArrayList<>();
     private final Set<String> triedIncarnations = new HashSet<>();
-    private final List<HttpConnection> usedConnections = new ArrayList<>();
+    private final UsedConnections usedConnections = new UsedConnections();
     private final List<Future<?>> timers = new ArrayList<>();
     private RequestHeaders headers;
     private Route route;
     private Pool pool;
+    private Optional<SecondAttempt> secondAttempt = Optional.empty();
     private Optional<Organisation> organisation = Optional.empty();
     private int urgencyRank;
     private Optional<BufferedResponse> errorResponse = Optional.empty();
@@ -111,16 +108,8 @@
         return deadlineMillis - context.clock().nowMillis();
     }
 
-    /**
-     * Returns whether an open connection may be used for the next attempt. A second copy of an earlier response on it
-     * could be taken for the response to this attempt if both have the same id, or if this request has none.
-     */
-    boolean mayReuse(HttpConnection connection) {
-        return headers.requestId().isPresent() && !usedConnections.contains(connection);
-    }
-
-    void connectionUsed(HttpConnection connection) {
-        usedConnections.add(connection);
+    UsedConnections usedConnections() {
+        return usedConnections;
     }
 
     /** Cancels the request if the caller has disconnected; returns whether the request is still in progress. */
@@ -156,6 +145,7 @@
     private void admit(RequestClassifier.Classification classification) {
         route = classification.route();
         pool = classification.pool();
+        secondAttempt = Optional.of(new SecondAttempt(this, route, pool));
         organisation = classification.organisation();
         urgencyRank = classification.urgencyRank();
         long allowedMillis =
@@ -211,11 +201,25 @@
     }
 
     /** Sends the request to the selected target; without a target, refuses it or waits for the owner of its key. */
-    private void selectTargetAndSend() {
+    void selectTargetAndSend() {
         Either<TargetResolver.NoTarget, TargetState> found = pool.keyed()
                 ? worker.targetResolver().resolveOwner(pool, headers.shardKey().getAsInt(), queueLimit())
                 : worker.targetResolver().selectFromPool(pool, triedIncarnations, !route.idempotent(), queueLimit());
-        found.peek(this::send).peekLeft(this::handleNoTarget);
+        found.peek(this::sendOrEnd).peekLeft(this::handleNoTarget);
+    }
+
+    /** Returns the best target for a second attempt, empty if none is free and responds at its usual speed. */
+    Optional<TargetState> selectForSecondAttempt() {
+        return worker.targetResolver().selectForSecondAttempt(pool, triedIncarnations, queueLimit());
+    }
+
+    /** Returns whether one attempt is in progress, has no response yet, and another one is within the limit. */
+    boolean isAwaitingOneResponse() {
+        // A response that has begun to arrive is ahead of that of any other target.
+        return !done
+                && activeAttempts.size() == 1
+                && !activeAttempts.get(0).isReceivingResponse()
+                && attempts < route.maxAttempts();
     }
 
     private TargetResolver.QueueLimit queueLimit() {
@@ -260,39 +264,29 @@
         }
     }
 
-    private void send(TargetState target) {
+    private void sendOrEnd(TargetState target) {
         if (remainingMillis() <= 0) {
             onDeadline();
-            return;
+        } else {
+            Attempt attempt = prepareAttempt(target);
+            attempt.start();
         }
+    }
+
+    /** Registers an attempt that has not been started yet. */
+    Attempt prepareAttempt(TargetState target) {
         attempts++;
         triedIncarnations.add(target.incarnation());
+        Attempt attempt = new Attempt(this, target);
         if (attempts == 1) {
             context.sharedState().recordFirstAttempt(pool.name());
-            scheduleHedge();
+            secondAttempt.ifPresent(planned -> planned.schedule(attempt));
         }
-        Attempt attempt = new Attempt(this, target);
         activeAttempts.add(attempt);
-        attempt.start();
-    }
-
-    private void scheduleHedge() {
-        long delayMillis = (long) (route.latencyObjectiveMillis() * HEDGE_DELAY_FRACTION);
-        if (route.idempotent() && !pool.keyed() && route.maxAttempts() > 1 && delayMillis < remainingMillis()) {
-            schedule(this::hedge, delayMillis);
-        }
-    }
-
-    private void hedge() {
-        // A response that has begun to arrive is ahead of that of any other target.
-        boolean waitingForResponse =
-                activeAttempts.size() == 1 && !activeAttempts.get(0).isReceivingResponse();
-        if (!done && waitingForResponse && attempts < route.maxAttempts() && tryAcquireRetry("hedge")) {
-            selectTargetAndSend();
-        }
+        return attempt;
     }
 
-    private boolean tryAcquireRetry(String reason) {
+    boolean tryAcquireRetry(String reason) {
         if (!context.sharedState().tryAcquireRetry(pool.name())) {
             context.metrics().count("retries.refused");
             return false;
@@ -317,7 +311,7 @@
         if (pool.keyed()) {
             context.sharedState().recordServiceTime(attempt.target().incarnation(), occupiedMillis);
         }
-        if (!tryFinish()) {
+        if (!tryFinish(Optional.of(attempt))) {
             response.memory().release();
         } else {
             dropErrorResponse();
@@ -349,6 +343,7 @@
      */
     void attemptFailed(Attempt attempt, ErrorKind kind, boolean possiblyReceived, String detail) {
         activeAttempts.remove(attempt);
+        secondAttempt.ifPresent(planned -> planned.onFailed(attempt));
         mayHaveRun |= kind.execution() != Execution.NOT_RUN;
         if (done || !activeAttempts.isEmpty()) {
             return;
@@ -432,12 +427,12 @@
                         RouterEvent.CALLER_LEFT,
                         () -> describeRequest() + " after=" + (context.clock().nowMillis() - arrivedMillis)
                                 + "ms attempts=" + attempts);
-        tryFinish();
+        tryFinish(Optional.empty());
         dropErrorResponse();
     }
 
     private void refuse(ErrorKind kind, long retryAfterMillis, String detail) {
-        if (!tryFinish()) {
+        if (!tryFinish(Optional.empty())) {
             return;
         }
         if (errorResponse.isPresent()) {
@@ -462,11 +457,12 @@
     }
 
     /** Cancels timers and attempts; returns whether the request was still in progress. */
-    private boolean tryFinish() {
+    private boolean tryFinish(Optional<Attempt> winner) {
         if (done) {
             return false;
         }
         done = true;
+        secondAttempt.ifPresent(planned -> planned.onFinished(winner));
         worker.stopWaiting(this);
         timers.forEach(timer -> timer.cancel(false));
         activeAttempts.forEach(Attempt::abort);
@@ -476,7 +472,8 @@
         return true;
     }
 
-    private void schedule(Runnable task, long delayMillis) {
+    /** Runs a task after a delay unless the request ends before. */
+    void schedule(Runnable task, long delayMillis) {
         timers.add(worker.loop().schedule(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS));
     }
 }
--- a/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
+++ b/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
@@ -5,11 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 import org.snipewind.coordination.admission.ShutdownSchedule;
 import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.hedging.SecondAttemptPolicy;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.target.ColdStartRateLimiter;
+import org.snipewind.coordination.target.LoadReport;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.coordination.target.WindowedRetryBudget;
@@ -37,6 +40,7 @@
     private volatile Optional<ShutdownSchedule> shutdown = Optional.empty();
     private final Map<String, WindowedRetryBudget> retryBudgets = new ConcurrentHashMap<>();
     private final Map<String, ColdStartRateLimiter> coldStartLimiters = new ConcurrentHashMap<>();
+    private final Map<String, SecondAttemptPolicy> secondAttemptPolicies = new ConcurrentHashMap<>();
     private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
     private final Map<String, double[]> serviceTimes = new HashMap<>();
 
@@ -57,12 +61,16 @@
 
     /**
      * Sets the limits of all instances together. Retry budgets that exist keep their window and ratio; cold-start rate
-     * limits change with the next view.
+     * limits change with the next view. A changed share of second attempts starts without samples.
      *
      * @param changed the new limits
      */
     public void setLimits(RouterLimits changed) {
+        boolean sameShare = changed.secondAttemptShare().equals(limits.secondAttemptShare());
         limits = changed;
+        if (!sameShare) {
+            secondAttemptPolicies.clear();
+        }
     }
 
     /**
@@ -127,6 +135,25 @@
                         / tracker.view().fleetSize());
     }
 
+    /** Returns the policy for second attempts to a pool, empty if their share has no limit of its own. */
+    Optional<SecondAttemptPolicy> secondAttemptPolicy(String pool) {
+        OptionalDouble share = limits.secondAttemptShare();
+        return share.isEmpty()
+                ? Optional.empty()
+                : Optional.of(secondAttemptPolicies.computeIfAbsent(
+                        pool, name -> new SecondAttemptPolicy(share.getAsDouble())));
+    }
+
+    /** Records the load that a target of a pool reported. */
+    void recordReport(String pool, LoadReport report) {
+        secondAttemptPolicy(pool).ifPresent(policy -> policy.recordReport(report, clock.nowMillis()));
+    }
+
+    /** Records that a target of a pool rejected a request. */
+    void recordRejection(String pool) {
+        secondAttemptPolicy(pool).ifPresent(policy -> policy.recordRejection(clock.nowMillis()));
+    }
+
     private WindowedRetryBudget retryBudget(String pool) {
         return retryBudgets.computeIfAbsent(
                 pool,
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
@@ -131,6 +132,33 @@
         return Either.right(chosen.get());
     }
 
+    /**
+     * Selects a target of an undivided pool for a second attempt: one that is free, responds at its usual speed and is
+     * not in a cold start, in the own data centre if there is one.
+     *
+     * @param pool the pool
+     * @param triedIncarnations incarnations of targets that are not selected again
+     * @param queueLimit limit on the queue of the target
+     * @return the target, empty if there is none
+     */
+    Optional<TargetState> selectForSecondAttempt(Pool pool, Set<String> triedIncarnations, QueueLimit queueLimit) {
+        FleetView view = context.tracker().view();
+        long nowMillis = context.clock().nowMillis();
+        List<TargetState> targets = inServiceTargets(pool, view);
+        int limit = connectionLimit(pool, view);
+        Predicate<TargetState> suitable = target -> !triedIncarnations.contains(target.incarnation())
+                && target.isFree(nowMillis)
+                && !target.isPaused(nowMillis)
+                && !target.isColdStarting(nowMillis)
+                && !context.tracker().notices().isResuming(target.incarnation())
+                && canSendTo(pool, target, nowMillis, limit, queueLimit);
+        Predicate<TargetState> connected = target -> connections.hasIdleConnection(target.registration(), false);
+        Predicate<TargetState> local =
+                target -> target.registration().dataCentre().equals(context.dataCentre());
+        return selector.choose(targets, nowMillis, local.and(suitable), connected)
+                .or(() -> selector.choose(targets, nowMillis, suitable, connected));
+    }
+
     private boolean canSendTo(
             Pool pool, TargetState target, long nowMillis, int connectionLimit, QueueLimit queueLimit) {
         return pauseRemainingMillis(target) == 0
--- a/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
@@ -81,9 +81,10 @@
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
     private final RouterEventLog log = new RouterEventLog("test", clock);
     private final FleetTracker tracker = new FleetTracker(new TestStoreItemParser(), clock, log);
+    final RouterLimits limits = new RouterLimits(1, 10_000, 10, 1.5, 5);
     final RoutingContext context = new RoutingContext(
             tracker,
-            new SharedRoutingState(tracker, clock, new RouterLimits(1, 10_000, 10, 1.5, 5), "entry"),
+            new SharedRoutingState(tracker, clock, limits, "entry"),
             new OrganisationRateLimiter(
                     tracker,
                     clock,
@@ -278,6 +279,7 @@
                     1,
                     List.of(
                             route("/keyed-once/", KEYED_POOL, false),
+                            route("/keyed/", KEYED_POOL, true),
                             route("/plain-once/", PLAIN_POOL, false),
                             route("/plain/", PLAIN_POOL, true)),
                     List.of(new Pool(KEYED_POOL, true, 100, 1, "/h"), new Pool(PLAIN_POOL, false, 100, 1, "/h")),
