Explain where a request would go now: snipewind explain-route

Cause: an operator can't see from an instance why a request goes to a target, waits or is refused.

Change: the instance serves /explain-route on its metrics listener. TargetResolver, LeastResponseTimeSelector and RequestClassifier explain their own decisions: the selector reports the scores that it compares, TargetResolver says for each target why it is passed over, and permits of targets in cold start are only looked at.

--- a/command/src/main/java/org/snipewind/command/Command.java
+++ b/command/src/main/java/org/snipewind/command/Command.java
@@ -7,6 +7,7 @@
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -84,11 +85,35 @@
             return new TraceReplay(output, errors, interactive)
                     .replay(Path.of(arguments.getString("trace")), options, arguments.getBoolean("json"));
         }
+        if (arguments.getString(CommandLine.SUBCOMMAND).equals("explain-route")) {
+            return explainRoute(arguments);
+        }
         try (KeyValueStore store = fleetClient.connectStore(arguments.getString("store"))) {
             return run(arguments, new CommandContext(fleetClient, store, input, output, errors, interactive));
         }
     }
 
+    private int explainRoute(Namespace arguments) {
+        RouteQuestion question = new RouteQuestion(
+                arguments.getString("host"),
+                arguments.getString("path"),
+                arguments.getString("method"),
+                Optional.ofNullable(arguments.<String>getList("header")).orElse(List.of()),
+                Optional.ofNullable(arguments.getString("key")),
+                arguments.getBoolean("json"));
+        return fleetClient
+                .explainRoute(arguments.getString("instance"), question)
+                .fold(
+                        failure -> {
+                            errors.println(failure.reason());
+                            return failure.badArgument() ? ExitCode.USAGE : ExitCode.UNREACHABLE;
+                        },
+                        explanation -> {
+                            output.print(explanation);
+                            return ExitCode.DONE;
+                        });
+    }
+
     private static int run(Namespace arguments, CommandContext context) throws IOException {
         switch (arguments.getString(CommandLine.SUBCOMMAND)) {
             case "diff":
--- a/command/src/main/java/org/snipewind/command/CommandLine.java
+++ b/command/src/main/java/org/snipewind/command/CommandLine.java
@@ -60,9 +60,30 @@
                 addChangeOptions(subparsers.addParser("rollback").help("put an earlier revision in force again"));
         rollback.addArgument("revision").type(Long.class).metavar("REVISION").help("number of the revision");
         addReplaySubcommand(subparsers);
+        addExplainRouteSubcommand(subparsers);
         return parser;
     }
 
+    private static void addExplainRouteSubcommand(Subparsers subparsers) {
+        Subparser explain = addJsonOption(subparsers
+                .addParser("explain-route")
+                .help("show where an instance on the users' platform would send a request now, and why")
+                .epilog("Exit codes: 0 explained, also if the request would be refused; 2 an argument can't be used; "
+                        + "4 instance not reachable."));
+        explain.addArgument("--instance")
+                .required(true)
+                .metavar("ADDRESS")
+                .help("host and port of the instance's metrics");
+        explain.addArgument("--host").required(true).metavar("NAME").help("host of the request");
+        explain.addArgument("--path").required(true).metavar("PATH").help("path of the request");
+        explain.addArgument("--method").setDefault("GET").metavar("METHOD").help("method (default GET)");
+        explain.addArgument("--header")
+                .action(Arguments.append())
+                .metavar("'NAME: VALUE'")
+                .help("header of the request; may be given several times");
+        explain.addArgument("--key").metavar("KEY").help("key that determines the owner");
+    }
+
     private static void addReplaySubcommand(Subparsers subparsers) {
         Subparser replay = addJsonOption(subparsers.addParser("replay").help("send the requests of a trace"));
         replay.addArgument("trace").metavar("TRACE").help("file of JSON lines");
--- a/command/src/main/java/org/snipewind/command/FleetClient.java
+++ b/command/src/main/java/org/snipewind/command/FleetClient.java
@@ -18,6 +18,9 @@
     /** Decodes the value of a store key {@code assignment/POOL}, or returns why it is invalid. */
     Either<String, SliceTable> decodeSliceTable(byte[] content);
 
+    /** Asks an instance where it would send a request, or returns why there is no explanation. */
+    Either<ExplainFailure, String> explainRoute(String metricsAddress, RouteQuestion question);
+
     /** Reads the status of a daemon, or returns why it could not be read; takes a few seconds at most. */
     Either<String, DaemonStatus> readStatus(String operatorAddress);
 }
--- a/command/src/main/java/org/snipewind/command/HttpFleetClient.java
+++ b/command/src/main/java/org/snipewind/command/HttpFleetClient.java
@@ -1,8 +1,11 @@
 package org.snipewind.command;
 
 import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpStatus;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import io.micronaut.http.uri.UriBuilder;
 import io.micronaut.serde.ObjectMapper;
 import io.vavr.Lazy;
 import io.vavr.control.Either;
@@ -62,6 +65,26 @@
         }
     }
 
+    @Override
+    public Either<ExplainFailure, String> explainRoute(String metricsAddress, RouteQuestion question) {
+        try {
+            UriBuilder uri = UriBuilder.of("http://" + metricsAddress + "/explain-route")
+                    .queryParam("host", question.host())
+                    .queryParam("path", question.path())
+                    .queryParam("method", question.method())
+                    .queryParam("format", question.json() ? "json" : "text");
+            question.headers().forEach(header -> uri.queryParam("header", header));
+            question.key().ifPresent(key -> uri.queryParam("key", key));
+            return Either.right(client.get().toBlocking().retrieve(HttpRequest.GET(uri.build()), String.class));
+        } catch (HttpClientResponseException failure) {
+            boolean badArgument = failure.getStatus() == HttpStatus.BAD_REQUEST;
+            String reason = failure.getResponse().getBody(String.class).orElse(failure.getMessage());
+            return Either.left(new ExplainFailure(badArgument, reason.strip()));
+        } catch (RuntimeException failure) {
+            return Either.left(new ExplainFailure(false, "instance not reachable: " + failure.getMessage()));
+        }
+    }
+
     private static <T> Either<String, T> decode(byte[] content, Function<byte[], T> decoder) {
         return Try.of(() -> decoder.apply(content)).toEither().mapLeft(failure -> String.valueOf(failure.getMessage()));
     }
--- a/command/src/test/java/org/snipewind/command/CommandTest.java
+++ b/command/src/test/java/org/snipewind/command/CommandTest.java
@@ -2,12 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.vavr.control.Either;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -145,4 +148,43 @@
         assertThat(run("turn")).isEqualTo(ExitCode.USAGE);
         assertThat(run()).isEqualTo(ExitCode.USAGE);
     }
+
+    /** Guards against an argument that is lost on the way to the instance. */
+    @Test
+    void explainRoutePassesEachArgumentAndPrintsTheExplanation() {
+        fleetClient.explanation = Either.right("outcome: send\n");
+        assertThat(run(
+                        "explain-route",
+                        "--instance",
+                        "127.0.0.1:1",
+                        "--host",
+                        "h",
+                        "--path",
+                        "/a b/",
+                        "--method",
+                        "POST",
+                        "--header",
+                        "A: 1",
+                        "--header",
+                        "B: 2",
+                        "--key",
+                        "7",
+                        "--json"))
+                .isEqualTo(ExitCode.DONE);
+        assertThat(fleetClient.askedQuestion)
+                .hasValue(new RouteQuestion("h", "/a b/", "POST", List.of("A: 1", "B: 2"), Optional.of("7"), true));
+        assertThat(output.toString(StandardCharsets.UTF_8)).isEqualTo("outcome: send\n");
+    }
+
+    /** Guards against a mistyped argument and a lost instance that scripts can't tell apart. */
+    @Test
+    void explainRouteTellsABadArgumentFromALostInstance() {
+        fleetClient.explanation = Either.left(new ExplainFailure(true, "argument 'key': expected an integer"));
+        assertThat(run("explain-route", "--instance", "127.0.0.1:1", "--host", "h", "--path", "/"))
+                .isEqualTo(ExitCode.USAGE);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("argument 'key'");
+        fleetClient.explanation = Either.left(new ExplainFailure(false, "instance not reachable"));
+        assertThat(run("explain-route", "--instance", "127.0.0.1:1", "--host", "h", "--path", "/"))
+                .isEqualTo(ExitCode.UNREACHABLE);
+    }
 }
--- a/command/src/test/java/org/snipewind/command/InMemoryFleetClient.java
+++ b/command/src/test/java/org/snipewind/command/InMemoryFleetClient.java
@@ -22,6 +22,8 @@
     Runnable beforeNextSwap = () -> {};
 
     long reportedRevision = Long.MAX_VALUE;
+    Either<ExplainFailure, String> explanation = Either.right("");
+    Optional<RouteQuestion> askedQuestion = Optional.empty();
 
     InMemoryFleetClient() {
         values.put("fleet", new VersionedValue(1, new byte[0]));
@@ -49,6 +51,12 @@
                 new DaemonStatus("d-1", "rosario", true, reportedRevision, 0, 1, true, 0, 0, List.of(), List.of()));
     }
 
+    @Override
+    public Either<ExplainFailure, String> explainRoute(String metricsAddress, RouteQuestion question) {
+        askedQuestion = Optional.of(question);
+        return explanation;
+    }
+
     @Override
     public CompletableFuture<Optional<VersionedValue>> get(String key) {
         return CompletableFuture.completedFuture(Optional.ofNullable(values.get(key)));
--- a/coordination/src/main/java/org/snipewind/coordination/budget/TokenCache.java
+++ b/coordination/src/main/java/org/snipewind/coordination/budget/TokenCache.java
@@ -88,6 +88,16 @@
         burst = newBurst;
     }
 
+    /**
+     * Returns whether there is an unexpired token, without taking it.
+     *
+     * @return true if {@link #tryAcquire()} would succeed
+     */
+    public synchronized boolean hasToken() {
+        removeExpired(clock.nowMillis());
+        return availableTokens > 0;
+    }
+
     /**
      * Takes the unexpired token that expires first, if there is one.
      *
--- a/coordination/src/main/java/org/snipewind/coordination/quota/FixedShare.java
+++ b/coordination/src/main/java/org/snipewind/coordination/quota/FixedShare.java
@@ -45,6 +45,15 @@
         bucket.reconfigure(organisation.ratePerSecond() * fraction, organisation.burst() * fraction);
     }
 
+    /**
+     * Returns whether the share has a token, without taking it.
+     *
+     * @return true if {@link #tryAcquire()} would succeed
+     */
+    public synchronized boolean hasToken() {
+        return bucket.millisUntil(1) == 0;
+    }
+
     /**
      * Takes a token for one request if there is one.
      *
--- a/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
@@ -32,6 +32,22 @@
     /** Width of the interval of the random jitter, as a fraction of the estimate. */
     private static final double ESTIMATE_JITTER = 0.2;
 
+    /** Receives the score of each target that is compared. */
+    @FunctionalInterface
+    public interface ScoreObserver {
+
+        /** Ignores all scores. */
+        ScoreObserver NONE = (target, score) -> {};
+
+        /**
+         * Receives a score.
+         *
+         * @param target the target
+         * @param score expected time in milliseconds with all additions; the lowest is chosen
+         */
+        void compared(TargetState target, double score);
+    }
+
     private final String dataCentre;
     private final double remoteFactor;
     private final double remoteExtraMillis;
@@ -68,8 +84,28 @@
             long nowMillis,
             Predicate<TargetState> allowed,
             Predicate<TargetState> connected) {
-        Optional<TargetState> unpaused = bestTarget(targets, nowMillis, allowed, connected, false);
-        return unpaused.isPresent() ? unpaused : bestTarget(targets, nowMillis, allowed, connected, true);
+        return choose(targets, nowMillis, allowed, connected, ScoreObserver.NONE);
+    }
+
+    /**
+     * Selects a target and reports the scores that led to it.
+     *
+     * @param targets targets in service
+     * @param nowMillis current time
+     * @param allowed whether a request may be sent to a target now
+     * @param connected whether the request could use an open connection to a target
+     * @param observer receives the scores of the targets that are compared
+     * @return the target with the shortest expected time; a target that is paused after failures is selected only if
+     *     there is no other
+     */
+    public Optional<TargetState> choose(
+            List<TargetState> targets,
+            long nowMillis,
+            Predicate<TargetState> allowed,
+            Predicate<TargetState> connected,
+            ScoreObserver observer) {
+        Optional<TargetState> unpaused = bestTarget(targets, nowMillis, allowed, connected, false, observer);
+        return unpaused.isPresent() ? unpaused : bestTarget(targets, nowMillis, allowed, connected, true, observer);
     }
 
     private Optional<TargetState> bestTarget(
@@ -77,7 +113,8 @@
             long nowMillis,
             Predicate<TargetState> allowed,
             Predicate<TargetState> connected,
-            boolean paused) {
+            boolean paused,
+            ScoreObserver observer) {
         int start = targets.isEmpty() ? 0 : (int) (random.getAsDouble() * targets.size());
         List<TargetState> connectedTargets = new ArrayList<>(MAX_COMPARED);
         List<TargetState> unconnectedTargets = new ArrayList<>(MAX_COMPARED);
@@ -93,6 +130,7 @@
         double bestScore = Double.MAX_VALUE;
         for (TargetState candidate : connectedTargets) {
             double score = score(candidate, nowMillis, meanKnownMillis);
+            observer.compared(candidate, score);
             if (score < bestScore) {
                 best = candidate;
                 bestScore = score;
@@ -101,6 +139,7 @@
         for (TargetState candidate : unconnectedTargets) {
             double score = score(candidate, nowMillis, meanKnownMillis);
             score += Math.min(CONNECT_COST_MILLIS, score * MAX_CONNECT_COST_FRACTION);
+            observer.compared(candidate, score);
             if (score < bestScore) {
                 best = candidate;
                 bestScore = score;
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.snipewind.coordination.admission.ShutdownSchedule;
@@ -249,8 +250,15 @@
                 ActivityLog.INTERVAL_MILLIS,
                 ActivityLog.INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
-        new TextServer(controlGroup, uri -> readiness()).start(settings.readiness());
-        new TextServer(controlGroup, uri -> new TextServer.Page(OK, PrometheusText.write(metrics.registry())))
+        new TextServer(controlGroup, uri -> CompletableFuture.completedFuture(readiness())).start(settings.readiness());
+        ExplainRoutePage explainRoute =
+                new ExplainRoutePage(callers::explain, tracker, storeCache, clock, settings.name());
+        new TextServer(
+                        controlGroup,
+                        uri -> explainRoute
+                                .serve(uri)
+                                .orElseGet(() -> CompletableFuture.completedFuture(
+                                        new TextServer.Page(OK, PrometheusText.write(metrics.registry())))))
                 .start(settings.metrics());
         callers.start(settings.callers());
         log.write(
--- a/router/src/main/java/org/snipewind/router/TextServer.java
+++ b/router/src/main/java/org/snipewind/router/TextServer.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
 /** An HTTP server for plain-text pages for the platform and operators, such as readiness and metrics. */
@@ -35,9 +36,9 @@
     record Page(int status, String text) {}
 
     private final EventLoopGroup loops;
-    private final Function<String, Page> pages;
+    private final Function<String, CompletableFuture<Page>> pages;
 
-    TextServer(EventLoopGroup loops, Function<String, Page> pages) {
+    TextServer(EventLoopGroup loops, Function<String, CompletableFuture<Page>> pages) {
         this.loops = loops;
         this.pages = pages;
     }
@@ -66,9 +67,16 @@
     private final class Handler extends SimpleChannelInboundHandler<HttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpRequest request) {
-            Page page = request.decoderResult().isSuccess()
+            CompletableFuture<Page> page = request.decoderResult().isSuccess()
                     ? pages.apply(request.uri())
-                    : new Page(HttpResponseStatus.BAD_REQUEST.code(), "malformed request");
+                    : CompletableFuture.completedFuture(
+                            new Page(HttpResponseStatus.BAD_REQUEST.code(), "malformed request"));
+            page.exceptionally(failure ->
+                            new Page(HttpResponseStatus.INTERNAL_SERVER_ERROR.code(), "page failed: " + failure + "\n"))
+                    .thenAccept(ready -> respond(context, ready));
+        }
+
+        private void respond(ChannelHandlerContext context, Page page) {
             byte[] bytes = page.text().getBytes(StandardCharsets.UTF_8);
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(page.status()), Unpooled.wrappedBuffer(bytes));
--- a/router/src/main/java/org/snipewind/router/path/CallerServer.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerServer.java
@@ -18,6 +18,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.snipewind.coordination.routing.CallerLimits;
@@ -80,7 +81,7 @@
     }
 
     private void initialize(Channel accepted) {
-        Worker worker = workers.computeIfAbsent(accepted.eventLoop(), loop -> new Worker((EventLoop) loop, context));
+        Worker worker = worker(accepted.eventLoop());
         CallerChannel channel = new CallerChannel(worker, this);
         channels.add(channel);
         int maxHeaderBytes = context.tracker()
@@ -105,6 +106,21 @@
                         channel);
     }
 
+    private Worker worker(EventLoop eventLoop) {
+        return workers.computeIfAbsent(eventLoop, loop -> new Worker(loop, context));
+    }
+
+    /**
+     * Explains where a request would be sent now. Sends nothing, changes no state and takes no token.
+     *
+     * @param request the request
+     * @return the explanation by one of the workers, completed on its event loop
+     */
+    public CompletableFuture<RouteExplanation> explain(ExplainedRequest request) {
+        Worker worker = workers.values().stream().findFirst().orElseGet(() -> worker(workerLoops.next()));
+        return CompletableFuture.supplyAsync(() -> new RouteExplainer(worker).explain(request), worker::runOnLoop);
+    }
+
     /** Rejects messages with two framings, whereas the base class drops one of the two. */
     private static final class StrictRequestDecoder extends HttpRequestDecoder {
         StrictRequestDecoder(int maxHeaderBytes) {
--- a/router/src/main/java/org/snipewind/router/path/OrganisationRateLimiter.java
+++ b/router/src/main/java/org/snipewind/router/path/OrganisationRateLimiter.java
@@ -145,6 +145,17 @@
         requestTokens(organisation.name(), state);
     }
 
+    /** Returns whether a request would be admitted at once; takes and requests no token. */
+    boolean wouldAdmitNow(Organisation organisation) {
+        OrganisationState state = stateByOrganisation.get(organisation.name());
+        if (state == null) {
+            return false;
+        }
+        synchronized (state) {
+            return state.waitingRequests.isEmpty() && (state.fixedShare.hasToken() || state.tokenCache.hasToken());
+        }
+    }
+
     /** Requests tokens if requests wait for them or few cached tokens are left. */
     private void requestTokens(String organisation, OrganisationState state) {
         BudgetRequest request;
--- a/router/src/main/java/org/snipewind/router/path/RequestClassifier.java
+++ b/router/src/main/java/org/snipewind/router/path/RequestClassifier.java
@@ -25,7 +25,13 @@
      * @param organisation the organisation whose key the request has, empty on a route that is open to all
      * @param urgencyRank number of less urgent priorities that requests to the pool can have
      */
-    record Classification(Route route, Pool pool, Optional<Organisation> organisation, int urgencyRank) {}
+    record Classification(Route route, Pool pool, Optional<Organisation> organisation, int urgencyRank) {
+
+        /** Returns the time that a request may take: that of its route, or that for which its caller waits. */
+        long allowedMillis(RequestHeaders headers) {
+            return Math.min(route.timeoutMillis(), headers.remainingMillis().orElse(Long.MAX_VALUE));
+        }
+    }
 
     /**
      * A refusal before the request has been admitted.
@@ -43,6 +49,11 @@
     }
 
     Either<EarlyRefusal, Classification> classify(CallerRequest request, RequestHeaders headers) {
+        return classify(request, headers, ThreadLocalRandom.current().nextDouble());
+    }
+
+    /** Classifies a request with the given draw of its pool, from 0 (inclusive) to 1 (exclusive). */
+    Either<EarlyRefusal, Classification> classify(CallerRequest request, RequestHeaders headers, double poolDraw) {
         Optional<RoutingConfiguration> inForce = context.tracker().view().configuration();
         if (inForce.isEmpty()) {
             return refuse(ErrorKind.NOT_READY, NOT_READY_RETRY_AFTER_MILLIS, "no configuration");
@@ -51,11 +62,11 @@
         Optional<Route> route = configuration.route(request.headers().get("Host", ""), request.path());
         return route.isEmpty()
                 ? refuse(ErrorKind.ROUTE_UNKNOWN, 0, "version=" + configuration.version())
-                : classify(route.get(), configuration, headers);
+                : classify(route.get(), configuration, headers, poolDraw);
     }
 
     private Either<EarlyRefusal, Classification> classify(
-            Route route, RoutingConfiguration configuration, RequestHeaders headers) {
+            Route route, RoutingConfiguration configuration, RequestHeaders headers, double poolDraw) {
         Optional<Organisation> organisation = headers.organisationKey().flatMap(configuration::organisationOf);
         boolean accessKeyRequired = !route.anonymous() && configuration.isKeyRequired();
         if (accessKeyRequired && organisation.isEmpty()) {
@@ -68,8 +79,7 @@
                     "limit of the organisation is unknown organisation="
                             + organisation.get().name());
         }
-        Optional<Pool> pool =
-                route.poolFor(ThreadLocalRandom.current().nextDouble()).flatMap(configuration::pool);
+        Optional<Pool> pool = route.poolFor(poolDraw).flatMap(configuration::pool);
         if (pool.isEmpty()) {
             return refuse(
                     ErrorKind.POOL_UNAVAILABLE,
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -25,9 +25,6 @@
  */
 final class RoutedRequest implements OrganisationRateLimiter.AdmissionListener {
 
-    /** Longest wait for a key that is moving to a new holder; most moves take less than half of this time. */
-    private static final long MAX_OWNER_WAIT_MILLIS = 400;
-
     /** Fraction of the remaining time for which a request may wait for a token; the rest is for processing it. */
     private static final double TOKEN_WAIT_FRACTION = 1.0 / 3;
 
@@ -40,20 +37,6 @@
      */
     private static final int MAX_ATTEMPTS_AT_OWNER = 4;
 
-    /**
-     * Fraction of the latency objective that a request may expect to take at a target, waiting included. The rest is
-     * for the spread of the service time and for load that this instance does not know of.
-     */
-    private static final double OBJECTIVE_FRACTION_AT_TARGET = 0.8;
-
-    /**
-     * Factor by which the allowed queue is longer for each less urgent priority, so that the last places in a queue go
-     * to the most urgent requests.
-     */
-    private static final double URGENCY_FACTOR = 1.2;
-
-    private static final double MAX_URGENCY_FACTOR = 1.5;
-
     private final Worker worker;
     private final RoutingContext context;
     private final CallerRequest request;
@@ -148,8 +131,7 @@
         secondAttempt = Optional.of(new SecondAttempt(this, route, pool));
         organisation = classification.organisation();
         urgencyRank = classification.urgencyRank();
-        long allowedMillis =
-                Math.min(route.timeoutMillis(), headers.remainingMillis().orElse(Long.MAX_VALUE));
+        long allowedMillis = classification.allowedMillis(headers);
         deadlineMillis = arrivedMillis + allowedMillis;
         if (!context.sharedState().mayStart(allowedMillis)) {
             refuse(ErrorKind.SHUTTING_DOWN, TargetResolver.POOL_RETRY_AFTER_MILLIS, "allowed=" + allowedMillis + "ms");
@@ -179,7 +161,12 @@
 
     @Override
     public long maxTokenWaitMillis() {
-        return (long) (remainingMillis() * TOKEN_WAIT_FRACTION);
+        return maxTokenWaitMillis(remainingMillis());
+    }
+
+    /** Returns how long a request with the given remaining time may wait for a token. */
+    static long maxTokenWaitMillis(long remainingMillis) {
+        return (long) (remainingMillis * TOKEN_WAIT_FRACTION);
     }
 
     private void onAdmitted() {
@@ -222,12 +209,9 @@
                 && attempts < route.maxAttempts();
     }
 
-    private TargetResolver.QueueLimit queueLimit() {
-        double lengthFactor = Math.min(MAX_URGENCY_FACTOR, Math.pow(URGENCY_FACTOR, urgencyRank));
+    private QueueLimit queueLimit() {
         long elapsedMillis = context.clock().nowMillis() - arrivedMillis;
-        double allowedMillis =
-                route.latencyObjectiveMillis() * OBJECTIVE_FRACTION_AT_TARGET * lengthFactor - elapsedMillis;
-        return new TargetResolver.QueueLimit(Math.min(allowedMillis, remainingMillis()), lengthFactor);
+        return QueueLimit.of(route, urgencyRank, elapsedMillis, remainingMillis());
     }
 
     private void handleNoTarget(TargetResolver.NoTarget noTarget) {
@@ -242,8 +226,7 @@
     private void awaitOwner(TargetResolver.NoTarget noTarget, long leastWaitMillis) {
         long now = context.clock().nowMillis();
         if (ownerWaitUntilMillis < 0) {
-            // At least half of the remaining time is reserved for processing the request.
-            ownerWaitUntilMillis = now + Math.min(MAX_OWNER_WAIT_MILLIS, remainingMillis() / 2);
+            ownerWaitUntilMillis = now + TargetResolver.maxOwnerWaitMillis(remainingMillis());
             schedule(this::routeIfWaiting, ownerWaitUntilMillis - now);
         }
         if (now + leastWaitMillis >= ownerWaitUntilMillis) {
--- a/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
+++ b/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
@@ -163,17 +163,27 @@
 
     /** Returns this instance's rate limiter for a target in cold start. */
     ColdStartRateLimiter coldStartLimiter(Pool pool, TargetState target) {
-        return coldStartLimiters.computeIfAbsent(target.registration().incarnation(), incarnation -> {
-            FleetView view = tracker.view();
-            return ColdStartRateLimiter.forInstance(
-                    clock,
-                    pool.coldStartRatePerSecond(),
-                    maxColdStartSenders(pool),
-                    instanceName,
-                    List.copyOf(view.members().keySet()),
-                    target.registration().id(),
-                    view.fleetSize());
-        });
+        return coldStartLimiters.computeIfAbsent(
+                target.registration().incarnation(), incarnation -> createColdStartLimiter(pool, target));
+    }
+
+    /** Returns whether a target in cold start may get a request now; a limiter that does not exist is not kept. */
+    boolean hasColdStartPermit(Pool pool, TargetState target) {
+        ColdStartRateLimiter limiter =
+                coldStartLimiters.get(target.registration().incarnation());
+        return (limiter == null ? createColdStartLimiter(pool, target) : limiter).canAcquire();
+    }
+
+    private ColdStartRateLimiter createColdStartLimiter(Pool pool, TargetState target) {
+        FleetView view = tracker.view();
+        return ColdStartRateLimiter.forInstance(
+                clock,
+                pool.coldStartRatePerSecond(),
+                maxColdStartSenders(pool),
+                instanceName,
+                List.copyOf(view.members().keySet()),
+                target.registration().id(),
+                view.fleetSize());
     }
 
     void recordKey(String pool, int key) {
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -1,7 +1,10 @@
 package org.snipewind.router.path;
 
 import io.vavr.control.Either;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -13,6 +16,7 @@
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.target.ConnectionQuota;
 import org.snipewind.coordination.target.LeastResponseTimeSelector;
+import org.snipewind.coordination.target.LeastResponseTimeSelector.ScoreObserver;
 import org.snipewind.coordination.target.TargetNotices;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.state.FleetView;
@@ -35,17 +39,12 @@
      */
     private static final long LEAST_MOVE_MILLIS = 250;
 
+    /** Longest wait for a key that is moving to a new holder; most moves take less than half of this time. */
+    private static final long MAX_OWNER_WAIT_MILLIS = 400;
+
     /** Most requests that may wait for each slot of a target; in longer queues they would exceed their deadlines. */
     private static final double MAX_QUEUED_PER_SLOT = 2.5;
 
-    /**
-     * The queue of a target that a request may join.
-     *
-     * @param allowedMillis time within which the target should answer
-     * @param lengthFactor factor by which the queue may be longer than for the least urgent request
-     */
-    record QueueLimit(double allowedMillis, double lengthFactor) {}
-
     /**
      * The reason why a request has no target at present.
      *
@@ -82,11 +81,20 @@
     private final RoutingContext context;
     private final TargetConnections connections;
     private final LeastResponseTimeSelector selector;
+    private final ColdStartPermits takenPermits;
+    private final ColdStartPermits untouchedPermits;
 
     TargetResolver(RoutingContext context, TargetConnections connections, LeastResponseTimeSelector selector) {
         this.context = context;
         this.connections = connections;
         this.selector = selector;
+        this.takenPermits = ColdStartPermits.taken(context.sharedState());
+        this.untouchedPermits = ColdStartPermits.untouched(context.sharedState());
+    }
+
+    /** Returns how long a request waits at most for the owner of its key; the rest of its time is for processing it. */
+    static long maxOwnerWaitMillis(long remainingMillis) {
+        return Math.min(MAX_OWNER_WAIT_MILLIS, remainingMillis / 2);
     }
 
     /**
@@ -100,6 +108,67 @@
      */
     Either<NoTarget, TargetState> selectFromPool(
             Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueLimit queueLimit) {
+        return selectFromPool(pool, triedIncarnations, nonIdempotent, queueLimit, takenPermits, ScoreObserver.NONE);
+    }
+
+    /**
+     * Finds the target that a request would be sent to, and why each other one is passed over. Changes nothing and
+     * takes no permit.
+     *
+     * @param pool an undivided pool
+     * @param nonIdempotent whether the request must not run twice
+     * @param queueLimit limit on the queue of the target
+     * @return the target or the reason why there is none, and all targets of the pool
+     */
+    PoolExplanation explainPool(Pool pool, boolean nonIdempotent, QueueLimit queueLimit) {
+        Map<TargetState, Double> scores = new HashMap<>();
+        Either<NoTarget, TargetState> result =
+                selectFromPool(pool, Set.of(), nonIdempotent, queueLimit, untouchedPermits, scores::put);
+        FleetView view = context.tracker().view();
+        long nowMillis = context.clock().nowMillis();
+        List<PoolExplanation.ExplainedTarget> targets = view.targets().values().stream()
+                .filter(target -> target.registration().pool().equals(pool.name()))
+                .sorted(Comparator.comparing(TargetState::incarnation))
+                .map(target -> new PoolExplanation.ExplainedTarget(
+                        target,
+                        target.expectedResponseMillis(nowMillis),
+                        Optional.ofNullable(scores.get(target)),
+                        result.fold(none -> false, chosen -> chosen == target)
+                                ? "selected"
+                                : reasonAgainst(pool, target, nowMillis, view, queueLimit, scores.containsKey(target))))
+                .toList();
+        return new PoolExplanation(result, targets);
+    }
+
+    private String reasonAgainst(
+            Pool pool, TargetState target, long nowMillis, FleetView view, QueueLimit queueLimit, boolean compared) {
+        if (target.registration().draining()) {
+            return "draining";
+        }
+        if (view.evacuatedDataCentres().contains(target.registration().dataCentre())) {
+            return "its data centre is evacuated";
+        }
+        if (isLeaving(target)) {
+            return "leaving";
+        }
+        Suitability suitability =
+                suitability(pool, target, nowMillis, connectionLimit(pool, view), queueLimit, untouchedPermits);
+        if (suitability != Suitability.SUITABLE) {
+            return suitability.description();
+        }
+        if (compared) {
+            return "not the lowest score";
+        }
+        return target.isPaused(nowMillis) ? "avoided after failures" : "not compared, enough others are";
+    }
+
+    private Either<NoTarget, TargetState> selectFromPool(
+            Pool pool,
+            Set<String> triedIncarnations,
+            boolean nonIdempotent,
+            QueueLimit queueLimit,
+            ColdStartPermits permits,
+            ScoreObserver observer) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
         List<TargetState> targets = inServiceTargets(pool, view);
@@ -108,8 +177,9 @@
                 targets,
                 nowMillis,
                 target -> !triedIncarnations.contains(target.incarnation())
-                        && canSendTo(pool, target, nowMillis, limit, queueLimit),
-                target -> connections.hasIdleConnection(target.registration(), nonIdempotent));
+                        && suitability(pool, target, nowMillis, limit, queueLimit, permits) == Suitability.SUITABLE,
+                target -> connections.hasIdleConnection(target.registration(), nonIdempotent),
+                observer);
         long leastPauseMillis =
                 targets.stream().mapToLong(this::pauseRemainingMillis).min().orElse(0);
         if (leastPauseMillis > 0) {
@@ -122,7 +192,7 @@
                     POOL_RETRY_AFTER_MILLIS,
                     "targets=" + targets.size() + " tried=" + triedIncarnations.size());
         }
-        if (exceedsColdStartRate(pool, chosen.get(), nowMillis)) {
+        if (exceedsColdStartRate(pool, chosen.get(), nowMillis, permits)) {
             return NoTarget.refuse(
                     ErrorKind.OVERLOADED,
                     POOL_RETRY_AFTER_MILLIS,
@@ -151,7 +221,7 @@
                 && !target.isPaused(nowMillis)
                 && !target.isColdStarting(nowMillis)
                 && !context.tracker().notices().isResuming(target.incarnation())
-                && canSendTo(pool, target, nowMillis, limit, queueLimit);
+                && suitability(pool, target, nowMillis, limit, queueLimit, takenPermits) == Suitability.SUITABLE;
         Predicate<TargetState> connected = target -> connections.hasIdleConnection(target.registration(), false);
         Predicate<TargetState> local =
                 target -> target.registration().dataCentre().equals(context.dataCentre());
@@ -159,13 +229,25 @@
                 .or(() -> selector.choose(targets, nowMillis, suitable, connected));
     }
 
-    private boolean canSendTo(
-            Pool pool, TargetState target, long nowMillis, int connectionLimit, QueueLimit queueLimit) {
-        return pauseRemainingMillis(target) == 0
-                && hasRoom(target, nowMillis, queueLimit)
-                && connections.hasCapacity(target.registration(), connectionLimit)
-                && (!isPaced(pool, target, nowMillis)
-                        || context.sharedState().coldStartLimiter(pool, target).canAcquire());
+    private Suitability suitability(
+            Pool pool,
+            TargetState target,
+            long nowMillis,
+            int connectionLimit,
+            QueueLimit queueLimit,
+            ColdStartPermits permits) {
+        if (pauseRemainingMillis(target) > 0) {
+            return Suitability.PAUSING;
+        }
+        if (!hasRoom(target, nowMillis, queueLimit)) {
+            return Suitability.NO_ROOM;
+        }
+        if (!connections.hasCapacity(target.registration(), connectionLimit)) {
+            return Suitability.NO_CONNECTION;
+        }
+        return isPaced(pool, target, nowMillis) && !permits.available().test(pool, target)
+                ? Suitability.COLD_START_RATE
+                : Suitability.SUITABLE;
     }
 
     private boolean hasRoom(TargetState target, long nowMillis, QueueLimit queueLimit) {
@@ -192,9 +274,8 @@
     }
 
     /** Acquires a permit of the cold-start rate limit; returns true if a target that is paced has none left. */
-    private boolean exceedsColdStartRate(Pool pool, TargetState target, long nowMillis) {
-        return isPaced(pool, target, nowMillis)
-                && !context.sharedState().coldStartLimiter(pool, target).tryAcquire();
+    private boolean exceedsColdStartRate(Pool pool, TargetState target, long nowMillis, ColdStartPermits permits) {
+        return isPaced(pool, target, nowMillis) && !permits.acquire().test(pool, target);
     }
 
     private static int connectionLimit(Pool pool, FleetView view) {
@@ -210,9 +291,19 @@
      * @return the owner, or the reason why the request can't be sent to it
      */
     Either<NoTarget, TargetState> resolveOwner(Pool pool, int key, QueueLimit queueLimit) {
+        return resolveOwner(pool, key, queueLimit, takenPermits);
+    }
+
+    /** Finds the owner like {@link #resolveOwner(Pool, int, QueueLimit)}, but takes no permit. */
+    Either<NoTarget, TargetState> explainOwner(Pool pool, int key, QueueLimit queueLimit) {
+        return resolveOwner(pool, key, queueLimit, untouchedPermits);
+    }
+
+    private Either<NoTarget, TargetState> resolveOwner(
+            Pool pool, int key, QueueLimit queueLimit, ColdStartPermits permits) {
         return findOwner(pool, key, queueLimit)
                 .flatMap(owner -> exceedsColdStartRate(
-                                pool, owner, context.clock().nowMillis())
+                                pool, owner, context.clock().nowMillis(), permits)
                         ? NoTarget.refuse(ErrorKind.OVERLOADED, POOL_RETRY_AFTER_MILLIS, "key=" + key + " cold=true")
                         : Either.right(owner));
     }
--- a/router/src/test/java/org/snipewind/router/path/OrganisationRateLimiterTest.java
+++ b/router/src/test/java/org/snipewind/router/path/OrganisationRateLimiterTest.java
@@ -124,4 +124,45 @@
         clock.advance(250);
         await(() -> outcomes.stream().allMatch(outcome -> outcome.decision.equals("admitted")));
     }
+
+    /** Guards against an explanation that uses up the tokens of the requests that it explains. */
+    @Test
+    void askingWhetherARequestWouldBeAdmittedTakesNoToken() throws Exception {
+        OrganisationRateLimiter notAsked = newRateLimiter();
+        OrganisationRateLimiter asked = newRateLimiter();
+        assertThat(asked.wouldAdmitNow(organisation)).isFalse();
+        // The first request creates the state of the organisation, whose fixed share then fills up.
+        admittedAtOnce(notAsked, 1);
+        admittedAtOnce(asked, 1);
+        clock.advance(2_000);
+        for (int each = 0; each < 100; each++) {
+            assertThat(asked.wouldAdmitNow(organisation)).isTrue();
+        }
+        int admitted = admittedAtOnce(asked, 20);
+        assertThat(admitted).isGreaterThan(0);
+        assertThat(admitted).isEqualTo(admittedAtOnce(notAsked, 20));
+        assertThat(asked.wouldAdmitNow(organisation)).isFalse();
+    }
+
+    private OrganisationRateLimiter newRateLimiter() {
+        return new OrganisationRateLimiter(
+                new FleetTracker(new EmptyStoreItemParser(), clock, new RouterEventLog("test", clock)),
+                clock,
+                loop,
+                request -> CompletableFuture.completedFuture(new BudgetGrant(true, 0, 60_000)));
+    }
+
+    /** Returns how many of the requests are admitted immediately; waits for the others' refusals. */
+    private int admittedAtOnce(OrganisationRateLimiter limiter, int requests) throws Exception {
+        List<Outcome> outcomes = new ArrayList<>();
+        for (int request = 0; request < requests; request++) {
+            Outcome outcome = new Outcome(0);
+            outcomes.add(outcome);
+            loop.submit(() -> limiter.admit(organisation, outcome)).get();
+        }
+        await(() -> outcomes.stream().noneMatch(outcome -> outcome.decision.isEmpty()));
+        return (int) outcomes.stream()
+                .filter(outcome -> outcome.decision.equals("admitted"))
+                .count();
+    }
 }
