--- a/coordination/src/main/java/org/snipewind/coordination/target/DataCentreSelector.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/DataCentreSelector.java
@@ -60,19 +60,52 @@
      *     only if there is no other
      */
     public Optional<Selection> choose(SpilloverRequest request, Candidates candidates, long nowMillis) {
+        SpilloverPolicy policy = policies.computeIfAbsent(
+                new PolicyKey(request.pool(), request.route()), key -> new SpilloverPolicy(random));
+        return choose(policy, request, candidates, nowMillis);
+    }
+
+    /**
+     * Selects a target like {@link #choose(SpilloverRequest, Candidates, long)}, without any effect on later choices.
+     *
+     * @param request the request
+     * @param candidates the targets of the pool
+     * @param nowMillis current time
+     * @return the target, empty if the request may be sent to none
+     */
+    public Optional<Selection> preview(SpilloverRequest request, Candidates candidates, long nowMillis) {
+        SpilloverPolicy policy = Optional.ofNullable(policies.get(new PolicyKey(request.pool(), request.route())))
+                .map(SpilloverPolicy::copy)
+                .orElseGet(() -> new SpilloverPolicy(random));
+        return choose(policy, request, candidates, nowMillis);
+    }
+
+    /**
+     * Selects the target with the shortest expected response time in the data centre of the instance, or elsewhere if
+     * there is none; targets that are paused after failures are not selected.
+     *
+     * @param candidates the targets of the pool
+     * @param nowMillis current time
+     * @return the target, empty if the request may be sent to none
+     */
+    public Optional<TargetState> chooseNearest(Candidates candidates, long nowMillis) {
+        return selector.best(candidates, nowMillis, false, this::isLocal)
+                .or(() -> bestRemote(candidates, nowMillis, false))
+                .map(ScoredTarget::target);
+    }
+
+    private Optional<Selection> choose(
+            SpilloverPolicy policy, SpilloverRequest request, Candidates candidates, long nowMillis) {
         if (!localFirst) {
-            return selector.choose(candidates.targets(), nowMillis, candidates.allowed(), candidates.connected())
-                    .map(target -> weighted(target, candidates, nowMillis));
+            return selector.choose(candidates, nowMillis).map(target -> weighted(target, candidates, nowMillis));
         }
-        Optional<Selection> unpaused = chooseLocalFirst(request, candidates, nowMillis, false);
-        return unpaused.isPresent() ? unpaused : chooseLocalFirst(request, candidates, nowMillis, true);
+        Optional<Selection> unpaused = chooseLocalFirst(policy, request, candidates, nowMillis, false);
+        return unpaused.isPresent() ? unpaused : chooseLocalFirst(policy, request, candidates, nowMillis, true);
     }
 
     private Optional<Selection> chooseLocalFirst(
-            SpilloverRequest request, Candidates candidates, long nowMillis, boolean paused) {
+            SpilloverPolicy policy, SpilloverRequest request, Candidates candidates, long nowMillis, boolean paused) {
         Optional<ScoredTarget> local = selector.best(candidates, nowMillis, paused, this::isLocal);
-        SpilloverPolicy policy = policies.computeIfAbsent(
-                new PolicyKey(request.pool(), request.route()), key -> new SpilloverPolicy(random));
         if (local.isEmpty()) {
             SpilloverReason reason = reasonWithoutLocal(candidates.targets(), nowMillis);
             if (reason == SpilloverReason.LOCAL_FULL) {
--- a/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
@@ -32,6 +32,22 @@
     /** Width of the interval of the random jitter, as a fraction of the estimate. */
     private static final double ESTIMATE_JITTER = 0.2;
 
+    /** Receives the score of each target that is compared. */
+    @FunctionalInterface
+    public interface ScoreObserver {
+
+        /** Ignores all scores. */
+        ScoreObserver NONE = (target, score) -> {};
+
+        /**
+         * Receives a score.
+         *
+         * @param target the target
+         * @param score expected time in milliseconds with all additions; the lowest is chosen
+         */
+        void compared(TargetState target, double score);
+    }
+
     private final String dataCentre;
     private final double remoteFactor;
     private final double remoteExtraMillis;
@@ -68,7 +84,18 @@
             long nowMillis,
             Predicate<TargetState> allowed,
             Predicate<TargetState> connected) {
-        Candidates candidates = new Candidates(targets, allowed, connected);
+        return choose(new Candidates(targets, allowed, connected), nowMillis);
+    }
+
+    /**
+     * Selects a target and reports the scores that led to it.
+     *
+     * @param candidates the targets
+     * @param nowMillis current time
+     * @return the target with the shortest expected time; a target that is paused after failures is selected only if
+     *     there is no other
+     */
+    public Optional<TargetState> choose(Candidates candidates, long nowMillis) {
         return best(candidates, nowMillis, false, target -> true)
                 .or(() -> best(candidates, nowMillis, true, target -> true))
                 .map(ScoredTarget::target);
@@ -104,6 +131,7 @@
         double bestScore = Double.MAX_VALUE;
         for (TargetState candidate : connectedTargets) {
             double score = score(candidate, nowMillis, meanKnownMillis);
+            candidates.observer().compared(candidate, score);
             if (score < bestScore) {
                 best = candidate;
                 bestScore = score;
@@ -112,6 +140,7 @@
         for (TargetState candidate : unconnectedTargets) {
             double score = score(candidate, nowMillis, meanKnownMillis);
             score += Math.min(CONNECT_COST_MILLIS, score * MAX_CONNECT_COST_FRACTION);
+            candidates.observer().compared(candidate, score);
             if (score < bestScore) {
                 best = candidate;
                 bestScore = score;
--- a/coordination/src/main/java/org/snipewind/coordination/target/SpilloverPolicy.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/SpilloverPolicy.java
@@ -48,6 +48,19 @@
         this.random = random;
     }
 
+    /**
+     * Copies the policy with its present state.
+     *
+     * @return a policy that decides the same and changes independently
+     */
+    SpilloverPolicy copy() {
+        SpilloverPolicy copy = new SpilloverPolicy(random);
+        copy.smoothedFraction = smoothedFraction;
+        copy.lastSampleMillis = lastSampleMillis;
+        copy.spilling = spilling;
+        return copy;
+    }
+
     /**
      * Returns whether a request should leave if a target elsewhere is worth it.
      *
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -1,11 +1,16 @@
 package org.snipewind.router.path;
 
 import io.vavr.control.Either;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
@@ -13,6 +18,7 @@
 import org.snipewind.coordination.target.Candidates;
 import org.snipewind.coordination.target.ConnectionQuota;
 import org.snipewind.coordination.target.DataCentreSelector;
+import org.snipewind.coordination.target.LeastResponseTimeSelector.ScoreObserver;
 import org.snipewind.coordination.target.Selection;
 import org.snipewind.coordination.target.SpilloverReason;
 import org.snipewind.coordination.target.SpilloverRequest;
@@ -38,17 +44,12 @@
      */
     private static final long LEAST_MOVE_MILLIS = 250;
 
+    /** Longest wait for a key that is moving to a new holder; most moves take less than half of this time. */
+    private static final long MAX_OWNER_WAIT_MILLIS = 400;
+
     /** Most requests that may wait for each slot of a target; in longer queues they would exceed their deadlines. */
     private static final double MAX_QUEUED_PER_SLOT = 2.5;
 
-    /**
-     * The queue of a target that a request may join.
-     *
-     * @param allowedMillis time within which the target should answer
-     * @param lengthFactor factor by which the queue may be longer than for the least urgent request
-     */
-    record QueueLimit(double allowedMillis, double lengthFactor) {}
-
     /**
      * The reason why a request has no target at present.
      *
@@ -85,11 +86,20 @@
     private final RoutingContext context;
     private final TargetConnections connections;
     private final DataCentreSelector selector;
+    private final ColdStartPermits takenPermits;
+    private final ColdStartPermits untouchedPermits;
 
     TargetResolver(RoutingContext context, TargetConnections connections, DataCentreSelector selector) {
         this.context = context;
         this.connections = connections;
         this.selector = selector;
+        this.takenPermits = ColdStartPermits.taken(context.sharedState());
+        this.untouchedPermits = ColdStartPermits.untouched(context.sharedState());
+    }
+
+    /** Returns how long a request waits at most for the owner of its key; the rest of its time is for processing it. */
+    static long maxOwnerWaitMillis(long remainingMillis) {
+        return Math.min(MAX_OWNER_WAIT_MILLIS, remainingMillis / 2);
     }
 
     /**
@@ -108,6 +118,79 @@
             boolean nonIdempotent,
             QueueLimit queueLimit,
             SpilloverRequest spillover) {
+        Choice choice = new Choice(
+                candidates ->
+                        selector.choose(spillover, candidates, context.clock().nowMillis()),
+                takenPermits,
+                ScoreObserver.NONE);
+        return selectFromPool(pool, triedIncarnations, nonIdempotent, queueLimit, choice)
+                .peek(selection -> selection.spillover().ifPresent(this::countSpillover))
+                .map(Selection::target);
+    }
+
+    /**
+     * Finds the target that a request would be sent to, and why each other one is passed over. Changes nothing and
+     * takes no permit.
+     *
+     * @param pool an undivided pool
+     * @param nonIdempotent whether the request must not run twice
+     * @param queueLimit limit on the queue of the target
+     * @param spillover determines whether the request may leave the data centre of this instance
+     * @return the target or the reason why there is none, and all targets of the pool
+     */
+    PoolExplanation explainPool(Pool pool, boolean nonIdempotent, QueueLimit queueLimit, SpilloverRequest spillover) {
+        Map<TargetState, Double> scores = new HashMap<>();
+        Choice choice = new Choice(
+                candidates ->
+                        selector.preview(spillover, candidates, context.clock().nowMillis()),
+                untouchedPermits,
+                scores::put);
+        Either<NoTarget, TargetState> result = selectFromPool(pool, Set.of(), nonIdempotent, queueLimit, choice)
+                .map(Selection::target);
+        FleetView view = context.tracker().view();
+        long nowMillis = context.clock().nowMillis();
+        List<PoolExplanation.ExplainedTarget> targets = view.targets().values().stream()
+                .filter(target -> target.registration().pool().equals(pool.name()))
+                .sorted(Comparator.comparing(TargetState::incarnation))
+                .map(target -> new PoolExplanation.ExplainedTarget(
+                        target,
+                        target.expectedResponseMillis(nowMillis),
+                        Optional.ofNullable(scores.get(target)),
+                        result.fold(none -> false, chosen -> chosen == target)
+                                ? "selected"
+                                : reasonAgainst(pool, target, nowMillis, view, queueLimit, scores.containsKey(target))))
+                .toList();
+        return new PoolExplanation(result, targets);
+    }
+
+    private String reasonAgainst(
+            Pool pool, TargetState target, long nowMillis, FleetView view, QueueLimit queueLimit, boolean compared) {
+        if (target.registration().draining()) {
+            return "draining";
+        }
+        if (view.evacuatedDataCentres().contains(target.registration().dataCentre())) {
+            return "its data centre is evacuated";
+        }
+        if (isLeaving(target)) {
+            return "leaving";
+        }
+        Suitability suitability =
+                suitability(pool, target, nowMillis, connectionLimit(pool, view), queueLimit, untouchedPermits);
+        if (suitability != Suitability.SUITABLE) {
+            return suitability.description();
+        }
+        if (compared) {
+            return "not the lowest score";
+        }
+        return target.isPaused(nowMillis) ? "avoided after failures" : "not compared, enough others are";
+    }
+
+    /** How a target is chosen: for a request that is to be sent, or only to explain the choice. */
+    private record Choice(
+            Function<Candidates, Optional<Selection>> selection, ColdStartPermits permits, ScoreObserver observer) {}
+
+    private Either<NoTarget, Selection> selectFromPool(
+            Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueLimit queueLimit, Choice choice) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
         List<TargetState> targets = inServiceTargets(pool, view);
@@ -115,9 +198,11 @@
         Candidates candidates = new Candidates(
                 targets,
                 target -> !triedIncarnations.contains(target.incarnation())
-                        && canSendTo(pool, target, nowMillis, limit, queueLimit),
-                target -> connections.hasIdleConnection(target.registration(), nonIdempotent));
-        Optional<Selection> selection = selector.choose(spillover, candidates, nowMillis);
+                        && suitability(pool, target, nowMillis, limit, queueLimit, choice.permits())
+                                == Suitability.SUITABLE,
+                target -> connections.hasIdleConnection(target.registration(), nonIdempotent),
+                choice.observer());
+        Optional<Selection> selection = choice.selection().apply(candidates);
         Optional<TargetState> chosen = selection.map(Selection::target);
         long leastPauseMillis =
                 targets.stream().mapToLong(this::pauseRemainingMillis).min().orElse(0);
@@ -131,28 +216,63 @@
                     POOL_RETRY_AFTER_MILLIS,
                     "targets=" + targets.size() + " tried=" + triedIncarnations.size());
         }
-        if (exceedsColdStartRate(pool, chosen.get(), nowMillis)) {
+        if (exceedsColdStartRate(pool, chosen.get(), nowMillis, choice.permits())) {
             return NoTarget.refuse(
                     ErrorKind.OVERLOADED,
                     POOL_RETRY_AFTER_MILLIS,
                     "cold-start rate limit reached target="
                             + chosen.get().registration().id());
         }
-        selection.flatMap(Selection::spillover).ifPresent(this::countSpillover);
-        return Either.right(chosen.get());
+        return Either.right(selection.get());
     }
 
     private void countSpillover(SpilloverReason reason) {
         context.metrics().count("requests.other-data-centre." + reason.wireName());
     }
 
-    private boolean canSendTo(
-            Pool pool, TargetState target, long nowMillis, int connectionLimit, QueueLimit queueLimit) {
-        return pauseRemainingMillis(target) == 0
-                && hasRoom(target, nowMillis, queueLimit)
-                && connections.hasCapacity(target.registration(), connectionLimit)
-                && (!isPaced(pool, target, nowMillis)
-                        || context.sharedState().coldStartLimiter(pool, target).canAcquire());
+    /**
+     * Selects a target of an undivided pool for a second attempt: one that is free, responds at its usual speed and is
+     * not in a cold start, in the own data centre if there is one.
+     *
+     * @param pool the pool
+     * @param triedIncarnations incarnations of targets that are not selected again
+     * @param queueLimit limit on the queue of the target
+     * @return the target, empty if there is none
+     */
+    Optional<TargetState> selectForSecondAttempt(Pool pool, Set<String> triedIncarnations, QueueLimit queueLimit) {
+        FleetView view = context.tracker().view();
+        long nowMillis = context.clock().nowMillis();
+        List<TargetState> targets = inServiceTargets(pool, view);
+        int limit = connectionLimit(pool, view);
+        Predicate<TargetState> suitable = target -> !triedIncarnations.contains(target.incarnation())
+                && target.isFree(nowMillis)
+                && !target.isPaused(nowMillis)
+                && !target.isColdStarting(nowMillis)
+                && !context.tracker().notices().isResuming(target.incarnation())
+                && suitability(pool, target, nowMillis, limit, queueLimit, takenPermits) == Suitability.SUITABLE;
+        Predicate<TargetState> connected = target -> connections.hasIdleConnection(target.registration(), false);
+        return selector.chooseNearest(new Candidates(targets, suitable, connected), nowMillis);
+    }
+
+    private Suitability suitability(
+            Pool pool,
+            TargetState target,
+            long nowMillis,
+            int connectionLimit,
+            QueueLimit queueLimit,
+            ColdStartPermits permits) {
+        if (pauseRemainingMillis(target) > 0) {
+            return Suitability.PAUSING;
+        }
+        if (!hasRoom(target, nowMillis, queueLimit)) {
+            return Suitability.NO_ROOM;
+        }
+        if (!connections.hasCapacity(target.registration(), connectionLimit)) {
+            return Suitability.NO_CONNECTION;
+        }
+        return isPaced(pool, target, nowMillis) && !permits.available().test(pool, target)
+                ? Suitability.COLD_START_RATE
+                : Suitability.SUITABLE;
     }
 
     private boolean hasRoom(TargetState target, long nowMillis, QueueLimit queueLimit) {
@@ -179,9 +299,8 @@
     }
 
     /** Acquires a permit of the cold-start rate limit; returns true if a target that is paced has none left. */
-    private boolean exceedsColdStartRate(Pool pool, TargetState target, long nowMillis) {
-        return isPaced(pool, target, nowMillis)
-                && !context.sharedState().coldStartLimiter(pool, target).tryAcquire();
+    private boolean exceedsColdStartRate(Pool pool, TargetState target, long nowMillis, ColdStartPermits permits) {
+        return isPaced(pool, target, nowMillis) && !permits.acquire().test(pool, target);
     }
 
     private static int connectionLimit(Pool pool, FleetView view) {
@@ -197,12 +316,21 @@
      * @return the owner, or the reason why the request can't be sent to it
      */
     Either<NoTarget, TargetState> resolveOwner(Pool pool, int key, QueueLimit queueLimit) {
+        return resolveOwner(pool, key, queueLimit, takenPermits).peek(this::countIfElsewhere);
+    }
+
+    /** Finds the owner like {@link #resolveOwner(Pool, int, QueueLimit)}, but takes no permit. */
+    Either<NoTarget, TargetState> explainOwner(Pool pool, int key, QueueLimit queueLimit) {
+        return resolveOwner(pool, key, queueLimit, untouchedPermits);
+    }
+
+    private Either<NoTarget, TargetState> resolveOwner(
+            Pool pool, int key, QueueLimit queueLimit, ColdStartPermits permits) {
         return findOwner(pool, key, queueLimit)
                 .flatMap(owner -> exceedsColdStartRate(
-                                pool, owner, context.clock().nowMillis())
+                                pool, owner, context.clock().nowMillis(), permits)
                         ? NoTarget.refuse(ErrorKind.OVERLOADED, POOL_RETRY_AFTER_MILLIS, "key=" + key + " cold=true")
-                        : Either.right(owner))
-                .peek(this::countIfElsewhere);
+                        : Either.right(owner));
     }
 
     private void countIfElsewhere(TargetState owner) {
