--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetRegistration.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetRegistration.java
@@ -15,6 +15,7 @@
  * @param draining whether it is about to leave
  * @param coldStartRemainingMillis remaining time of its cold start when it wrote the registration, 0 if not in cold
  *     start
+ * @param version version of the program that it runs
  */
 public record TargetRegistration(
         String id,
@@ -26,7 +27,49 @@
         String dataCentre,
         int slots,
         boolean draining,
-        long coldStartRemainingMillis) {
+        long coldStartRemainingMillis,
+        String version) {
+
+    private static final String UNNAMED_VERSION = "unnamed";
+
+    /**
+     * Creates the registration of a target in a pool where all targets run the same version.
+     *
+     * @param id id of the target
+     * @param startedAtMillis start of the process
+     * @param sequence number of this registration
+     * @param pool name of the pool
+     * @param host IP address
+     * @param port TCP port
+     * @param dataCentre name of its data centre
+     * @param slots number of requests that it runs concurrently
+     * @param draining whether it is about to leave
+     * @param coldStartRemainingMillis remaining time of its cold start
+     */
+    public TargetRegistration(
+            String id,
+            long startedAtMillis,
+            long sequence,
+            String pool,
+            String host,
+            int port,
+            String dataCentre,
+            int slots,
+            boolean draining,
+            long coldStartRemainingMillis) {
+        this(
+                id,
+                startedAtMillis,
+                sequence,
+                pool,
+                host,
+                port,
+                dataCentre,
+                slots,
+                draining,
+                coldStartRemainingMillis,
+                UNNAMED_VERSION);
+    }
 
     /**
      * Returns whether this registration is newer than another one with the same id.
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -239,7 +239,8 @@
                     LeavingTargets.class,
                     1,
                     (out, message) -> out.writeList(message.incarnations(), out::writeString),
-                    in -> new LeavingTargets(in.readList("incarnations", () -> in.readString("incarnations")))));
+                    in -> new LeavingTargets(in.readList("incarnations", () -> in.readString("incarnations")))),
+            RolloutReportLayout.create());
 
     private MessageLayouts() {}
 
--- a/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
+++ b/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
@@ -22,6 +22,7 @@
                 RecordFetch,
                 RecordPush,
                 ReportAnswer,
+                RolloutReport,
                 TargetReport,
                 TargetReportAnswer,
                 TermEndAnswer,
--- a/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
@@ -143,6 +143,14 @@
                         randomText(random), random.nextLong(), random.nextLong(), random.nextBoolean(), new byte[] {
                             (byte) random.nextInt()
                         }));
+            case "java.util.List<org.snipewind.protocol.RolloutReport$PoolReport>" ->
+                List.of(new RolloutReport.PoolReport(
+                        randomText(random),
+                        random.nextLong(),
+                        random.nextLong(),
+                        random.nextInt(),
+                        List.of(new RolloutReport.RouteCount(
+                                randomText(random), randomText(random), random.nextLong(), random.nextLong(), 0, 2.5))));
             case "java.util.List<org.snipewind.protocol.MirrorDelta$Patch>" ->
                 List.of(new MirrorDelta.Patch(
                         randomText(random), random.nextLong(), random.nextLong(), new byte[] {(byte) random.nextInt()
