Route by roll-outs, and let the leader decide them

Cause: instances need to know which versions a request may use, and the leader needs their evidence.

--- a/protocol/src/main/java/org/snipewind/protocol/RolloutReport.java
+++ b/protocol/src/main/java/org/snipewind/protocol/RolloutReport.java
@@ -32,6 +32,5 @@
      * @param timed number of measured service times
      * @param serviceMillis sum of the measured service times
      */
-    public record RouteCount(
-            String version, String route, long requests, long bad, long timed, double serviceMillis) {}
+    public record RouteCount(String version, String route, long requests, long bad, long timed, double serviceMillis) {}
 }
--- a/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
+++ b/protocol/src/test/java/org/snipewind/protocol/MessageCodecTest.java
@@ -150,7 +150,12 @@
                         random.nextLong(),
                         random.nextInt(),
                         List.of(new RolloutReport.RouteCount(
-                                randomText(random), randomText(random), random.nextLong(), random.nextLong(), 0, 2.5))));
+                                randomText(random),
+                                randomText(random),
+                                random.nextLong(),
+                                random.nextLong(),
+                                0,
+                                2.5))));
             case "java.util.List<org.snipewind.protocol.MirrorDelta$Patch>" ->
                 List.of(new MirrorDelta.Patch(
                         randomText(random), random.nextLong(), random.nextLong(), new byte[] {(byte) random.nextInt()
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -30,11 +30,14 @@
 import org.snipewind.router.path.SharedRoutingState;
 import org.snipewind.router.peer.LeaderClient;
 import org.snipewind.router.peer.PeerNetwork;
+import org.snipewind.router.peer.RolloutReporter;
 import org.snipewind.router.peer.StoreChangeBroadcaster;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.HeaderCodec;
 import org.snipewind.router.port.KeyOwnershipClient;
 import org.snipewind.router.port.StoreItemParser;
+import org.snipewind.router.rollout.RolloutService;
+import org.snipewind.router.rollout.VersionRouting;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.FleetView;
 import org.snipewind.router.state.MemberRecord;
@@ -83,6 +86,7 @@
     private final LeaderService leaderService;
     private final PeerNetwork network;
     private final LeaderClient leaderClient;
+    private final RolloutReporter rolloutReporter;
     private final StoreChangeBroadcaster changeBroadcaster;
     private final SharedRoutingState sharedState;
     private final CallerServer callers;
@@ -158,10 +162,9 @@
                 clock,
                 log,
                 self);
+        rolloutReporter = createRolloutReporter(store, itemParser, self);
         tracker.addObserver(sharedState::onViewChanged);
-        OrganisationRateLimiter rateLimiter =
-                new OrganisationRateLimiter(tracker, clock, controlLoop, leaderClient::fetchTokens);
-        tracker.addObserver(rateLimiter::onViewChanged);
+        OrganisationRateLimiter rateLimiter = createRateLimiter();
         callers = new CallerServer(
                 controlGroup,
                 workerGroup,
@@ -180,6 +183,23 @@
         registerGauges();
     }
 
+    private OrganisationRateLimiter createRateLimiter() {
+        OrganisationRateLimiter rateLimiter =
+                new OrganisationRateLimiter(tracker, clock, controlLoop, leaderClient::fetchTokens);
+        tracker.addObserver(rateLimiter::onViewChanged);
+        return rateLimiter;
+    }
+
+    private RolloutReporter createRolloutReporter(
+            CoordinationStore store, StoreItemParser documents, MemberRecord self) {
+        VersionRouting versions = sharedState.versions();
+        versions.setCopyAge(storeCache::ageMillis);
+        versions.evidence().setMetrics(metrics);
+        RolloutService service = new RolloutService(
+                store, storeCache, tracker, documents, clock, log, metrics, leaderElection::isLeading);
+        return new RolloutReporter(network, tracker, versions.evidence(), service, controlLoop, log, self);
+    }
+
     private void onTermStart(long formerTermEndMillis, Optional<MemberRecord> formerLeader) {
         leaderService.onTermStart(formerTermEndMillis, formerLeader);
         changeBroadcaster.onTermStart();
@@ -242,6 +262,7 @@
         network.start();
         leaderElection.start();
         leaderClient.start();
+        rolloutReporter.start();
         changeBroadcaster.start();
         scheduleTick();
         controlLoop.scheduleAtFixedRate(
@@ -306,6 +327,7 @@
         tracker.removeExpiredTargets();
         tracker.retryPendingConfiguration();
         leaderService.tick();
+        rolloutReporter.decide();
         boolean ready = isReady();
         if (ready != wasReady) {
             wasReady = ready;
--- a/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
@@ -15,6 +15,7 @@
 import org.snipewind.coordination.keyspace.KeyMove;
 import org.snipewind.coordination.keyspace.KeyRequestRates;
 import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.coordination.rollout.HolderShare;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.log.RouterEvent;
@@ -273,10 +274,12 @@
             return List.of();
         }
         List<HolderCandidate> usable = new ArrayList<>();
+        HolderShare rolloutShare = RolloutHolders.share(pool, view);
         for (TargetState state : view.inService().getOrDefault(pool, List.of())) {
             String incarnation = state.registration().incarnation();
-            if (!holder(incarnation).isUnresponsive(now)) {
-                usable.add(new HolderCandidate(incarnation, capacity(state), state.isColdStarting(now)));
+            double factor = rolloutShare.factor(state);
+            if (factor > 0 && !holder(incarnation).isUnresponsive(now)) {
+                usable.add(new HolderCandidate(incarnation, capacity(state) * factor, state.isColdStarting(now)));
             }
         }
         List<KeyMove> moves = KeyAssignmentPlanner.plan(base, usable, requestRates.rates());
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -79,6 +79,14 @@
     CALLER_LEFT(5404, Level.INFO),
     /** A server sent bytes that belong to no request, or can't be told from such bytes. */
     UNSOLICITED_BYTES(5405, Level.WARNING),
+    /** An operator ordered a roll-out or withdrew its order. */
+    ROLLOUT_ORDERED(5501, Level.INFO),
+    /** A roll-out was taken up, or its share of the requests changed. */
+    ROLLOUT_ADVANCED(5502, Level.INFO),
+    /** A roll-out was completed. */
+    ROLLOUT_COMPLETED(5503, Level.INFO),
+    /** A version was rolled back. */
+    ROLLOUT_ROLLED_BACK(5504, Level.WARNING),
     /** Lines were suppressed by the rate limit of their event. */
     LINES_LEFT_OUT(5901, Level.WARNING),
     /** A task failed because of a defect in the program; its later runs are not affected. */
--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.routing.Route;
 import org.snipewind.coordination.target.TargetNotices;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.http.BufferedResponse;
@@ -29,14 +30,16 @@
     private final RoutedRequest routedRequest;
     private final RoutingContext context;
     private final TargetState target;
+    private final Route route;
     private final long startedMillis;
     private HttpConnection connection;
     private boolean ended;
 
-    Attempt(RoutedRequest routedRequest, TargetState target) {
+    Attempt(RoutedRequest routedRequest, TargetState target, Route route) {
         this.routedRequest = routedRequest;
         this.context = routedRequest.worker().context();
         this.target = target;
+        this.route = route;
         this.startedMillis = context.clock().nowMillis();
     }
 
@@ -94,7 +97,8 @@
         String incarnation = target.incarnation();
         TargetNotices notices = context.tracker().notices();
         if (notices.isLeaving(incarnation)
-                || context.tracker().view().findInService(incarnation).isEmpty()) {
+                || context.tracker().view().findInService(incarnation).isEmpty()
+                || !context.sharedState().versions().mayUse(target)) {
             return Optional.of(ErrorKind.TARGET_UNREACHABLE);
         }
         return notices.pauseRemainingMillis(incarnation) > 0 ? Optional.of(ErrorKind.TARGET_PAUSED) : Optional.empty();
@@ -179,6 +183,7 @@
         if (hasUnknownTransferCoding(response.headers())) {
             connection.abort();
             target.onNoResponse(now, false);
+            recordFailure();
             fail(ErrorKind.ANSWER_INCOMPLETE, response, "response with an unknown transfer coding");
             return;
         }
@@ -195,14 +200,21 @@
             fail(ErrorKind.TARGET_SHED, response, "status=" + response.status());
         } else if (success && !isForwardedWithSignature(response, headers)) {
             target.onNoResponse(now, false);
+            recordFailure();
             fail(ErrorKind.ANSWER_INCOMPLETE, response, "response without the target's signature");
         } else if (response.status() >= SERVER_ERROR_STATUS
                 && routedRequest.isIdempotent()
                 && routedRequest.mayRetry()) {
             target.onErrorResponse(now);
+            recordFailure();
             routedRequest.attemptReturnedError(this, response, describe("status=" + response.status()));
         } else {
             double occupiedMillis = target.onResponse(elapsed, now);
+            if (response.status() >= SERVER_ERROR_STATUS) {
+                recordFailure();
+            } else {
+                context.sharedState().versions().evidence().recordResponse(target, route.name(), occupiedMillis);
+            }
             routedRequest.attemptSucceeded(this, response, occupiedMillis);
         }
     }
@@ -265,6 +277,9 @@
             target.onNoResponse(context.clock().nowMillis(), false);
         }
         markEnded();
+        if (cause.isPossiblySent()) {
+            recordFailure();
+        }
         ErrorKind kind = cause.isPossiblySent() ? ErrorKind.TARGET_LOST : ErrorKind.TARGET_UNREACHABLE;
         routedRequest.attemptFailed(this, kind, cause.isPossiblySent(), describe(cause.getMessage()));
     }
@@ -274,11 +289,20 @@
         if (!ended) {
             markEnded();
             if (connection != null) {
+                // A shorter attempt may have been ended by its caller or by the response to another one.
+                if (elapsedMillis() >= route.latencyObjectiveMillis()) {
+                    recordFailure();
+                }
                 connection.abort();
             }
         }
     }
 
+    /** Counts a response that is missing or bad against the version of the target. */
+    private void recordFailure() {
+        context.sharedState().versions().evidence().recordFailure(target, route.name());
+    }
+
     private void markEnded() {
         ended = true;
         target.onRequestEnded();
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -271,7 +271,7 @@
             context.sharedState().recordFirstAttempt(pool.name());
             scheduleHedge();
         }
-        Attempt attempt = new Attempt(this, target);
+        Attempt attempt = new Attempt(this, target, route);
         activeAttempts.add(attempt);
         attempt.start();
     }
--- a/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
+++ b/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
@@ -14,6 +14,7 @@
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.coordination.target.WindowedRetryBudget;
 import org.snipewind.protocol.LoadSummary;
+import org.snipewind.router.rollout.VersionRouting;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.FleetView;
 
@@ -39,6 +40,7 @@
     private final Map<String, ColdStartRateLimiter> coldStartLimiters = new ConcurrentHashMap<>();
     private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
     private final Map<String, double[]> serviceTimes = new HashMap<>();
+    private final VersionRouting versions;
 
     /**
      * Creates the state without any counts.
@@ -53,6 +55,16 @@
         this.clock = clock;
         this.limits = limits;
         this.instanceName = instanceName;
+        this.versions = new VersionRouting(tracker, clock);
+    }
+
+    /**
+     * Returns the filter of targets by their versions.
+     *
+     * @return the filter
+     */
+    public VersionRouting versions() {
+        return versions;
     }
 
     /**
@@ -85,6 +97,7 @@
      * configuration and the fleet of the view to the others; called on the control loop.
      */
     public void onViewChanged() {
+        versions.evidence().onViewChanged();
         FleetView view = tracker.view();
         List<String> members = List.copyOf(view.members().keySet());
         coldStartLimiters.forEach((incarnation, limiter) -> {
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -101,8 +101,14 @@
             Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueLimit queueLimit) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
-        List<TargetState> targets = inServiceTargets(pool, view);
         int limit = connectionLimit(pool, view);
+        List<TargetState> targets = context.sharedState()
+                .versions()
+                .candidates(
+                        pool.name(),
+                        inServiceTargets(pool, view),
+                        triedIncarnations.isEmpty(),
+                        target -> canSendTo(pool, target, nowMillis, limit, queueLimit));
         Optional<TargetState> chosen = selector.choose(
                 targets,
                 nowMillis,
@@ -214,6 +220,9 @@
             return awaitMove(pool, view, 0, "key=" + key + " holder=" + owner.holder() + " is not in service");
         }
         TargetState state = target.get();
+        if (!context.sharedState().versions().mayUse(state)) {
+            return awaitMove(pool, view, LEAST_MOVE_MILLIS, "key=" + key + " version of the holder is not in use");
+        }
         long pauseMillis = pauseRemainingMillis(state);
         if (pauseMillis > 0) {
             return NoTarget.awaitEndOfPause(
--- a/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
+++ b/router/src/main/java/org/snipewind/router/peer/PeerNetwork.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import org.snipewind.protocol.BudgetRequest;
 import org.snipewind.protocol.LeavingTargets;
 import org.snipewind.protocol.LoadSummary;
@@ -23,6 +24,8 @@
 import org.snipewind.protocol.PeerMessage;
 import org.snipewind.protocol.PeerServer;
 import org.snipewind.protocol.PeerSettings;
+import org.snipewind.protocol.ReportAnswer;
+import org.snipewind.protocol.RolloutReport;
 import org.snipewind.protocol.TermEndAnswer;
 import org.snipewind.protocol.TermEndRequest;
 import org.snipewind.router.lead.LeaderService;
@@ -69,6 +72,8 @@
     private final int port;
     private Optional<NettyPeerConnections> connections = Optional.empty();
     private long lastLeaderContactMillis;
+    private BiFunction<String, RolloutReport, ReportAnswer> rolloutReportHandler =
+            (senderId, report) -> new ReportAnswer(false);
 
     /**
      * Creates a network that is not open yet.
@@ -108,6 +113,15 @@
         this.port = port;
     }
 
+    /**
+     * Sets the handler of reports about roll-outs.
+     *
+     * @param handler receives the id of the reporting process and its report
+     */
+    void setRolloutReportHandler(BiFunction<String, RolloutReport, ReportAnswer> handler) {
+        rolloutReportHandler = handler;
+    }
+
     /** Opens the network as soon as the secret is known. The first instance of a fleet generates and writes it. */
     public void start() {
         controlLoop.execute(this::openWhenSecretKnown);
@@ -183,6 +197,9 @@
         if (message instanceof LoadSummary summary) {
             return Optional.of(leaderService.handleLoadSummary(senderId, summary));
         }
+        if (message instanceof RolloutReport report) {
+            return Optional.of(rolloutReportHandler.apply(senderId, report));
+        }
         if (message instanceof LeavingTargets leaving) {
             return Optional.of(leaderService.handleLeavingTargets(leaving));
         }
--- /dev/null
+++ b/router/src/main/java/org/snipewind/router/rollout/VersionRouting.java
@@ -0,0 +1,125 @@
+package org.snipewind.router.rollout;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.rollout.VersionRule;
+import org.snipewind.coordination.target.TargetState;
+import org.snipewind.router.state.FleetTracker;
+import org.snipewind.router.state.PoolRollout;
+
+/** Tells which targets of a pool a request may use, by the roll-outs in the fleet view. Any thread may use it. */
+public final class VersionRouting {
+
+    /** Age of the copy of the store from which a roll-out counts as not confirmed. */
+    private static final long MAX_COPY_AGE_MILLIS = 2_000;
+
+    /** Time for which replaced versions get no requests once their order is gone; their entries outlive them. */
+    private static final long RETIRED_MILLIS = 10_000;
+
+    private final FleetTracker tracker;
+    private final MillisClock clock;
+    private final VersionEvidence evidence;
+    private volatile LongSupplier copyAgeMillis = () -> 0;
+
+    /**
+     * Creates the filter of an instance whose copy of the store is always current.
+     *
+     * @param tracker source of the fleet view
+     * @param clock clock that measures the age of records
+     */
+    public VersionRouting(FleetTracker tracker, MillisClock clock) {
+        this.tracker = tracker;
+        this.clock = clock;
+        this.evidence = new VersionEvidence(tracker, clock);
+    }
+
+    /**
+     * Sets the supplier of the age of the copy of the store.
+     *
+     * @param ageMillis milliseconds since the copy was confirmed
+     */
+    public void setCopyAge(LongSupplier ageMillis) {
+        copyAgeMillis = ageMillis;
+    }
+
+    /**
+     * Returns what this instance observes of the versions.
+     *
+     * @return the evidence
+     */
+    public VersionEvidence evidence() {
+        return evidence;
+    }
+
+    /**
+     * Returns the rule of a pool.
+     *
+     * @param pool name of the pool
+     * @return the rule, empty if the pool never had a roll-out
+     */
+    public Optional<VersionRule> rule(String pool) {
+        return Optional.ofNullable(tracker.view().rollouts().get(pool)).map(this::rule);
+    }
+
+    private VersionRule rule(PoolRollout rollout) {
+        return new VersionRule(
+                rollout.order(),
+                rollout.record(),
+                copyAgeMillis.getAsLong() <= MAX_COPY_AGE_MILLIS,
+                clock.nowMillis() - rollout.recordSeenMillis() < RETIRED_MILLIS);
+    }
+
+    /**
+     * Returns whether a target may get any request.
+     *
+     * @param target the target
+     * @return false if its version is not in use, or not confirmed to be
+     */
+    public boolean mayUse(TargetState target) {
+        return rule(target.registration().pool())
+                .map(rule -> rule.useOf(target.registration().version()) != VersionRule.Use.NONE)
+                .orElse(true);
+    }
+
+    /**
+     * Chooses the targets among which one is selected for a request. The first attempt of a request is drawn for the
+     * version that is introduced, according to its share; further attempts return to the other versions.
+     *
+     * @param pool name of the pool
+     * @param inService targets in service
+     * @param firstAttempt whether the request was sent to no target yet
+     * @param usable whether a target can take the request now
+     * @return the targets of the version that is introduced or those of all others
+     */
+    public List<TargetState> candidates(
+            String pool, List<TargetState> inService, boolean firstAttempt, Predicate<TargetState> usable) {
+        Optional<VersionRule> known = rule(pool);
+        if (known.isEmpty()) {
+            return inService;
+        }
+        VersionRule rule = known.get();
+        List<TargetState> introduced = new ArrayList<>();
+        List<TargetState> others = new ArrayList<>();
+        for (TargetState target : inService) {
+            switch (rule.useOf(target.registration().version())) {
+                case SHARE -> introduced.add(target);
+                case ALL -> others.add(target);
+                default -> {
+                    // The version is not in use.
+                }
+            }
+        }
+        double share = rule.share();
+        boolean drawn = share >= 1
+                || firstAttempt
+                        && share > 0
+                        && ThreadLocalRandom.current().nextDouble() < share
+                        && introduced.stream().anyMatch(usable);
+        return drawn ? introduced : others;
+    }
+}
--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -54,6 +54,7 @@
     private final Map<String, Long> graceEndMillisByTarget = new HashMap<>();
     private final Map<String, Long> memberLastSeenMillis = new HashMap<>();
     private final Map<String, KeyTable> keyTables = new HashMap<>();
+    private final RolloutItems rollouts;
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private Optional<StoreItem> pendingConfiguration = Optional.empty();
     private long configurationRetryMillis;
@@ -75,6 +76,7 @@
         this.clock = clock;
         this.log = log;
         this.notices = new TargetNotices(clock);
+        this.rollouts = new RolloutItems(clock, log);
     }
 
     /**
@@ -172,6 +174,11 @@
                     configurationRetryMillis = clock.nowMillis();
                 }
                 case TARGET -> applyTarget(entityId, item);
+                case ROLLOUT_ORDER ->
+                    rollouts.applyOrder(
+                            entityId,
+                            item,
+                            parse(() -> parser.parseRolloutOrder(entityId, item.revision(), item.value())));
                 case EVACUATION -> {
                     evacuatedDataCentres.add(entityId);
                     log.write(
@@ -202,6 +209,8 @@
                     .ifPresentOrElse(
                             table -> keyTables.put(key.substring(StoreKeys.KEY_TABLE_PREFIX.length()), table),
                             () -> logUnreadable(item, "key table is malformed"));
+        } else if (key.startsWith(StoreKeys.ROLLOUT_PREFIX)) {
+            rollouts.applyRecord(item);
         }
     }
 
@@ -319,6 +328,8 @@
             log.write(RouterEvent.LEADER_CHANGED, () -> "leader=none");
         } else if (key.startsWith(StoreKeys.KEY_TABLE_PREFIX)) {
             keyTables.remove(key.substring(StoreKeys.KEY_TABLE_PREFIX.length()));
+        } else if (key.startsWith(StoreKeys.ROLLOUT_PREFIX)) {
+            rollouts.removeRecord(key);
         } else {
             removePlatformItem(key);
         }
@@ -332,6 +343,8 @@
                 graceEndMillisByTarget.put(entityId, clock.nowMillis() + REGISTRATION_GRACE_MILLIS - reconnectAge);
             } else if (kind == StoreItemParser.Kind.TARGET) {
                 removeTarget(entityId);
+            } else if (kind == StoreItemParser.Kind.ROLLOUT_ORDER) {
+                rollouts.removeOrder(entityId);
             } else if (kind == StoreItemParser.Kind.EVACUATION && evacuatedDataCentres.remove(entityId)) {
                 log.write(RouterEvent.EVACUATION_CHANGED, () -> "data-centre=" + entityId + " evacuated=false");
             }
@@ -370,7 +383,8 @@
                 Map.copyOf(members),
                 Map.copyOf(keyTables),
                 leader,
-                Math.max(1, memberLastSeenMillis.size()));
+                Math.max(1, memberLastSeenMillis.size()),
+                rollouts.view());
         observers.forEach(observer -> new GuardedTask(log, "observer of the fleet view", observer).run());
     }
 }
--- a/router/src/main/java/org/snipewind/router/state/FleetView.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetView.java
@@ -19,6 +19,7 @@
  * @param keyTables key tables, by pool
  * @param leader the leader, empty if there is none
  * @param fleetSize number of instances seen in the recent past, at least 1
+ * @param rollouts roll-outs, by pool
  */
 public record FleetView(
         Optional<RoutingConfiguration> configuration,
@@ -28,12 +29,37 @@
         Map<String, MemberRecord> members,
         Map<String, KeyTable> keyTables,
         Optional<LeaderRecord> leader,
-        int fleetSize) {
+        int fleetSize,
+        Map<String, PoolRollout> rollouts) {
 
     /** The view before any item is read from the store. */
     public static final FleetView EMPTY =
             new FleetView(Optional.empty(), Map.of(), Map.of(), Set.of(), Map.of(), Map.of(), Optional.empty(), 1);
 
+    /**
+     * Creates a view without roll-outs.
+     *
+     * @param configuration the configuration in force
+     * @param targets all registered targets, by id
+     * @param inService targets that may get requests, by pool
+     * @param evacuatedDataCentres data centres whose targets get no requests
+     * @param members all instances of the router, by name
+     * @param keyTables key tables, by pool
+     * @param leader the leader
+     * @param fleetSize number of instances seen in the recent past
+     */
+    public FleetView(
+            Optional<RoutingConfiguration> configuration,
+            Map<String, TargetState> targets,
+            Map<String, List<TargetState>> inService,
+            Set<String> evacuatedDataCentres,
+            Map<String, MemberRecord> members,
+            Map<String, KeyTable> keyTables,
+            Optional<LeaderRecord> leader,
+            int fleetSize) {
+        this(configuration, targets, inService, evacuatedDataCentres, members, keyTables, leader, fleetSize, Map.of());
+    }
+
     /**
      * Finds a target in service by its incarnation, as key tables contain it.
      *
--- a/router/src/main/java/org/snipewind/router/state/StoreKeys.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreKeys.java
@@ -15,6 +15,9 @@
     /** Prefix of the keys of key tables, followed by the name of the pool. */
     public static final String KEY_TABLE_PREFIX = ROOT_PREFIX + "keys/";
 
+    /** Prefix of the keys of the records of roll-outs, followed by the name of the pool. */
+    public static final String ROLLOUT_PREFIX = ROOT_PREFIX + "rollouts/";
+
     /** Key of the secret with which the instances authenticate each other. */
     public static final String SECRET = ROOT_PREFIX + "secret";
 
