--- a/coordination/src/main/java/org/snipewind/coordination/rollout/RolloutStateMachine.java
+++ b/coordination/src/main/java/org/snipewind/coordination/rollout/RolloutStateMachine.java
@@ -7,7 +7,7 @@
  * Decides the next phase of a roll-out.
  *
  * <p>Times are fractions of the ordered duration. A canary and a short ramp expose about 0.05 of the requests of the
- * whole duration plus 25; a bad version may get 0.1 plus 50. The rest is for a fault that begins under full load, which
+ * whole duration plus 20; a bad version may get 0.1 plus 50. The rest is for a fault that begins under full load, which
  * is noticed after about 0.6 s.
  */
 public final class RolloutStateMachine {
@@ -21,10 +21,10 @@
     private static final double MAX_CANARY_SHARE = 0.2;
 
     /** Requests that the canary gets beyond its least share; they are a part of the allowance of 50. */
-    private static final double CANARY_REQUESTS = 25;
+    private static final double CANARY_REQUESTS = 20;
 
     /** Time after which the rate of requests is known well enough to adjust the share of the canary. */
-    private static final long RATE_KNOWN_AFTER_MILLIS = 1_000;
+    private static final long RATE_KNOWN_AFTER_MILLIS = 2_000;
 
     private static final double CANARY_END = 0.5;
 
--- a/coordination/src/main/java/org/snipewind/coordination/rollout/VersionComparison.java
+++ b/coordination/src/main/java/org/snipewind/coordination/rollout/VersionComparison.java
@@ -12,8 +12,8 @@
      */
     private static final double SIGNIFICANCE = 1e-4;
 
-    /** Fewer failures can come from the loss of one target, which is no sign of a bad version. */
-    private static final long LEAST_BAD = 3;
+    /** Fewer failures can come from the loss of a target or two, which is no sign of a bad version. */
+    private static final long LEAST_BAD = 5;
 
     /** Failure rate that is always tolerated; targets that crash or are cut off fail a few requests of any version. */
     private static final double TOLERATED_FAILURE_RATE = 0.01;
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -37,7 +37,6 @@
 import org.snipewind.router.port.KeyOwnershipClient;
 import org.snipewind.router.port.StoreItemParser;
 import org.snipewind.router.rollout.RolloutService;
-import org.snipewind.router.rollout.VersionRouting;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.FleetView;
 import org.snipewind.router.state.MemberRecord;
@@ -192,12 +191,11 @@
 
     private RolloutReporter createRolloutReporter(
             CoordinationStore store, StoreItemParser documents, MemberRecord self) {
-        VersionRouting versions = sharedState.versions();
-        versions.setCopyAge(storeCache::ageMillis);
-        versions.evidence().setMetrics(metrics);
+        sharedState.versions().connect(storeCache::ageMillis, metrics);
         RolloutService service = new RolloutService(
                 store, storeCache, tracker, documents, clock, log, metrics, leaderElection::isLeading);
-        return new RolloutReporter(network, tracker, versions.evidence(), service, controlLoop, log, self);
+        return new RolloutReporter(
+                network, tracker, sharedState.versions().evidence(), service, controlLoop, log, self);
     }
 
     private void onTermStart(long formerTermEndMillis, Optional<MemberRecord> formerLeader) {
--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -278,7 +278,7 @@
         }
         markEnded();
         if (cause.isPossiblySent()) {
-            recordFailure();
+            context.sharedState().versions().evidence().recordLoss(target, route.name());
         }
         ErrorKind kind = cause.isPossiblySent() ? ErrorKind.TARGET_LOST : ErrorKind.TARGET_UNREACHABLE;
         routedRequest.attemptFailed(this, kind, cause.isPossiblySent(), describe(cause.getMessage()));
@@ -289,10 +289,7 @@
         if (!ended) {
             markEnded();
             if (connection != null) {
-                // A shorter attempt may have been ended by its caller or by the response to another one.
-                if (elapsedMillis() >= route.latencyObjectiveMillis()) {
-                    recordFailure();
-                }
+                context.sharedState().versions().evidence().recordAborted(target, route, elapsedMillis());
                 connection.abort();
             }
         }
--- a/router/src/main/java/org/snipewind/router/rollout/VersionEvidence.java
+++ b/router/src/main/java/org/snipewind/router/rollout/VersionEvidence.java
@@ -8,6 +8,7 @@
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.rollout.RolloutOrder;
 import org.snipewind.coordination.rollout.VersionTally;
+import org.snipewind.coordination.routing.Route;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.protocol.RolloutReport;
@@ -28,9 +29,15 @@
     /** Limit on that time as a fraction of the ordered duration, so that a short roll-out has samples too. */
     private static final double WARM_UP_FRACTION = 0.4;
 
+    /** Fraction of the latency objective from which the time of an attempt without response counts. */
+    private static final double CENSORED_FRACTION = 0.5;
+
     /** Versions of all pools for which metrics are kept; names of versions come from outside. */
     private static final int MAX_METERED_VERSIONS = 64;
 
+    /** Requests that a target loses within this time are lost together, with its process or its network. */
+    private static final long LOSS_MILLIS = 100;
+
     private record VersionRoute(String version, String route) {}
 
     /** Totals of a pool since an order. */
@@ -40,6 +47,7 @@
     private final MillisClock clock;
     private final Map<String, PoolTotals> pools = new ConcurrentHashMap<>();
     private final Map<String, Long> firstSeenMillis = new ConcurrentHashMap<>();
+    private final Map<String, Long> lastLossMillis = new ConcurrentHashMap<>();
     private final Map<String, VersionMetrics> metered = new ConcurrentHashMap<>();
     private volatile Optional<ProcessMetrics> metrics = Optional.empty();
 
@@ -48,12 +56,7 @@
         this.clock = clock;
     }
 
-    /**
-     * Sets where requests, failures and service times are counted by version.
-     *
-     * @param target the metrics
-     */
-    public void setMetrics(ProcessMetrics target) {
+    void setMetrics(ProcessMetrics target) {
         metrics = Optional.of(target);
     }
 
@@ -71,6 +74,7 @@
         firstSeenMillis
                 .keySet()
                 .removeIf(incarnation -> view.findRegistered(incarnation).isEmpty());
+        lastLossMillis.keySet().retainAll(firstSeenMillis.keySet());
         view.targets().values().forEach(target -> {
             if (pools.containsKey(target.registration().pool())) {
                 firstSeenMillis.putIfAbsent(target.incarnation(), clock.nowMillis());
@@ -106,6 +110,37 @@
         meter(target).ifPresent(VersionMetrics::recordFailure);
     }
 
+    /**
+     * Records a request whose connection broke before the whole response was received. Of several that a target loses
+     * at once, one counts.
+     *
+     * @param target the target that got the request
+     * @param route name of the route
+     */
+    public void recordLoss(TargetState target, String route) {
+        long now = clock.nowMillis();
+        Long previous = lastLossMillis.put(target.incarnation(), now);
+        if (previous == null || now - previous >= LOSS_MILLIS) {
+            recordFailure(target, route);
+        }
+    }
+
+    /**
+     * Records an attempt that was ended before its response had arrived.
+     *
+     * @param target the target that got the request
+     * @param route the route
+     * @param elapsedMillis time since the request was sent
+     */
+    public void recordAborted(TargetState target, Route route, double elapsedMillis) {
+        if (elapsedMillis >= route.latencyObjectiveMillis()) {
+            recordFailure(target, route.name());
+        } else if (elapsedMillis >= route.latencyObjectiveMillis() * CENSORED_FRACTION) {
+            // The response would have taken longer; without this sample, hedges would hide a slow version.
+            recordResponse(target, route.name(), elapsedMillis);
+        }
+    }
+
     private void add(TargetState target, String route, VersionTally tally) {
         TargetRegistration registration = target.registration();
         PoolTotals totals = pools.get(registration.pool());
--- a/router/src/main/java/org/snipewind/router/rollout/VersionRouting.java
+++ b/router/src/main/java/org/snipewind/router/rollout/VersionRouting.java
@@ -9,6 +9,7 @@
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.rollout.VersionRule;
 import org.snipewind.coordination.target.TargetState;
+import org.snipewind.router.metrics.ProcessMetrics;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.PoolRollout;
 
@@ -39,12 +40,14 @@
     }
 
     /**
-     * Sets the supplier of the age of the copy of the store.
+     * Connects the filter to the instance of which it is a part.
      *
-     * @param ageMillis milliseconds since the copy was confirmed
+     * @param ageMillis supplies the milliseconds since the copy of the store was confirmed
+     * @param metrics where requests, failures and service times are counted by version
      */
-    public void setCopyAge(LongSupplier ageMillis) {
+    public void connect(LongSupplier ageMillis, ProcessMetrics metrics) {
         copyAgeMillis = ageMillis;
+        evidence.setMetrics(metrics);
     }
 
     /**
