Give the introduced version of a keyed pool its share of the keys

Cause: in the first run of the keyed fleet test the planner moved one key to the new version, which got no requests before all keys moved; the fault was found only then, after 64 bad responses. The canary and the steps took until 10.1 s of 12 s at 125 requests/s. Change: IntroducedKeyPlanner moves ranges that have the share of requests and keys; the canary ends at 0.45 to 0.55 of the duration, steps take 0.05 to 0.07. Result: RolloutFleetTest green (6): bad keyed version rolled back after 1.1 s with 6 bad responses known, good versions completed 9.1 to 9.6 s after orders of 12 s, also with a change of the leader at 4.5 s. IntroducedKeyPlannerTest and the other roll-out tests green.

--- a/coordination/src/main/java/org/snipewind/coordination/rollout/HolderShare.java
+++ b/coordination/src/main/java/org/snipewind/coordination/rollout/HolderShare.java
@@ -4,6 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import org.snipewind.coordination.keyspace.KeyMove;
+import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.target.TargetState;
 
 /** Tells which targets of a keyed pool may hold keys during a roll-out, and what fraction of their capacity counts. */
@@ -46,6 +49,20 @@
         return rule.useOf(target.registration().version());
     }
 
+    /**
+     * Adds moves to the introduced targets if nothing else is to be moved.
+     *
+     * @param planned moves that are planned already
+     * @param table current holders
+     * @param rates requests per second by key
+     * @return the moves
+     */
+    public List<KeyMove> orIntroduce(List<KeyMove> planned, KeyTable table, NavigableMap<Integer, Double> rates) {
+        return planned.isEmpty()
+                ? IntroducedKeyPlanner.plan(table, List.copyOf(introducedFactors.keySet()), rule.share(), rates)
+                : planned;
+    }
+
     /**
      * Returns the fraction of a target's capacity that counts when keys are assigned.
      *
--- a/coordination/src/main/java/org/snipewind/coordination/rollout/RolloutStateMachine.java
+++ b/coordination/src/main/java/org/snipewind/coordination/rollout/RolloutStateMachine.java
@@ -26,30 +26,30 @@
     /** Time after which the rate of requests is known well enough to adjust the share of the canary. */
     private static final long RATE_KNOWN_AFTER_MILLIS = 2_000;
 
-    private static final double CANARY_END = 0.5;
+    private static final double CANARY_END = 0.45;
 
     /** End of the canary if its samples are too few to compare service times. */
-    private static final double LATEST_CANARY_END = 0.62;
+    private static final double LATEST_CANARY_END = 0.55;
 
     private static final List<Double> RAMP_SHARES = List.of(0.08, 0.16, 0.35);
 
     /** A step of the ramp must raise the share by this factor at least. */
     private static final double LEAST_STEP_FACTOR = 1.3;
 
-    private static final double STEP_TIME = 0.06;
-    private static final double LATEST_STEP_TIME = 0.09;
+    private static final double STEP_TIME = 0.05;
+    private static final double LATEST_STEP_TIME = 0.07;
 
     /** Requests of the new version that a step needs. */
     private static final long STEP_REQUESTS = 15;
 
     /** Progress after which the steps of the ramp take the least time, because a change of the leader took some. */
-    private static final double BEHIND_AFTER = 0.7;
+    private static final double BEHIND_AFTER = 0.65;
 
     /** Least time of a step, in which each instance reports once. */
     private static final long LEAST_STEP_MILLIS = 450;
 
     /** Progress at which all requests go to the new version unless there is a sign of a fault. */
-    private static final double LATEST_FULL = 0.84;
+    private static final double LATEST_FULL = 0.8;
 
     /** Progress at which this is done even if the leader has no evidence yet. */
     private static final double LATEST_FULL_WITHOUT_EVIDENCE = 0.9;
--- a/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
@@ -282,7 +282,8 @@
                 usable.add(new HolderCandidate(incarnation, capacity(state) * factor, state.isColdStarting(now)));
             }
         }
-        List<KeyMove> moves = KeyAssignmentPlanner.plan(base, usable, requestRates.rates());
+        List<KeyMove> balancing = KeyAssignmentPlanner.plan(base, usable, requestRates.rates());
+        List<KeyMove> moves = rolloutShare.orIntroduce(balancing, base, requestRates.rates());
         if (moves.isEmpty()) {
             return List.of();
         }
