--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyPlanner.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyPlanner.java
@@ -1,6 +1,7 @@
 package org.snipewind.coordination.keyspace;
 
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Set;
 import org.snipewind.coordination.clock.MillisClock;
 
@@ -117,13 +118,23 @@
                 BALANCE_TIME_CONSTANT_SECONDS);
     }
 
+    /**
+     * Returns the recent load by key.
+     *
+     * @return requests per second
+     */
+    public NavigableMap<Integer, Double> recentRates() {
+        return recentRates.rates();
+    }
+
     private static List<HolderCandidate> candidates(
             TargetCapacities capacities, List<PoolTarget> targets, double coldStartRatePerSecond) {
         double meanMillis = capacities.meanServiceMillis(
                 targets.stream().map(PoolTarget::incarnation).toList());
         return targets.stream()
                 .map(target -> {
-                    double warm = capacities.capacityPerSecond(target.incarnation(), target.slots(), meanMillis);
+                    double warm = capacities.capacityPerSecond(target.incarnation(), target.slots(), meanMillis)
+                            * target.capacityFactor();
                     boolean limited = target.coldStarting() && coldStartRatePerSecond > 0;
                     double capacity = limited ? Math.min(warm, coldStartRatePerSecond) : warm;
                     return new HolderCandidate(target.incarnation(), capacity, target.coldStarting());
--- a/coordination/src/test/java/org/snipewind/coordination/keyspace/SimulatedKeyedPool.java
+++ b/coordination/src/test/java/org/snipewind/coordination/keyspace/SimulatedKeyedPool.java
@@ -118,7 +118,7 @@
 
     private void plan() {
         List<PoolTarget> usable = targets.stream()
-                .map(target -> new PoolTarget(target.incarnation, target.slotFreeAtMillis.length, false))
+                .map(target -> new PoolTarget(target.incarnation, target.slotFreeAtMillis.length, false, 1))
                 .toList();
         List<KeyMove> moves = planner.plan(table, usable, 0, true);
         for (KeyMove move : moves) {
--- a/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
+++ b/protocol/src/main/java/org/snipewind/protocol/MessageLayouts.java
@@ -263,7 +263,8 @@
                     2,
                     (out, message) ->
                             ObservationLayout.writeAll(out.writeLong(message.sequence()), message.observations()),
-                    in -> new ObservationAnswer(in.readLong("sequence"), ObservationLayout.readAll(in))));
+                    in -> new ObservationAnswer(in.readLong("sequence"), ObservationLayout.readAll(in))),
+            RolloutReportLayout.create());
 
     private MessageLayouts() {}
 
--- a/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
+++ b/protocol/src/main/java/org/snipewind/protocol/PeerMessage.java
@@ -25,6 +25,7 @@
                 RecordPush,
                 RelayAcknowledgement,
                 ReportAnswer,
+                RolloutReport,
                 TargetReport,
                 TargetReportAnswer,
                 TermEndAnswer,
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -31,11 +31,13 @@
 import org.snipewind.router.path.SharedRoutingState;
 import org.snipewind.router.peer.LeaderClient;
 import org.snipewind.router.peer.PeerNetwork;
+import org.snipewind.router.peer.RolloutReporter;
 import org.snipewind.router.peer.StoreChangeBroadcaster;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.HeaderCodec;
 import org.snipewind.router.port.KeyOwnershipClient;
 import org.snipewind.router.port.StoreItemParser;
+import org.snipewind.router.rollout.RolloutService;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.FleetView;
 import org.snipewind.router.state.MemberRecord;
@@ -84,6 +86,7 @@
     private final LeaderService leaderService;
     private final PeerNetwork network;
     private final LeaderClient leaderClient;
+    private final RolloutReporter rolloutReporter;
     private final StoreChangeBroadcaster changeBroadcaster;
     private final SharedRoutingState sharedState;
     private final CallerServer callers;
@@ -160,11 +163,9 @@
                 clock,
                 log,
                 self);
+        rolloutReporter = createRolloutReporter(store, itemParser, self);
         tracker.addObserver(sharedState::onViewChanged);
-        OrganisationRateLimiter rateLimiter =
-                new OrganisationRateLimiter(tracker, clock, controlLoop, leaderClient::fetchTokens);
-        tracker.addObserver(rateLimiter::onViewChanged);
-        callers = new CallerServer(controlGroup, workerGroup, routingContext(rateLimiter, headerCodec));
+        callers = new CallerServer(controlGroup, workerGroup, routingContext(createRateLimiter(), headerCodec));
         activityLog = new ActivityLog(metrics, log, clock, this::describeView);
         registerGauges();
     }
@@ -184,6 +185,22 @@
                 settings.linkMegabits());
     }
 
+    private OrganisationRateLimiter createRateLimiter() {
+        OrganisationRateLimiter rateLimiter =
+                new OrganisationRateLimiter(tracker, clock, controlLoop, leaderClient::fetchTokens);
+        tracker.addObserver(rateLimiter::onViewChanged);
+        return rateLimiter;
+    }
+
+    private RolloutReporter createRolloutReporter(
+            CoordinationStore store, StoreItemParser documents, MemberRecord self) {
+        sharedState.versions().connect(storeCache::ageMillis, metrics);
+        RolloutService service = new RolloutService(
+                store, storeCache, tracker, documents, clock, log, metrics, leaderElection::isLeading);
+        return new RolloutReporter(
+                network, tracker, sharedState.versions().evidence(), service, controlLoop, log, self);
+    }
+
     private void onTermStart(long formerTermEndMillis, Optional<MemberRecord> formerLeader) {
         leaderService.onTermStart(formerTermEndMillis, formerLeader);
         changeBroadcaster.onTermStart();
@@ -247,6 +264,7 @@
         network.start();
         leaderElection.start();
         leaderClient.start();
+        rolloutReporter.start();
         changeBroadcaster.start();
         scheduleTick();
         controlLoop.scheduleAtFixedRate(
@@ -318,6 +336,7 @@
         tracker.removeExpiredTargets();
         tracker.retryPendingConfiguration();
         leaderService.tick();
+        rolloutReporter.decide();
         boolean ready = isReady();
         if (ready != wasReady) {
             wasReady = ready;
--- a/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
@@ -15,6 +15,7 @@
 import org.snipewind.coordination.keyspace.KeyPlanner;
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.keyspace.PoolTarget;
+import org.snipewind.coordination.rollout.HolderShare;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.coordination.target.TargetState;
@@ -270,16 +271,23 @@
                 .filter(state -> state.registration().pool().equals(pool))
                 .map(TargetState::incarnation)
                 .collect(Collectors.toSet()));
+        HolderShare rolloutShare = RolloutHolders.share(pool, view);
         List<PoolTarget> usable = view.inService().getOrDefault(pool, List.of()).stream()
-                .filter(state -> !holder(state.incarnation()).isUnresponsive(now))
-                .map(state ->
-                        new PoolTarget(state.incarnation(), state.registration().slots(), state.isColdStarting(now)))
+                .filter(state -> rolloutShare.factor(state) > 0
+                        && !holder(state.incarnation()).isUnresponsive(now))
+                .map(state -> new PoolTarget(
+                        state.incarnation(),
+                        state.registration().slots(),
+                        state.isColdStarting(now),
+                        rolloutShare.factor(state)))
                 .toList();
         double coldStartRate = view.configuration()
                 .flatMap(configuration -> configuration.pool(pool))
                 .map(Pool::coldStartRatePerSecond)
                 .orElse(0.0);
-        List<KeyMove> moves = planner.plan(base, usable, coldStartRate, view.fleetSize() > MAX_FLEET_WITHOUT_BALANCE);
+        List<KeyMove> balancing =
+                planner.plan(base, usable, coldStartRate, view.fleetSize() > MAX_FLEET_WITHOUT_BALANCE);
+        List<KeyMove> moves = rolloutShare.orIntroduce(balancing, base, planner.recentRates());
         if (moves.isEmpty()) {
             return List.of();
         }
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -268,7 +268,7 @@
     Attempt prepareAttempt(TargetState target) {
         attempts++;
         triedIncarnations.add(target.incarnation());
-        Attempt attempt = new Attempt(this, target);
+        Attempt attempt = new Attempt(this, target, route);
         if (attempts == 1) {
             context.sharedState().recordFirstAttempt(pool.name());
             secondAttempt.ifPresent(planned -> planned.schedule(attempt));
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -193,13 +193,15 @@
             Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueLimit queueLimit, Choice choice) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
-        List<TargetState> targets = inServiceTargets(pool, view);
         int limit = connectionLimit(pool, view);
+        Predicate<TargetState> suitable = target ->
+                suitability(pool, target, nowMillis, limit, queueLimit, choice.permits()) == Suitability.SUITABLE;
+        List<TargetState> targets = context.sharedState()
+                .versions()
+                .candidates(pool.name(), inServiceTargets(pool, view), triedIncarnations.isEmpty(), suitable);
         Candidates candidates = new Candidates(
                 targets,
-                target -> !triedIncarnations.contains(target.incarnation())
-                        && suitability(pool, target, nowMillis, limit, queueLimit, choice.permits())
-                                == Suitability.SUITABLE,
+                target -> !triedIncarnations.contains(target.incarnation()) && suitable.test(target),
                 target -> connections.hasIdleConnection(target.registration(), nonIdempotent),
                 choice.observer());
         Optional<Selection> selection = choice.selection().apply(candidates);
@@ -242,7 +244,9 @@
     Optional<TargetState> selectForSecondAttempt(Pool pool, Set<String> triedIncarnations, QueueLimit queueLimit) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
-        List<TargetState> targets = inServiceTargets(pool, view);
+        List<TargetState> targets = context.sharedState()
+                .versions()
+                .candidates(pool.name(), inServiceTargets(pool, view), false, target -> true);
         int limit = connectionLimit(pool, view);
         Predicate<TargetState> suitable = target -> !triedIncarnations.contains(target.incarnation())
                 && target.isFree(nowMillis)
@@ -364,6 +368,9 @@
             return awaitMove(pool, view, 0, "key=" + key + " holder=" + owner.holder() + " is not in service");
         }
         TargetState state = target.get();
+        if (!context.sharedState().versions().mayUse(state)) {
+            return awaitMove(pool, view, LEAST_MOVE_MILLIS, "key=" + key + " version of the holder is not in use");
+        }
         long pauseMillis = pauseRemainingMillis(state);
         if (pauseMillis > 0) {
             return NoTarget.awaitEndOfPause(
