Follow a store that was restored from an older copy

Cause: a store that is restored loses acknowledged writes and leases and assigns the same revisions and lease numbers again. Copies of the store kept the lost items, conditions could match by chance, leases could be those of others, and a new leader could grant keys that the targets of a lost leader still held.

Change: the store client reads the era of each response and returns positions that are ordered by era and revision. Requests of an earlier era are not sent, late responses are refused. A leader acts in a new era only after it has shown its lease, and writes its key tables again; a new one waits until all rights of the earlier era have expired. Lost evacuations, key tables and targets stay in force.

--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -210,6 +210,7 @@
     }
 
     private void registerGauges() {
+        storeCache.eras().setChangeListener(() -> metrics.count("store.era-changes"));
         metrics.gauge("callers.connections", callers::connections);
         metrics.gauge(
                 "configuration.version",
@@ -231,6 +232,7 @@
         metrics.gauge("store.contact-age-millis", storeCache::contactAgeMillis);
         metrics.gauge("store.confirmation-age-millis", storeCache::ageMillis);
         metrics.gauge("store.revision", storeCache::revision);
+        metrics.gauge("store.era", () -> storeCache.eras().era());
         metrics.gauge("store.calls-restarted", storeCache::restarts);
         metrics.gauge("leader", () -> leaderElection.isLeading() ? 1 : 0);
     }
--- a/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
@@ -15,6 +16,8 @@
 import org.snipewind.coordination.keyspace.KeyMove;
 import org.snipewind.coordination.keyspace.KeyRequestRates;
 import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.coordination.restore.RestorationRules;
+import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.log.RouterEvent;
@@ -22,7 +25,9 @@
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.KeyOwnershipClient;
 import org.snipewind.router.port.StoreException;
+import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetView;
+import org.snipewind.router.state.RecordCodec;
 import org.snipewind.router.state.StoreCache;
 import org.snipewind.router.state.StoreKeys;
 
@@ -33,6 +38,10 @@
  * the store; the previous holder releases the keys, or its grant expires; the new holder is granted the keys under a
  * higher epoch. A successor of this leader finds each unfinished move in the table.
  *
+ * <p>If the store is restored from an older copy, another leader and its table may have been lost, and its grants may
+ * be in force for some time. Until then, a new leader does nothing, and this one only renews the grants of its own
+ * table and ends its own moves under their epochs, after it has written that table again.
+ *
  * <p>Confined to the control event loop.
  */
 final class KeyAssigner {
@@ -67,6 +76,10 @@
     private final List<MoveTask> tasks = new ArrayList<>();
     private final BooleanSupplier leading;
     private final long formerGrantsExpireAtMillis;
+
+    /** Era of the store in which the table was last written. */
+    private long tableEra;
+
     private KeyTable table = KeyTable.EMPTY;
     private long tableRevision;
     private long epoch;
@@ -120,11 +133,17 @@
             return;
         }
         if (!tableTakenOver) {
-            if (!writeInProgress && now >= retryAtMillis) {
+            if (!writeInProgress && now >= retryAtMillis && !mayLostGrantsBeInForce(now) && cache.isOfPresentEra()) {
                 takeOverTable(view);
             }
             return;
         }
+        if (isTableLost()) {
+            if (!writeInProgress && now >= retryAtMillis && cache.isOfPresentEra()) {
+                writeTableAgain();
+            }
+            return;
+        }
         updateHolders(view, now);
         // The address of a target without an entry may be another one's by now, and its keys get no requests.
         requestSender.renewGrants(
@@ -140,6 +159,42 @@
         }
     }
 
+    /** Returns whether grants of a leader of an earlier era, whose table the store has lost, may be in force. */
+    private boolean mayLostGrantsBeInForce(long now) {
+        return now < cache.eras().earlierRightsEndMillis(LeaderTimes.earlierEraRightsMillis());
+    }
+
+    /** Returns whether the store was restored from an older copy since the table was written. */
+    private boolean isTableLost() {
+        return tableEra < cache.eras().era();
+    }
+
+    /** Writes the table to the restored store, unless another leader has written a later one there. */
+    private void writeTableAgain() {
+        Optional<StoreItem> stored = cache.item(StoreKeys.KEY_TABLE_PREFIX + pool);
+        long storedEpoch = stored.flatMap(item -> RecordCodec.decodeKeyTable(item.value()))
+                .map(KeyTable::highestEpoch)
+                .orElse(0L);
+        if (table.assignments().isEmpty() || storedEpoch > epoch) {
+            dropTable();
+            return;
+        }
+        write(
+                table,
+                stored.map(StoreItem::revision).orElse(0L),
+                () -> log.write(
+                        RouterEvent.KEYS_WRITTEN_AGAIN,
+                        () -> "pool=" + pool + " epoch=" + epoch + " revision=" + tableRevision + " ranges="
+                                + table.assignments().size()));
+    }
+
+    /** Gives the table up; if this instance still leads, it takes the stored one over under a new epoch. */
+    private void dropTable() {
+        tableTakenOver = false;
+        tasks.forEach(MoveTask::cancel);
+        tasks.clear();
+    }
+
     /** Returns whether a range still has the holder and epoch that it had when its renewal became due. */
     private boolean isStillHeld(KeyAssignment range) {
         boolean unchanged = !range.isMoving()
@@ -159,6 +214,7 @@
         epoch = Math.max(formerTable.highestEpoch(), cache.revision()) + 1;
         if (formerTable.assignments().isEmpty()) {
             tableTakenOver = true;
+            tableEra = cache.eras().era();
             tableRevision = revision;
             return;
         }
@@ -211,15 +267,17 @@
                     finishedMove.from(), finishedMove.to(), finishedMove.holder(), finishedMove.epoch(), List.of()));
         }
         List<KeyAssignment> moves = List.of();
-        if (now - plannedAtMillis >= PLAN_INTERVAL_MILLIS) {
+        boolean mayChangeHolders = !mayLostGrantsBeInForce(now);
+        if (mayChangeHolders && now - plannedAtMillis >= PLAN_INTERVAL_MILLIS) {
             plannedAtMillis = now;
             moves = plan(changed, view, now);
             for (KeyAssignment move : moves) {
                 changed = changed.withAssignment(move);
             }
         }
-        boolean epochRaised = epochRejected;
-        if (epochRejected) {
+        // A target that has seen a higher epoch may have released keys to another holder by order of a lost leader.
+        boolean epochRaised = epochRejected && mayChangeHolders;
+        if (epochRaised) {
             epoch = Math.max(epoch, cache.revision()) + 1;
             changed = withEpoch(changed, epoch);
             epochRejected = false;
@@ -283,7 +341,7 @@
         if (moves.isEmpty()) {
             return List.of();
         }
-        epoch++;
+        epoch = RestorationRules.nextEpoch(epoch, cache.eras().era());
         log.write(
                 RouterEvent.KEYS_PLANNED,
                 () -> "pool=" + pool + " epoch=" + epoch + " moves=" + moves.size() + " usable=" + usable.size()
@@ -322,6 +380,7 @@
             if (failure == null) {
                 table = changed;
                 tableRevision = revision;
+                tableEra = StorePosition.eraOf(revision);
                 onWritten.run();
                 return;
             }
@@ -330,12 +389,9 @@
                     RouterEvent.STORE_CALL_FAILED,
                     () -> "call=write of the table pool=" + pool + " revision=" + expectedRevision + " cause="
                             + failure.getMessage());
-            if (tableTakenOver && StoreException.kindOf(failure) == StoreException.Kind.CONFLICT) {
-                // Another leader wrote the table. If this instance still leads, it takes that table over under a new
-                // epoch.
-                tableTakenOver = false;
-                tasks.forEach(MoveTask::cancel);
-                tasks.clear();
+            if (tableTakenOver && !isTableLost() && StoreException.kindOf(failure) == StoreException.Kind.CONFLICT) {
+                // Another leader wrote the table.
+                dropTable();
             }
         });
     }
--- a/router/src/main/java/org/snipewind/router/lead/KeyTableWriter.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyTableWriter.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.router.port.CoordinationStore;
 import org.snipewind.router.port.GuardedStore;
 import org.snipewind.router.port.StoreException;
@@ -31,7 +32,8 @@
 
     /** Replaces the table that has the expected revision; completes with the revision of the new one. */
     CompletableFuture<Long> write(KeyTable table, long expectedRevision) {
-        byte[] value = RecordCodec.encode(table);
+        long era = cache.eras().era();
+        byte[] value = RecordCodec.encode(table, era);
         return store.commit(List.of(new StoreWrite(key, expectedRevision, value, 0)))
                 .handle((revision, failure) -> {
                     if (failure == null) {
@@ -40,7 +42,7 @@
                     // A write without a response may have taken effect, in which case a retry of it conflicts.
                     return isRefused(failure)
                             ? CompletableFuture.<Long>failedFuture(failure)
-                            : readBack(value, expectedRevision);
+                            : readBack(value, expectedRevision, era);
                 })
                 .thenCompose(result -> result)
                 .thenApply(revision -> {
@@ -54,12 +56,14 @@
         return StoreException.kindOf(failure) == StoreException.Kind.REFUSED;
     }
 
-    private CompletableFuture<Long> readBack(byte[] value, long expectedRevision) {
+    /** Reads the item back. One that is found in a later era was written in this one too late to tell of that era. */
+    private CompletableFuture<Long> readBack(byte[] value, long expectedRevision, long era) {
         return store.range(key, Optional.empty()).thenApply(page -> {
             Optional<StoreItem> current =
                     page.items().stream().filter(item -> item.key().equals(key)).findFirst();
             long revision = current.map(StoreItem::revision).orElse(0L);
             if (revision != expectedRevision
+                    && StorePosition.eraOf(revision) == era
                     && current.map(item -> Arrays.equals(item.value(), value)).orElse(false)) {
                 return revision;
             }
--- a/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.election.CandidatePriority;
+import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
@@ -25,7 +26,9 @@
 /**
  * Elects this instance as the leader by writing a leased item to the store, and ends its term before that lease can
  * expire. A successor may end the lease of a leader that its peers can't reach. The former leader may not learn of
- * this, but it acts no longer than until its lease would have expired. Confined to the control event loop.
+ * this, but it acts no longer than until its lease would have expired. If the store was restored from an older copy,
+ * the leader acts only once it has shown that its lease exists in the restored store. Confined to the control event
+ * loop.
  */
 public final class LeaderElection {
 
@@ -45,6 +48,9 @@
     /** Delay between requests to a former leader to end its term. */
     private static final long TERM_END_RETRY_DELAY_MILLIS = 200;
 
+    /** Delay between attempts to show that the lease exists in a restored store. */
+    private static final long PROOF_RETRY_DELAY_MILLIS = 200;
+
     /** Without contact to the store for longer than this, the store cache does not show whether there is a leader. */
     private static final long MAX_CONTACT_AGE_MILLIS = 1_500;
 
@@ -57,6 +63,7 @@
     private final MemberRecord self;
     private final TermListener termListener;
     private final Runnable onTermEnd;
+    private final LeaseProof leaseProof;
     private boolean leading;
     private boolean claimInProgress;
     private boolean renewalInProgress;
@@ -68,6 +75,12 @@
     private long claimAtMillis = Long.MAX_VALUE;
     private long noClaimBeforeMillis;
     private long outrankedSinceMillis;
+
+    /** Newest era of the store in which this leader's lease is known to exist. */
+    private long provenEra;
+
+    private boolean proofInProgress;
+    private long nextProofMillis;
     private TermEndRequester termEndRequester = formerLeader -> CompletableFuture.completedFuture(false);
     private Runnable onFormerLeaderEnded = () -> {};
 
@@ -103,6 +116,7 @@
         this.self = self;
         this.termListener = termListener;
         this.onTermEnd = onTermEnd;
+        this.leaseProof = new LeaseProof(this.store, self);
     }
 
     /** Starts to check the leadership on each change of the fleet view and periodically. */
@@ -140,7 +154,10 @@
      * @return true while the lease is certain to be valid and is not being ended
      */
     public boolean isLeading() {
-        return leading && !handingOver && clock.nowMillis() < leaseValidUntilMillis;
+        return leading
+                && !handingOver
+                && provenEra >= cache.eras().newestKnown()
+                && clock.nowMillis() < leaseValidUntilMillis;
     }
 
     /**
@@ -161,6 +178,7 @@
                 && !leading
                 && !claimInProgress
                 && !stopped
+                && cache.isOfPresentEra()
                 && cache.contactAgeMillis() < MAX_CONTACT_AGE_MILLIS) {
             claim();
         }
@@ -173,7 +191,7 @@
      * @return true if this instance does not act under that lease any more and never will
      */
     public boolean stepDown(long endedLeaseId) {
-        if (leading && leaseId == endedLeaseId) {
+        if (leading && (leaseId == endedLeaseId || leaseProof.mayHaveWritten(endedLeaseId))) {
             // The successor's item may not have arrived in the cache yet.
             noClaimBeforeMillis = clock.nowMillis() + CLAIM_DELAY_AFTER_HANDOVER_MILLIS;
             endTerm("a successor has ended the lease");
@@ -201,10 +219,7 @@
         store.endLease(leaseId).whenComplete((ignored, failure) -> {
             handingOver = false;
             if (failure != null && StoreException.kindOf(failure) == StoreException.Kind.REFUSED) {
-                log.write(
-                        RouterEvent.STORE_CALL_FAILED,
-                        () -> "call=end of the leader's lease valid=" + (leaseValidUntilMillis - clock.nowMillis())
-                                + "ms cause=" + failure.getMessage());
+                logFailure("end of the leader's lease", failure);
                 loop.schedule(() -> handOver(reason), HANDOVER_RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
             } else if (leading) {
                 endTerm(reason);
@@ -230,6 +245,8 @@
             endTerm("another instance leads");
         } else if (now >= leaseValidUntilMillis) {
             endTerm("the lease may have ended");
+        } else if (provenEra < cache.eras().newestKnown()) {
+            proveLease(now);
         } else if (shouldHandOver(now)) {
             noClaimBeforeMillis = now + CLAIM_DELAY_AFTER_HANDOVER_MILLIS;
             handOver("a larger instance is to lead");
@@ -245,6 +262,52 @@
         return !handingOver && now - outrankedSinceMillis >= CandidatePriority.HANDOVER_AFTER_MILLIS;
     }
 
+    /** Shows that the lease exists in a restored store; until then, this instance does not act. */
+    private void proveLease(long now) {
+        if (proofInProgress || handingOver || now < nextProofMillis) {
+            return;
+        }
+        proofInProgress = true;
+        long era = cache.eras().newestKnown();
+        long provenLeaseId = leaseId;
+        leaseProof.show(provenLeaseId, clock).whenComplete((shown, failure) -> {
+            proofInProgress = false;
+            nextProofMillis = clock.nowMillis() + PROOF_RETRY_DELAY_MILLIS;
+            if (!leading || leaseId != provenLeaseId) {
+                return;
+            }
+            if (failure == null) {
+                leaseId = shown.leaseId();
+                // Another instance may have been wrong about the era.
+                provenEra = Math.max(era, StorePosition.eraOf(shown.item().revision()));
+                setLeaseRenewed(shown.requestedAtMillis());
+                cache.recordContact();
+                cache.applyWrite(shown.item());
+                log.write(RouterEvent.LEADERSHIP_PROVEN, () -> "era=" + provenEra + " lease=" + leaseId);
+            } else if (isLost(StoreException.kindOf(failure))) {
+                endTerm("the restored store does not list the lease");
+            } else {
+                logFailure("proof of the leader's lease", failure);
+            }
+        });
+    }
+
+    private static boolean isLost(StoreException.Kind kind) {
+        return kind == StoreException.Kind.LEASE_ENDED || kind == StoreException.Kind.CONFLICT;
+    }
+
+    private void setLeaseRenewed(long requestedAtMillis) {
+        leaseValidUntilMillis =
+                requestedAtMillis + LeaderTimes.LEASE_LIFETIME_MILLIS - LeaderTimes.LEASE_SAFETY_MARGIN_MILLIS;
+    }
+
+    private void logFailure(String call, Throwable failure) {
+        log.write(
+                RouterEvent.STORE_CALL_FAILED,
+                () -> "call=" + call + " valid=" + (leaseValidUntilMillis - clock.nowMillis()) + "ms cause="
+                        + failure.getMessage());
+    }
+
     private void renewLease(long now) {
         renewalInProgress = true;
         nextRenewalMillis = now + LeaderTimes.LEASE_RENEWAL_INTERVAL_MILLIS;
@@ -256,15 +319,13 @@
             }
             if (failure == null) {
                 cache.recordContact();
-                leaseValidUntilMillis =
-                        now + LeaderTimes.LEASE_LIFETIME_MILLIS - LeaderTimes.LEASE_SAFETY_MARGIN_MILLIS;
-            } else if (StoreException.kindOf(failure) == StoreException.Kind.LEASE_ENDED && leading) {
+                setLeaseRenewed(now);
+            } else if (StoreException.kindOf(failure) == StoreException.Kind.LEASE_ENDED
+                    && leading
+                    && provenEra >= cache.eras().newestKnown()) {
                 endTerm("the lease has ended");
             } else {
-                log.write(
-                        RouterEvent.STORE_CALL_FAILED,
-                        () -> "call=renewal of the leader's lease valid=" + (leaseValidUntilMillis - clock.nowMillis())
-                                + "ms cause=" + failure.getMessage());
+                logFailure("renewal of the leader's lease", failure);
             }
         });
     }
@@ -279,6 +340,7 @@
         if (!claimable
                 || now < noClaimBeforeMillis
                 || !cache.isLoaded()
+                || !cache.isOfPresentEra()
                 || cache.contactAgeMillis() > MAX_CONTACT_AGE_MILLIS) {
             claimAtMillis = Long.MAX_VALUE;
         } else if (claimAtMillis == Long.MAX_VALUE) {
@@ -357,8 +419,8 @@
     private void startTerm(long leaseRequestedAtMillis, long revision, Optional<LeaderRecord> formerLeader) {
         leading = true;
         outrankedSinceMillis = clock.nowMillis();
-        leaseValidUntilMillis =
-                leaseRequestedAtMillis + LeaderTimes.LEASE_LIFETIME_MILLIS - LeaderTimes.LEASE_SAFETY_MARGIN_MILLIS;
+        provenEra = StorePosition.eraOf(revision);
+        setLeaseRenewed(leaseRequestedAtMillis);
         nextRenewalMillis = clock.nowMillis() + LeaderTimes.LEASE_RENEWAL_INTERVAL_MILLIS;
         cache.recordContact();
         cache.applyWrite(new StoreItem(StoreKeys.LEADER, RecordCodec.encode(self), revision, leaseId));
--- a/router/src/main/java/org/snipewind/router/lead/LeaderService.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderService.java
@@ -41,6 +41,10 @@
     private final FollowerTracker followers = new FollowerTracker();
     private Optional<MemberRecord> formerLeader = Optional.empty();
     private long formerLeaderUntilMillis;
+
+    /** Time until which a leader of an earlier era, of which a restored store tells nothing, may still act. */
+    private long lostLeaderUntilMillis = Long.MIN_VALUE;
+
     private final Map<String, KeyAssigner> keyAssigners = new HashMap<>();
     private LeaderElection leaderElection;
 
@@ -90,10 +94,11 @@
      */
     public void onTermStart(long untilMillis, Optional<MemberRecord> leader) {
         keyAssigners.clear();
-        formerLeaderUntilMillis = untilMillis;
+        lostLeaderUntilMillis = cache.eras().earlierRightsEndMillis(LeaderTimes.LEASE_LIFETIME_MILLIS);
+        formerLeaderUntilMillis = Math.max(untilMillis, lostLeaderUntilMillis);
         formerLeader = leader;
         followers.beginTerm(clock.nowMillis());
-        tokenService.onTermStart(untilMillis);
+        tokenService.onTermStart(formerLeaderUntilMillis);
     }
 
     /**
@@ -101,6 +106,10 @@
      * lifetime.
      */
     public void onFormerLeaderEnded() {
+        if (clock.nowMillis() < lostLeaderUntilMillis) {
+            // The last leader before the restoration of the store may have been another one.
+            return;
+        }
         formerLeaderUntilMillis = Math.min(formerLeaderUntilMillis, clock.nowMillis());
         tokenService.onFormerLeaderEnded();
         formerLeader = Optional.empty();
@@ -120,7 +129,7 @@
     }
 
     private void checkFormerLeader() {
-        if (formerLeader.isEmpty()) {
+        if (formerLeader.isEmpty() || clock.nowMillis() < lostLeaderUntilMillis) {
             return;
         }
         long remainingMillis = formerLeaderUntilMillis - clock.nowMillis();
--- a/router/src/main/java/org/snipewind/router/lead/LeaderTimes.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderTimes.java
@@ -36,4 +36,14 @@
     public static long maxGrantLifetimeMillis() {
         return (long) (GRANT_LIFETIME_MILLIS * (1 + MAX_CLOCK_DRIFT)) + EXPIRY_SLACK_MILLIS;
     }
+
+    /**
+     * Returns the longest time from a restoration of the store until no right of a leader of which it has lost all
+     * traces is in force: its lease may have been renewed just before, and a grant sent at the end of that lease.
+     *
+     * @return milliseconds
+     */
+    public static long earlierEraRightsMillis() {
+        return LEASE_LIFETIME_MILLIS + OWNERSHIP_REQUEST_TIMEOUT_MILLIS + maxGrantLifetimeMillis();
+    }
 }
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -37,6 +37,10 @@
     MIRROR_AHEAD(5107, Level.WARNING),
     /** The reads and watches of the store stalled and were started again. */
     STORE_CALLS_RESTARTED(5108, Level.WARNING),
+    /** The store was restored from an older copy and has lost acknowledged writes. */
+    STORE_RESTORED(5109, Level.WARNING),
+    /** Something that the restored store has lost stays in force until its owner has written it again. */
+    LOST_WRITE_KEPT(5110, Level.INFO),
     /** A new version of the configuration is in force. */
     CONFIGURATION_IN_FORCE(5201, Level.INFO),
     /** A store item is invalid and is ignored. */
@@ -69,6 +73,10 @@
     STORE_CALL_FAILED(5308, Level.WARNING),
     /** The term of a former leader is known to have ended before its lease expired. */
     FORMER_LEADER_ENDED(5309, Level.INFO),
+    /** The leader has shown that its lease exists in a restored store, and leads on. */
+    LEADERSHIP_PROVEN(5310, Level.INFO),
+    /** The key table of a pool was written again to a restored store. */
+    KEYS_WRITTEN_AGAIN(5311, Level.INFO),
     /** A request was refused. */
     REQUEST_REFUSED(5401, Level.INFO),
     /** A request was retried or hedged. */
--- a/router/src/main/java/org/snipewind/router/peer/StoreChangeBroadcaster.java
+++ b/router/src/main/java/org/snipewind/router/peer/StoreChangeBroadcaster.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.protocol.MirrorAnswer;
 import org.snipewind.protocol.MirrorDelta;
 import org.snipewind.router.lead.LeaderElection;
@@ -125,6 +126,8 @@
             return Optional.empty();
         }
         return Optional.ofNullable(sentTables.put(item.key(), item))
+                // After a restoration of the store, the other instances have read the table again.
+                .filter(base -> StorePosition.eraOf(base.revision()) == StorePosition.eraOf(item.revision()))
                 .flatMap(base -> KeyTablePatch.diff(base.value(), item.value())
                         .map(content -> new MirrorDelta.Patch(item.key(), base.revision(), item.revision(), content)));
     }
--- a/router/src/main/java/org/snipewind/router/port/CoordinationStore.java
+++ b/router/src/main/java/org/snipewind/router/port/CoordinationStore.java
@@ -3,13 +3,24 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 
 /**
  * The platform's key-value store with conditional writes, prefix watches and leases. Calls fail with {@link
- * StoreException}.
+ * StoreException}. Revisions are positions that contain the era of the store, see {@link
+ * org.snipewind.coordination.restore.StorePosition}, so they rise even if the store is restored from an older copy.
  */
 public interface CoordinationStore {
 
+    /**
+     * Sets the listener for restorations of the store.
+     *
+     * @param listener receives each new era, before the response that told it is processed
+     */
+    default void setEraListener(LongConsumer listener) {
+        // A store that is never restored stays in era 0.
+    }
+
     /**
      * Reads one page of the items whose keys start with a prefix.
      *
--- a/router/src/main/java/org/snipewind/router/port/GuardedStore.java
+++ b/router/src/main/java/org/snipewind/router/port/GuardedStore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
 /**
@@ -22,6 +23,11 @@
         this.store = store;
     }
 
+    @Override
+    public void setEraListener(LongConsumer listener) {
+        store.setEraListener(listener);
+    }
+
     @Override
     public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
         return start(() -> store.range(prefix, after));
--- a/router/src/main/java/org/snipewind/router/state/CachedItems.java
+++ b/router/src/main/java/org/snipewind/router/state/CachedItems.java
@@ -7,12 +7,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
 
 /**
  * The items of the store cache by key. An item never goes back to an earlier revision, regardless of the order and the
- * source of changes, unless the store has proved that its revision was wrong. Confined to the control event loop.
+ * source of changes, unless the store has proved that its revision was wrong. If the store is restored from an older
+ * copy, all its items are of a later era than the cached ones; what is then missing was lost, and what arrives late
+ * from an earlier era changes nothing. Confined to the control event loop.
  */
 final class CachedItems {
 
@@ -87,9 +90,10 @@
             present.add(item.key());
             putIfNewer(item);
         }
+        boolean restored = StorePosition.isOfEarlierEra(revision, newRevision);
         for (String key : List.copyOf(items.keySet())) {
             if (!present.contains(key) && items.get(key).revision() <= newRevision) {
-                removeUnlessNewer(key, newRevision);
+                removeUnlessNewer(key, newRevision, restored);
             }
         }
         if (newRevision > revision) {
@@ -128,7 +132,7 @@
     void applyChanges(StoreChanges changes) {
         for (StoreChanges.Change change : changes.changes()) {
             if (change.removed()) {
-                removeUnlessNewer(change.item().key(), change.item().revision());
+                removeUnlessNewer(change.item().key(), change.item().revision(), false);
             } else {
                 putIfNewer(change.item());
             }
@@ -141,6 +145,9 @@
     }
 
     private void putIfNewer(StoreItem item) {
+        if (StorePosition.isOfEarlierEra(item.revision(), revision)) {
+            return;
+        }
         StoreItem cached = items.get(item.key());
         boolean outdated = cached != null && cached.revision() >= item.revision();
         // The cache is complete as of its revision, so an unknown item from before a forgotten removal was removed.
@@ -169,15 +176,21 @@
         removalsKnownFrom = Math.max(removalsKnownFrom, forgotten);
     }
 
-    private void removeUnlessNewer(String key, long removalRevision) {
+    private void removeUnlessNewer(String key, long removalRevision, boolean lost) {
         StoreItem cached = items.get(key);
-        if (cached != null && cached.revision() > removalRevision) {
+        if (cached != null && cached.revision() > removalRevision
+                || StorePosition.isOfEarlierEra(removalRevision, revision)) {
             return;
         }
         // Keeps an earlier revision of the item, received late from another source, from restoring it.
         removalRevisions.merge(key, removalRevision, Math::max);
         newestRevision = Math.max(newestRevision, removalRevision);
-        if (items.remove(key) != null) {
+        if (items.remove(key) == null) {
+            return;
+        }
+        if (lost) {
+            listener.itemLost(key);
+        } else {
             listener.itemRemoved(key);
         }
     }
--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -14,7 +14,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.snipewind.coordination.clock.MillisClock;
-import org.snipewind.coordination.keyspace.KeyTable;
+import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.coordination.routing.RoutingConfiguration;
 import org.snipewind.coordination.target.TargetNotices;
 import org.snipewind.coordination.target.TargetRegistration;
@@ -53,7 +53,11 @@
     private final Map<String, MemberRecord> members = new HashMap<>();
     private final Map<String, Long> graceEndMillisByTarget = new HashMap<>();
     private final Map<String, Long> memberLastSeenMillis = new HashMap<>();
-    private final Map<String, KeyTable> keyTables = new HashMap<>();
+    private final KnownKeyTables keyTables = new KnownKeyTables();
+
+    /** Era of the newest item. */
+    private long era;
+
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private Optional<StoreItem> pendingConfiguration = Optional.empty();
     private long configurationRetryMillis;
@@ -160,6 +164,7 @@
 
     @Override
     public void itemChanged(StoreItem item) {
+        era = Math.max(era, StorePosition.eraOf(item.revision()));
         if (item.key().startsWith(StoreKeys.ROOT_PREFIX)) {
             applyOwnItem(item);
             return;
@@ -198,13 +203,23 @@
                     RouterEvent.LEADER_CHANGED,
                     () -> "leader=" + newLeader.member().name() + " revision=" + item.revision()));
         } else if (key.startsWith(StoreKeys.KEY_TABLE_PREFIX)) {
-            RecordCodec.decodeKeyTable(item.value())
+            RecordCodec.decodeWrittenTable(item.value())
                     .ifPresentOrElse(
-                            table -> keyTables.put(key.substring(StoreKeys.KEY_TABLE_PREFIX.length()), table),
+                            table -> applyKeyTable(key.substring(StoreKeys.KEY_TABLE_PREFIX.length()), table, item),
                             () -> logUnreadable(item, "key table is malformed"));
         }
     }
 
+    private void applyKeyTable(String pool, WrittenKeyTable table, StoreItem item) {
+        if (!keyTables.apply(pool, table, item.revision())) {
+            logKept(item.key());
+        }
+    }
+
+    private void logKept(String key) {
+        log.write(RouterEvent.LOST_WRITE_KEPT, () -> "key=" + key + " era=" + era);
+    }
+
     private void addMember(MemberRecord member) {
         MemberRecord previous = members.put(member.name(), member);
         if (!member.equals(previous)) {
@@ -286,14 +301,14 @@
         // What the fields of a registration lead to counts as reading it, so that a fault there names no target either.
         parse(() -> parser.parseTarget(id, item.value()).peek(this::addTarget)).peekLeft(problem -> {
             logUnreadable(item, problem);
-            targets.remove(id);
+            targets.remove(id, era);
         });
     }
 
     private void addTarget(TargetRegistration registration) {
         long now = clock.nowMillis();
         graceEndMillisByTarget.remove(registration.id());
-        if (!targets.register(registration, now)) {
+        if (!targets.register(registration, era, now)) {
             return;
         }
         log.write(
@@ -324,6 +339,28 @@
         }
     }
 
+    /**
+     * Keeps what the restored store has lost in force: key tables until a leader writes them, evacuations until the
+     * operator does, targets until the time to register again is over. The configuration stays in any case.
+     */
+    @Override
+    public void itemLost(String key) {
+        if (key.startsWith(StoreKeys.KEY_TABLE_PREFIX)) {
+            logKept(key);
+            return;
+        }
+        Optional<StoreItemParser.Kind> kind =
+                key.startsWith(StoreKeys.ROOT_PREFIX) ? Optional.empty() : parser.kindOf(key);
+        if (kind.equals(Optional.of(StoreItemParser.Kind.EVACUATION))) {
+            logKept(key);
+        } else if (kind.equals(Optional.of(StoreItemParser.Kind.TARGET))) {
+            graceEndMillisByTarget.put(parser.entityIdOf(key), clock.nowMillis() + REGISTRATION_GRACE_MILLIS);
+            logKept(key);
+        } else {
+            itemRemoved(key);
+        }
+    }
+
     private void removePlatformItem(String key) {
         parser.kindOf(key).ifPresent(kind -> {
             String entityId = parser.entityIdOf(key);
@@ -339,7 +376,7 @@
     }
 
     private void removeTarget(String id) {
-        if (targets.remove(id)) {
+        if (targets.remove(id, era)) {
             log.write(RouterEvent.TARGET_CHANGED, () -> "target=" + id + " gone=true");
         }
     }
@@ -368,7 +405,7 @@
                 inService,
                 Set.copyOf(evacuatedDataCentres),
                 Map.copyOf(members),
-                Map.copyOf(keyTables),
+                keyTables.tables(),
                 leader,
                 Math.max(1, memberLastSeenMillis.size()));
         observers.forEach(observer -> new GuardedTask(log, "observer of the fleet view", observer).run());
--- a/router/src/main/java/org/snipewind/router/state/GuardedListener.java
+++ b/router/src/main/java/org/snipewind/router/state/GuardedListener.java
@@ -29,6 +29,11 @@
         new GuardedTask(log, "remove item " + key, () -> listener.itemRemoved(key)).run();
     }
 
+    @Override
+    public void itemLost(String key) {
+        new GuardedTask(log, "lose item " + key, () -> listener.itemLost(key)).run();
+    }
+
     @Override
     public void changesApplied() {
         new GuardedTask(log, "draw the fleet view", listener::changesApplied).run();
--- a/router/src/main/java/org/snipewind/router/state/KeyTablePatch.java
+++ b/router/src/main/java/org/snipewind/router/state/KeyTablePatch.java
@@ -22,12 +22,13 @@
      */
     public static Optional<byte[]> diff(byte[] base, byte[] changed) {
         Optional<KeyTable> earlier = RecordCodec.decodeKeyTable(base);
-        Optional<KeyTable> later = RecordCodec.decodeKeyTable(changed);
+        Optional<WrittenKeyTable> later = RecordCodec.decodeWrittenTable(changed);
         if (earlier.isEmpty() || later.isEmpty()) {
             return Optional.empty();
         }
-        Optional<List<KeyAssignment>> ranges = later.get().changesSince(earlier.get());
-        return ranges.map(changes -> RecordCodec.encode(new KeyTable(changes)))
+        Optional<List<KeyAssignment>> ranges = later.get().table().changesSince(earlier.get());
+        return ranges.map(changes ->
+                        RecordCodec.encode(new KeyTable(changes), later.get().era()))
                 .filter(patch -> patch.length < changed.length);
     }
 
@@ -40,11 +41,12 @@
      */
     public static Optional<byte[]> apply(byte[] base, byte[] patch) {
         Optional<KeyTable> earlier = RecordCodec.decodeKeyTable(base);
-        Optional<KeyTable> changes = RecordCodec.decodeKeyTable(patch);
+        Optional<WrittenKeyTable> changes = RecordCodec.decodeWrittenTable(patch);
         if (earlier.isEmpty() || changes.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(
-                RecordCodec.encode(earlier.get().withAssignments(changes.get().assignments())));
+        return Optional.of(RecordCodec.encode(
+                earlier.get().withAssignments(changes.get().table().assignments()),
+                changes.get().era()));
     }
 }
--- a/router/src/main/java/org/snipewind/router/state/Membership.java
+++ b/router/src/main/java/org/snipewind/router/state/Membership.java
@@ -29,6 +29,10 @@
     private final RouterEventLog log;
     private final MemberRecord self;
     private long leaseId;
+
+    /** Era of the store in which the lease was opened; in another one, its number may belong to another lease. */
+    private long leaseEra;
+
     private boolean left;
 
     /**
@@ -57,7 +61,7 @@
     /** Ends the registration of this instance. If the store does not respond, the record expires with its lease. */
     public void leave() {
         left = true;
-        if (leaseId != 0) {
+        if (leaseId != 0 && leaseEra == cache.eras().era()) {
             store.endLease(leaseId).whenComplete((ignored, failure) -> {
                 if (failure != null) {
                     logFailure("end of the membership lease", failure);
@@ -70,7 +74,8 @@
         if (left) {
             return;
         }
-        if (!cache.isLoaded()) {
+        // The condition of the write is read from the cache, so a cache of an earlier era would make it fail.
+        if (!cache.isLoaded() || !cache.isOfPresentEra()) {
             loop.schedule(this::join, RETRY_DELAY_MILLIS / 4, TimeUnit.MILLISECONDS);
             return;
         }
@@ -87,6 +92,7 @@
 
     private CompletableFuture<Long> writeRecord(long openedLeaseId) {
         leaseId = openedLeaseId;
+        leaseEra = cache.eras().era();
         String key = StoreKeys.MEMBER_PREFIX + self.name();
         long expectedRevision = cache.item(key).map(StoreItem::revision).orElse(0L);
         return store.commit(List.of(new StoreWrite(key, expectedRevision, RecordCodec.encode(self), openedLeaseId)));
@@ -96,6 +102,10 @@
         if (left) {
             return;
         }
+        if (leaseEra < cache.eras().era()) {
+            join();
+            return;
+        }
         store.renewLease(leaseId).whenComplete((ignored, failure) -> {
             if (failure == null) {
                 cache.recordContact();
--- a/router/src/main/java/org/snipewind/router/state/RecordCodec.java
+++ b/router/src/main/java/org/snipewind/router/state/RecordCodec.java
@@ -61,12 +61,23 @@
     }
 
     /**
-     * Encodes a key table.
+     * Encodes a key table that is written in era 0 of the store.
      *
      * @param table the table
      * @return the encoded table
      */
     public static byte[] encode(KeyTable table) {
+        return encode(table, 0);
+    }
+
+    /**
+     * Encodes a key table. The era is left out if it is 0.
+     *
+     * @param table the table
+     * @param era era of the store in which the table is written
+     * @return the encoded table
+     */
+    public static byte[] encode(KeyTable table, long era) {
         Map<String, Integer> incarnations = new LinkedHashMap<>();
         for (KeyAssignment assignment : table.assignments()) {
             incarnations.putIfAbsent(assignment.holder(), incarnations.size());
@@ -90,6 +101,9 @@
                     packer.packInt(incarnations.get(incarnation));
                 }
             }
+            if (era > 0) {
+                packer.packLong(era);
+            }
             return packer.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("could not encode key table", e);
@@ -103,6 +117,16 @@
      * @return the table, or empty if the bytes are malformed
      */
     public static Optional<KeyTable> decodeKeyTable(byte[] bytes) {
+        return decodeWrittenTable(bytes).map(WrittenKeyTable::table);
+    }
+
+    /**
+     * Decodes a key table and the era in which it was written.
+     *
+     * @param bytes the encoded table
+     * @return the table, or empty if the bytes are malformed
+     */
+    public static Optional<WrittenKeyTable> decodeWrittenTable(byte[] bytes) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             List<String> incarnations = new ArrayList<>();
             for (int count = unpacker.unpackArrayHeader(); count > 0; count--) {
@@ -120,7 +144,8 @@
                 }
                 assignments.add(new KeyAssignment(from, to, holder, epoch, previous));
             }
-            return Optional.of(new KeyTable(assignments));
+            long era = unpacker.hasNext() ? unpacker.unpackLong() : 0;
+            return Optional.of(new WrittenKeyTable(new KeyTable(assignments), era));
         } catch (IOException | MessagePackException | IndexOutOfBoundsException | IllegalArgumentException e) {
             return Optional.empty();
         }
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.router.log.GuardedTask;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
@@ -42,26 +43,14 @@
     private boolean loaded;
     private final CacheConfirmations confirmations;
     private final StoreFollower follower;
+    private final StoreEras eras;
     private long lastContactMillis;
     private long reconnectedMillis = Long.MIN_VALUE / 2;
     private boolean unreachable;
     private boolean unreachableByAll;
     private boolean unconfirmed;
     private BooleanSupplier isBroadcasting = () -> false;
-    private ChangeForwarder changeForwarder = (fromRevision, toRevision, changes) -> {};
-
-    /** Forwards the changes that this instance received from the store itself to the other instances. */
-    @FunctionalInterface
-    public interface ChangeForwarder {
-        /**
-         * Forwards changes.
-         *
-         * @param fromRevision revision after which the changes begin
-         * @param toRevision revision up to which the changes are complete
-         * @param changes the changes
-         */
-        void forward(long fromRevision, long toRevision, List<StoreChanges.Change> changes);
-    }
+    private StoreChangeForwarder changeForwarder = (fromRevision, toRevision, changes) -> {};
 
     /** Applies what the calls of this instance return. */
     private final class CallResults implements StoreFollower.Receiver {
@@ -115,6 +104,8 @@
         this.log = log;
         this.items = new CachedItems(new GuardedListener(listener, log));
         this.confirmations = new CacheConfirmations(clock);
+        this.eras = new StoreEras(clock, log);
+        store.setEraListener(eras::recordFromStore);
         this.lastContactMillis = clock.nowMillis();
         this.follower = new StoreFollower(
                 store,
@@ -134,7 +125,7 @@
      * @param broadcasting returns whether this instance broadcasts changes now
      * @param forwarder receives the changes while it does
      */
-    public void setChangeForwarding(BooleanSupplier broadcasting, ChangeForwarder forwarder) {
+    public void setChangeForwarding(BooleanSupplier broadcasting, StoreChangeForwarder forwarder) {
         isBroadcasting = broadcasting;
         follower.setBroadcasting(broadcasting);
         changeForwarder = forwarder;
@@ -256,6 +247,24 @@
         return items.revision();
     }
 
+    /**
+     * Returns the eras of the store that this instance has learnt of.
+     *
+     * @return the eras
+     */
+    public StoreEras eras() {
+        return eras;
+    }
+
+    /**
+     * Returns whether the cache has been complete since the store was last restored from an older copy.
+     *
+     * @return false as long as it contains what the store may have lost
+     */
+    public boolean isOfPresentEra() {
+        return StorePosition.eraOf(items.revision()) >= eras.era();
+    }
+
     /**
      * Returns a cached item.
      *
@@ -281,6 +290,7 @@
      * @param item the written item with its revision
      */
     public void applyWrite(StoreItem item) {
+        eras.recordFromPeer(StorePosition.eraOf(item.revision()));
         items.applyWrite(item);
     }
 
@@ -304,6 +314,7 @@
 
     /** Records what another instance knows, unless it is behind this cache, whose later changes it can't confirm. */
     private void recordPeerConfirmation(CacheConfirmations.Source source, long peerRevision, long ageMillis) {
+        eras.recordFromPeer(StorePosition.eraOf(peerRevision));
         if (peerRevision >= items.revision()) {
             confirmations.record(source, clock.nowMillis() - ageMillis);
             checkOutageEnd();
@@ -349,6 +360,7 @@
     public void applyPeerChanges(
             long fromRevision, long toRevision, long ageMillis, List<StoreChanges.Change> changes) {
         if (!loaded || fromRevision > items.revision()) {
+            eras.recordFromPeer(StorePosition.eraOf(fromRevision));
             onPeerChangesMissed();
             return;
         }
--- a/router/src/main/java/org/snipewind/router/state/StoreCacheListener.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCacheListener.java
@@ -19,6 +19,16 @@
      */
     void itemRemoved(String key);
 
+    /**
+     * Called when an item is missing in a store that was restored from an older copy. Its last write was lost and may
+     * come again.
+     *
+     * @param key key of the item
+     */
+    default void itemLost(String key) {
+        itemRemoved(key);
+    }
+
     /** Called after all changes that were received together have been reported. */
     void changesApplied();
 }
--- a/router/src/main/java/org/snipewind/router/state/StoreFollower.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreFollower.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.snipewind.coordination.clock.MillisClock;
+import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.router.log.GuardedTask;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
@@ -218,6 +219,9 @@
             // The pages do not form a snapshot, so the watch starts at the revision of the first page and applies the
             // changes since then again.
             long fromRevision = firstRevision < 0 ? page.revision() : firstRevision;
+            if (StorePosition.eraOf(page.revision()) != StorePosition.eraOf(fromRevision)) {
+                throw new StoreException(StoreException.Kind.UNKNOWN, "the store was restored during the read");
+            }
             read.addAll(page.items());
             if (page.unreadableItems() > 0) {
                 log.write(
@@ -268,7 +272,8 @@
     private void onWatchCompleted(long fromRevision, long newestBefore, StoreChanges changes, Throwable failure) {
         if (failure == null) {
             receiver.recordContact();
-            if (changes.revision() < newestBefore) {
+            if (changes.revision() < newestBefore
+                    || StorePosition.isOfEarlierEra(changes.revision(), items.revision())) {
                 // The cache is ahead of the store, or this is the answer to an earlier watch; a read of all items
                 // tells.
                 readAgain();
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
@@ -30,6 +30,8 @@
 
     private record Grant(int from, int to, long epoch, long expiresAtMillis) {}
 
+    private record GrantedEpoch(String holder, long epoch) {}
+
     private record HistoryEntry(int from, int to, String text) {}
 
     private record Delivery(long dueMillis, Runnable action) {}
@@ -53,6 +55,9 @@
     private final List<Delivery> deliveries = new ArrayList<>();
     private Faults faults = new Faults(0, 0, 5);
     private OptionalInt spoiledKey = OptionalInt.empty();
+    private final Map<Integer, GrantedEpoch> newestEpochs = new HashMap<>();
+    private final List<String> epochsOutOfOrder = new ArrayList<>();
+    private int requests;
 
     SimulatedTargets(ManualMillisClock clock, Random random) {
         this.clock = clock;
@@ -121,6 +126,33 @@
         }
     }
 
+    /** Returns the number of ownership requests and probes that were sent. */
+    int requests() {
+        return requests;
+    }
+
+    /** Returns descriptions of grants that gave a key to another holder without a higher epoch. */
+    List<String> epochsOutOfOrder() {
+        return epochsOutOfOrder;
+    }
+
+    private void checkOrder(String id, KeyAssignment range, long expiresAtMillis) {
+        if (expiresAtMillis <= clock.nowMillis()) {
+            return;
+        }
+        // Every 50th key is enough to see any range of the tests' plans that is not tiny.
+        for (int key = range.from() / 50 * 50; key <= range.to(); key += 50) {
+            GrantedEpoch newest = newestEpochs.get(key);
+            if (key < range.from()) {
+                continue;
+            }
+            if (newest != null && !newest.holder().equals(id) && newest.epoch() >= range.epoch()) {
+                epochsOutOfOrder.add("key " + key + " went from " + newest + " to " + id + " under " + range.epoch());
+            }
+            newestEpochs.put(key, new GrantedEpoch(id, range.epoch()));
+        }
+    }
+
     /** Carries out the requests and responses that are due now. */
     void deliver() {
         List<Delivery> due = deliveries.stream()
@@ -159,6 +191,7 @@
             }
             recordHistory(range, registration.id() + " accepts grant that arrived at " + arrivedAtMillis);
             removeRange(target, range);
+            checkOrder(registration.id(), range, arrivedAtMillis + lifetimeMillis);
             // The clock of the target runs slow, so the grant lasts longer than its lifetime by the leader's clock.
             target.grants.add(
                     new Grant(range.from(), range.to(), range.epoch(), arrivedAtMillis + lifetimeMillis * 102 / 100));
@@ -208,6 +241,7 @@
     }
 
     private <T> void send(String id, CompletableFuture<T> response, RequestHandler<T> handler) {
+        requests++;
         if (target(id).unaddressable) {
             throw new IllegalArgumentException("a fault of the test");
         }
