--- a/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
@@ -105,8 +105,14 @@
         this.clock = clock;
         this.log = log;
         this.leading = leading;
-        this.requestSender =
-                new OwnershipRequestSender(pool, ownershipClient, clock, log, leading, () -> epochRejected = true);
+        // A series of renewals must not go on either before the table is in a restored store.
+        this.requestSender = new OwnershipRequestSender(
+                pool,
+                ownershipClient,
+                clock,
+                log,
+                () -> leading.getAsBoolean() && !isTableLost(),
+                () -> epochRejected = true);
         this.tableWriter = new KeyTableWriter(store, cache, StoreKeys.KEY_TABLE_PREFIX + pool);
         this.requestRates = new KeyRequestRates(clock);
         this.formerGrantsExpireAtMillis = formerLeaderUntilMillis
--- a/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
@@ -79,6 +79,9 @@
     /** Newest era of the store in which this leader's lease is known to exist. */
     private long provenEra;
 
+    /** The lease of an earlier era in whose place this leader has the present one, 0 if there is none. */
+    private long replacedLeaseId;
+
     private boolean proofInProgress;
     private long nextProofMillis;
     private TermEndRequester termEndRequester = formerLeader -> CompletableFuture.completedFuture(false);
@@ -196,8 +199,12 @@
             noClaimBeforeMillis = clock.nowMillis() + CLAIM_DELAY_AFTER_HANDOVER_MILLIS;
             endTerm("a successor has ended the lease");
         }
-        // A claim under that lease may already be in the store although its response has not arrived.
-        return !(claimInProgress && leaseId == endedLeaseId);
+        // A claim under that lease may already be in the store although its response has not arrived. A successor of
+        // the time before a restoration of the store is no reason to end a term that was shown to exist after it, but
+        // it has to know that this instance still acts.
+        boolean claimsUnderIt = claimInProgress && leaseId == endedLeaseId;
+        boolean actsInItsPlace = leading && replacedLeaseId == endedLeaseId;
+        return !claimsUnderIt && !actsInItsPlace;
     }
 
     /**
@@ -277,6 +284,7 @@
                 return;
             }
             if (failure == null) {
+                replacedLeaseId = provenLeaseId;
                 leaseId = shown.leaseId();
                 // Another instance may have been wrong about the era.
                 provenEra = Math.max(era, StorePosition.eraOf(shown.item().revision()));
@@ -420,6 +428,7 @@
         leading = true;
         outrankedSinceMillis = clock.nowMillis();
         provenEra = StorePosition.eraOf(revision);
+        replacedLeaseId = 0;
         setLeaseRenewed(leaseRequestedAtMillis);
         nextRenewalMillis = clock.nowMillis() + LeaderTimes.LEASE_RENEWAL_INTERVAL_MILLIS;
         cache.recordContact();
--- a/router/src/main/java/org/snipewind/router/state/CachedItems.java
+++ b/router/src/main/java/org/snipewind/router/state/CachedItems.java
@@ -189,7 +189,7 @@
             return;
         }
         if (lost) {
-            listener.itemLost(key);
+            listener.itemLost(key, removalRevision);
         } else {
             listener.itemRemoved(key);
         }
--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -344,7 +344,8 @@
      * operator does, targets until the time to register again is over. The configuration stays in any case.
      */
     @Override
-    public void itemLost(String key) {
+    public void itemLost(String key, long position) {
+        era = Math.max(era, StorePosition.eraOf(position));
         if (key.startsWith(StoreKeys.KEY_TABLE_PREFIX)) {
             logKept(key);
             return;
--- a/router/src/main/java/org/snipewind/router/state/GuardedListener.java
+++ b/router/src/main/java/org/snipewind/router/state/GuardedListener.java
@@ -30,8 +30,8 @@
     }
 
     @Override
-    public void itemLost(String key) {
-        new GuardedTask(log, "lose item " + key, () -> listener.itemLost(key)).run();
+    public void itemLost(String key, long position) {
+        new GuardedTask(log, "lose item " + key, () -> listener.itemLost(key, position)).run();
     }
 
     @Override
--- a/router/src/main/java/org/snipewind/router/state/StoreCache.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCache.java
@@ -105,7 +105,7 @@
         this.items = new CachedItems(new GuardedListener(listener, log));
         this.confirmations = new CacheConfirmations(clock);
         this.eras = new StoreEras(clock, log);
-        store.setEraListener(eras::recordFromStore);
+        store.setEraListener(this::onRestored);
         this.lastContactMillis = clock.nowMillis();
         this.follower = new StoreFollower(
                 store,
@@ -131,6 +131,12 @@
         changeForwarder = forwarder;
     }
 
+    /** Reads the restored store at once, as broadcasts that confirm the cache may be of the earlier era. */
+    private void onRestored(long era) {
+        eras.recordFromStore(era);
+        onPeerChangesMissed();
+    }
+
     /** Starts to read and watch the store. */
     public void start() {
         follower.start();
--- a/router/src/main/java/org/snipewind/router/state/StoreCacheListener.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreCacheListener.java
@@ -24,8 +24,9 @@
      * come again.
      *
      * @param key key of the item
+     * @param position position at which it is missing
      */
-    default void itemLost(String key) {
+    default void itemLost(String key, long position) {
         itemRemoved(key);
     }
 
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedInstance.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedInstance.java
@@ -11,6 +11,8 @@
 import org.snipewind.coordination.clock.ManualMillisClock;
 import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.protocol.BudgetGrant;
+import org.snipewind.protocol.BudgetRequest;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItemParser;
@@ -121,6 +123,16 @@
         tracker.view().leader().ifPresent(leader -> election.replaceLeader(leader.member()));
     }
 
+    /** Returns what a request for one token gets. */
+    BudgetGrant requestToken() {
+        return service.issueTokens(new BudgetRequest("organisation", 1, 1_000));
+    }
+
+    /** Tells this instance that the listed former leader has ended its term. */
+    void confirmFormerLeaderEnded() {
+        service.onFormerLeaderEnded();
+    }
+
     boolean isLeading() {
         return election.isLeading();
     }
