--- a/router/src/main/java/org/snipewind/router/peer/RelayedBroadcast.java
+++ b/router/src/main/java/org/snipewind/router/peer/RelayedBroadcast.java
@@ -33,6 +33,9 @@
      */
     static final long ACKNOWLEDGEMENT_TIMEOUT_MILLIS = 300;
 
+    /** A time-out that is noticed this late shows that this instance did not run, and tells nothing about the relay. */
+    private static final long MAX_TIMEOUT_LATENESS_MILLIS = 100;
+
     private final MemberRecord self;
     private final Supplier<Collection<MemberRecord>> members;
     private final Supplier<MirrorDelta> confirmation;
@@ -135,8 +138,9 @@
             return;
         }
         metrics.count("broadcasts.sent-to-relays");
+        long sentMillis = clock.nowMillis();
         MirrorDelta delta =
-                entry.delta().forRelay(elapsedMillis(entry), link.clockOffset().toRemote(clock.nowMillis()));
+                entry.delta().forRelay(elapsedMillis(entry), link.clockOffset().toRemote(sentMillis));
         relayCaller.apply(link.relay(), delta).whenComplete((response, failure) -> {
             if (!isCurrent(link)) {
                 return;
@@ -145,6 +149,8 @@
                     && response instanceof RelayAcknowledgement acknowledgement
                     && acknowledgement.accepted()) {
                 onAcknowledged(link, entry, acknowledgement);
+            } else if (clock.nowMillis() - sentMillis > ACKNOWLEDGEMENT_TIMEOUT_MILLIS + MAX_TIMEOUT_LATENESS_MILLIS) {
+                transmit(link, entry);
             } else {
                 replaceRelay(link, failure == null ? "not accepted" : failure.getMessage());
             }
--- a/router/src/test/java/org/snipewind/router/peer/PeerNetworkTest.java
+++ b/router/src/test/java/org/snipewind/router/peer/PeerNetworkTest.java
@@ -8,19 +8,14 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.snipewind.coordination.clock.ManualMillisClock;
-import org.snipewind.coordination.keyspace.KeyAssignment;
-import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.router.lead.EmptyStoreItemParser;
 import org.snipewind.router.lead.LeaderService;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
-import org.snipewind.router.port.KeyOwnershipClient;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.MemberRecord;
@@ -32,25 +27,6 @@
 
     private static final int SECRET_BYTES = 32;
 
-    /** Targets that never respond. */
-    private static final class UnresponsiveTargets implements KeyOwnershipClient {
-        @Override
-        public CompletableFuture<Boolean> grant(
-                TargetRegistration target, KeyAssignment range, long grantLifetimeMillis, Optional<String> handover) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Boolean> probe(TargetRegistration target, String healthPath) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Optional<String>> release(TargetRegistration target, KeyAssignment range) {
-            return new CompletableFuture<>();
-        }
-    }
-
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final NioEventLoopGroup network = new NioEventLoopGroup(1);
     private final ManualMillisClock clock = new ManualMillisClock(100_000);
--- a/router/src/test/java/org/snipewind/router/peer/RelayedBroadcastTest.java
+++ b/router/src/test/java/org/snipewind/router/peer/RelayedBroadcastTest.java
@@ -240,4 +240,15 @@
         }
         assertThat(fleet.metrics.counterValue("broadcasts.relays-replaced")).isEqualTo(0);
     }
+
+    /** Guards against relays that are avoided because the leader had no processor time to read their answers. */
+    @Test
+    void aLeaderThatWasPausedItselfKeepsItsRelays() throws Exception {
+        SimulatedFleet fleet = startConnectedFleet(3, 5);
+        long revision = fleet.broadcastChange("key");
+        fleet.advance(600);
+        fleet.deliver();
+        assertUpToDate(fleet, fleet.instances, revision);
+        assertThat(fleet.metrics.counterValue("broadcasts.relays-replaced")).isEqualTo(0);
+    }
 }
