Require a relay's acknowledgement in the test over connections

Cause: without acknowledgements, RelayedBroadcastNetworkTest still passed, since the instances got the broadcast directly after two failures.

Change: the delta that the test sends is too old to confirm a cache, so only the one that follows an acknowledgement does. The test waits until all instances accept connections.

--- a/router/src/test/java/org/snipewind/router/peer/RelayedBroadcastNetworkTest.java
+++ b/router/src/test/java/org/snipewind/router/peer/RelayedBroadcastNetworkTest.java
@@ -1,11 +1,14 @@
 package org.snipewind.router.peer;
 
+import static com.google.common.truth.Truth.assertThat;
 import static org.snipewind.router.Conditions.await;
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +35,7 @@
 
     private static final int SECRET_BYTES = 32;
     private static final int REMOTE_INSTANCES = 4;
+    private static final long TOO_OLD_MILLIS = 10_000;
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
@@ -102,15 +106,26 @@
                 .get(0)
                 .network
                 .newRelayedBroadcast(() -> new MirrorDelta(revision, revision, 0, List.of(), List.of(), List.of()));
-        MirrorDelta change = SimulatedFleet.change("key", revision - 1, revision);
+        // Only the delta that follows the acknowledgement of a relay confirms the caches; this one is too old.
+        MirrorDelta change =
+                SimulatedFleet.change("key", revision - 1, revision).forInstance(TOO_OLD_MILLIS);
         List<Instance> remote = instances.subList(1, instances.size());
-        // The networks open at different times; changes that are sent before are lost or sent directly.
+        await(() -> members.stream().allMatch(RelayedBroadcastNetworkTest::accepts));
         await(() -> {
             loop.execute(() -> broadcast.broadcast(change));
-            return instances.get(1).metrics.counterValue("broadcasts.forwarded") > 0
-                    && remote.stream()
-                            .allMatch(instance ->
-                                    instance.cache.revision() == revision && instance.cache.receivesBroadcasts());
+            return remote.stream()
+                    .allMatch(instance -> instance.cache.revision() == revision && instance.cache.receivesBroadcasts());
         });
+        assertThat(instances.get(1).metrics.counterValue("broadcasts.forwarded"))
+                .isAtLeast(1);
+    }
+
+    private static boolean accepts(MemberRecord member) {
+        int port = Integer.parseInt(member.peerAddress().split(":")[1]);
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
     }
 }
