Select targets at random by expected time when observations are shared

Cause: with shared observations all instances have the same view, some 250 ms old, and selected the same best target.

Change: while observations of other instances come in, LeastResponseTimeSelector draws a target with a probability in inverse proportion to its expected response time (SharedSelection), within the data centre unless another one's targets are expected to respond sooner. It allocates nothing per target.

--- a/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
@@ -10,7 +10,8 @@
 /**
  * Selects the target of an undivided pool that has the shortest expected response time.
  *
- * <p>Random jitter is added to each estimate, so that not all instances select the same target at the same time.
+ * <p>Random jitter is added to each estimate, so that not all instances select the same target at the same time. That
+ * is not enough if they share their observations, see {@link SharedSelection}.
  */
 public final class LeastResponseTimeSelector {
 
@@ -36,6 +37,7 @@
     private final double remoteFactor;
     private final double remoteExtraMillis;
     private final DoubleSupplier random;
+    private final SharedSelection sharedSelection;
 
     /**
      * Creates a selector.
@@ -51,6 +53,7 @@
         this.remoteFactor = remoteFactor;
         this.remoteExtraMillis = remoteExtraMillis;
         this.random = random;
+        this.sharedSelection = new SharedSelection(dataCentre, remoteFactor, remoteExtraMillis, random);
     }
 
     /**
@@ -78,6 +81,13 @@
             Predicate<TargetState> allowed,
             Predicate<TargetState> connected,
             boolean paused) {
+        if (SharedSelection.isShared(targets, nowMillis)) {
+            return sharedSelection.choose(
+                    targets,
+                    nowMillis,
+                    candidate -> candidate.isPaused(nowMillis) == paused && allowed.test(candidate),
+                    connected);
+        }
         int start = targets.isEmpty() ? 0 : (int) (random.getAsDouble() * targets.size());
         List<TargetState> connectedTargets = new ArrayList<>(MAX_COMPARED);
         List<TargetState> unconnectedTargets = new ArrayList<>(MAX_COMPARED);
@@ -100,7 +110,7 @@
         }
         for (TargetState candidate : unconnectedTargets) {
             double score = score(candidate, nowMillis, meanKnownMillis);
-            score += Math.min(CONNECT_COST_MILLIS, score * MAX_CONNECT_COST_FRACTION);
+            score += connectCostMillis(score);
             if (score < bestScore) {
                 best = candidate;
                 bestScore = score;
@@ -121,6 +131,11 @@
                 .orElse(TargetState.INITIAL_RESPONSE_MILLIS);
     }
 
+    /** Returns the cost of a new connection to a target as response time. */
+    static double connectCostMillis(double expectedMillis) {
+        return Math.min(CONNECT_COST_MILLIS, expectedMillis * MAX_CONNECT_COST_FRACTION);
+    }
+
     private double score(TargetState candidate, long nowMillis, double meanKnownMillis) {
         double expected = candidate.expectedResponseMillis(nowMillis, meanKnownMillis)
                 * (1 + ESTIMATE_JITTER * (random.getAsDouble() - 0.5));
--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/target/SharedSelection.java
@@ -0,0 +1,108 @@
+package org.snipewind.coordination.target;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
+
+/**
+ * Selects a target at random, with a probability in inverse proportion to its expected response time.
+ *
+ * <p>For instances that share their observations. All of them have the same view, which is some 250 ms old; if each
+ * selected the best target, that target would get all requests until the next exchange. Allocates nothing per target.
+ */
+final class SharedSelection {
+
+    /** Time after the last observation of another instance in which the view of the targets counts as shared. */
+    private static final long SHARED_VIEW_MILLIS = 2_000;
+
+    /** The targets of one or several data centres, and the one of them that was drawn. */
+    private static final class Group {
+        private TargetState drawn;
+        private double drawnKey = Double.MAX_VALUE;
+        private int count;
+        private double inverseSum;
+
+        /** Adds a target; the smallest of exponentially distributed keys has the stated probability. */
+        void add(TargetState target, double expectedMillis, double exponential) {
+            count++;
+            inverseSum += 1 / expectedMillis;
+            double key = expectedMillis * exponential;
+            if (key < drawnKey) {
+                drawnKey = key;
+                drawn = target;
+            }
+        }
+
+        /** Returns the harmonic mean, in which slow targets, which are drawn rarely, count little. */
+        double expectedMillis() {
+            return count / inverseSum;
+        }
+    }
+
+    private final String dataCentre;
+    private final double remoteFactor;
+    private final double remoteExtraMillis;
+    private final DoubleSupplier random;
+
+    SharedSelection(String dataCentre, double remoteFactor, double remoteExtraMillis, DoubleSupplier random) {
+        this.dataCentre = dataCentre;
+        this.remoteFactor = remoteFactor;
+        this.remoteExtraMillis = remoteExtraMillis;
+        this.random = random;
+    }
+
+    /** Returns whether observations of other instances have come in lately. */
+    static boolean isShared(List<TargetState> targets, long nowMillis) {
+        for (TargetState target : targets) {
+            if (nowMillis - target.lastObservationMillis() <= SHARED_VIEW_MILLIS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Selects a target of this data centre, or of another one if the targets there are expected to respond sooner.
+     *
+     * @param targets the targets
+     * @param nowMillis current time
+     * @param eligible whether the request may be sent to a target
+     * @param connected whether the request could use an open connection to a target
+     */
+    Optional<TargetState> choose(
+            List<TargetState> targets,
+            long nowMillis,
+            Predicate<TargetState> eligible,
+            Predicate<TargetState> connected) {
+        double defaultMillis = meanServiceMillis(targets);
+        Group local = new Group();
+        Group remote = new Group();
+        for (TargetState target : targets) {
+            if (eligible.test(target)) {
+                double expected = target.expectedResponseMillis(nowMillis, defaultMillis);
+                if (!connected.test(target)) {
+                    expected += LeastResponseTimeSelector.connectCostMillis(expected);
+                }
+                boolean isLocal = target.registration().dataCentre().equals(dataCentre);
+                (isLocal ? local : remote).add(target, expected, -Math.log(1 - random.getAsDouble()));
+            }
+        }
+        boolean leave = local.count == 0
+                || remote.count > 0
+                        && remote.expectedMillis() * remoteFactor + remoteExtraMillis < local.expectedMillis();
+        return Optional.ofNullable(leave ? remote.drawn : local.drawn);
+    }
+
+    private static double meanServiceMillis(List<TargetState> targets) {
+        int known = 0;
+        double sum = 0;
+        for (TargetState target : targets) {
+            if (target.hasResponded()) {
+                known++;
+                sum += target.meanServiceMillis();
+            }
+        }
+        return known == 0 ? TargetState.INITIAL_RESPONSE_MILLIS : sum / known;
+    }
+}
--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
@@ -36,6 +36,7 @@
     private final ReportedLoad reportedLoad = new ReportedLoad();
     private long coldStartUntilMillis;
     private final SharedTargetState shared = new SharedTargetState();
+    private volatile long lastObservationMillis = Long.MIN_VALUE / 2;
 
     /**
      * Creates the state of a target that was just discovered.
@@ -181,6 +182,7 @@
      * @param nowMillis current time
      */
     public synchronized void onObservation(TargetObservation observation, long nowMillis) {
+        lastObservationMillis = nowMillis;
         shared.recordOthers(observation.responses() + observation.failures(), nowMillis);
         if (observation.responses() > 0) {
             double serviceMillis = Math.max(MIN_SERVICE_MILLIS, observation.serviceMillis());
@@ -198,6 +200,11 @@
                 .ifPresent(load -> reportedLoad.recordShared(load, inFlightBefore(load, nowMillis), nowMillis));
     }
 
+    /** Returns the time at which other instances last told something about the target. */
+    long lastObservationMillis() {
+        return lastObservationMillis;
+    }
+
     /** Returns the requests in flight that are in a report; of those sent after it, only the newest is known. */
     private int inFlightBefore(ObservedLoad load, long nowMillis) {
         return lastSentMillis >= nowMillis - load.ageMillis() ? Math.max(0, inFlight - 1) : inFlight;
