Measure the selection of a target and the exchange of observations

Cause: a decision has to take less than 20 us and to allocate nothing per target, and the exchange must cost a small instance a few milliseconds a second at most.

Change: bin/measure selection, which needs no processes.

--- a/standins/src/main/java/org/snipewind/standins/measure/Measurements.java
+++ b/standins/src/main/java/org/snipewind/standins/measure/Measurements.java
@@ -18,6 +18,7 @@
             new ExclusiveOwnershipMeasurement(),
             new BalanceMeasurement(),
             new RecordsMeasurement(),
+            new SelectionMeasurement(),
             new TrafficMeasurement("stragglers", DeploymentPlan.VOCES_DEL_PLATA, false, StragglersMeasurement::run),
             new TrafficMeasurement("fairness", DeploymentPlan.JALSETU, true, FairnessMeasurement::run),
             new TrafficMeasurement("limits", DeploymentPlan.VOCES_DEL_PLATA, false, LimitsMeasurement::run),
