--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -207,7 +207,7 @@
         // A response that has begun to arrive is ahead of that of any other target.
         return !done
                 && activeAttempts.size() == 1
-                && !activeAttempts.get(0).isReceivingResponse()
+                && activeAttempts.get(0).mayBeHedged()
                 && attempts < route.maxAttempts();
     }
 
