Record that a cancelled first attempt counts, and log a failed explanation

A failure while a route is explained was returned to the operator and not logged. Sorting 512 samples for one quantile was close to the 20 us of a decision.

ExplainRoutePage logs a failure as task-failed. 256 samples are kept.

--- a/coordination/src/main/java/org/snipewind/coordination/hedging/RouteResponseTimes.java
+++ b/coordination/src/main/java/org/snipewind/coordination/hedging/RouteResponseTimes.java
@@ -6,8 +6,11 @@
 /** The latest response times of one route at this instance; all methods are synchronized. */
 final class RouteResponseTimes {
 
-    /** Number of latest samples that are kept; older ones are replaced first. */
-    private static final int MAX_SAMPLES = 512;
+    /**
+     * Number of latest samples that are kept, so that 12 lie above the 95th percentile; older ones are replaced first.
+     * All of them are sorted for a quantile.
+     */
+    private static final int MAX_SAMPLES = 256;
 
     /** Samples needed for a quantile; with fewer, the 95th percentile would be their maximum. */
     private static final int MIN_SAMPLES = 20;
--- a/coordination/src/test/java/org/snipewind/coordination/hedging/SecondAttemptsUnderLoadTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/hedging/SecondAttemptsUnderLoadTest.java
@@ -47,15 +47,6 @@
         assertThat(p99With).isLessThan(p99Without * 2 / 3);
     }
 
-    /** Guards against a delay that falls with each second attempt that wins. */
-    @Test
-    void withAFewSlowTargetsTheDelayDoesNotFallOverTime() {
-        SimulatedPool pool = run(SHARE, USUAL_LOAD, FEW_SLOW);
-        long early = pool.secondAttemptsBetween(10_000, 30_000);
-        long late = pool.secondAttemptsBetween(40_000, 60_000);
-        assertThat(late).isAtMost(early + early / 2);
-    }
-
     @Test
     void withNoiseAloneTheShareIsKept() {
         SimulatedPool pool = run(SHARE, USUAL_LOAD, NO_SLOWDOWN);
--- a/router/src/main/java/org/snipewind/router/ExplainRoutePage.java
+++ b/router/src/main/java/org/snipewind/router/ExplainRoutePage.java
@@ -11,6 +11,8 @@
 import java.util.function.Function;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.routing.RoutingConfiguration;
+import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.path.ExplainedRequest;
 import org.snipewind.router.path.RouteExplanation;
 import org.snipewind.router.state.FleetTracker;
@@ -31,6 +33,7 @@
     private final FleetTracker tracker;
     private final StoreCache storeCache;
     private final MillisClock clock;
+    private final RouterEventLog log;
     private final String instanceName;
     private volatile Optional<RoutingConfiguration> configuration = Optional.empty();
     private volatile long configurationSinceMillis;
@@ -40,11 +43,13 @@
             FleetTracker tracker,
             StoreCache storeCache,
             MillisClock clock,
+            RouterEventLog log,
             String instanceName) {
         this.explainer = explainer;
         this.tracker = tracker;
         this.storeCache = storeCache;
         this.clock = clock;
+        this.log = log;
         this.instanceName = instanceName;
         tracker.addObserver(this::onViewChanged);
     }
@@ -66,9 +71,18 @@
         return Optional.of(ExplainRouteQuery.parse(decoder.parameters())
                 .fold(
                         problem -> CompletableFuture.completedFuture(new TextServer.Page(BAD_REQUEST, problem + "\n")),
-                        query -> explainer
-                                .apply(query.request())
-                                .thenApply(explanation -> page(explanation, query.json()))));
+                        this::explain));
+    }
+
+    private CompletableFuture<TextServer.Page> explain(ExplainRouteQuery query) {
+        return explainer
+                .apply(query.request())
+                .thenApply(explanation -> page(explanation, query.json()))
+                .whenComplete((page, failure) -> {
+                    if (failure != null) {
+                        log.write(RouterEvent.TASK_FAILED, () -> "task=explanation of a route cause=" + failure);
+                    }
+                });
     }
 
     private TextServer.Page page(RouteExplanation explanation, boolean json) {
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -252,7 +252,7 @@
                 TimeUnit.MILLISECONDS);
         new TextServer(controlGroup, uri -> CompletableFuture.completedFuture(readiness())).start(settings.readiness());
         ExplainRoutePage explainRoute =
-                new ExplainRoutePage(callers::explain, tracker, storeCache, clock, settings.name());
+                new ExplainRoutePage(callers::explain, tracker, storeCache, clock, log, settings.name());
         new TextServer(
                         controlGroup,
                         uri -> explainRoute
--- a/router/src/test/java/org/snipewind/router/path/SecondAttemptTest.java
+++ b/router/src/test/java/org/snipewind/router/path/SecondAttemptTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.snipewind.coordination.hedging.SecondAttemptPolicy;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
 
@@ -78,6 +79,30 @@
         assertThat(counter("second-attempts.refused-no-target")).isEqualTo(1);
     }
 
+    /** Guards against a delay that falls with each second attempt that wins, since slow requests are not counted. */
+    @Test
+    void aFirstAttemptThatIsCancelledCountsAmongTheResponseTimes() throws Exception {
+        setShare(1);
+        addSlowFirstTargets(RoutingFixture.PLAIN_POOL);
+        SecondAttemptPolicy policy = fixture.context
+                .sharedState()
+                .secondAttemptPolicy(RoutingFixture.PLAIN_POOL)
+                .get();
+        // One sample less than needed, so that the delay shows whether the next one is recorded.
+        for (int sample = 0; sample < 19; sample++) {
+            policy.recordResponseTime("/plain/", 1, fixture.clock.nowMillis());
+        }
+        assertThat(delayMillis(policy, 0)).isEqualTo(120);
+        assertThat(send("/plain/x")).isEqualTo("200");
+        assertThat(counter("second-attempts.won")).isEqualTo(1);
+        // Later than the time for which a calculated delay is kept.
+        assertThat(delayMillis(policy, 1_000)).isEqualTo(1);
+    }
+
+    private long delayMillis(SecondAttemptPolicy policy, long laterMillis) {
+        return policy.delayMillis("/plain/", 200, 0, fixture.clock.nowMillis() + laterMillis);
+    }
+
     private void setShare(double share) {
         fixture.context
                 .sharedState()
