--- a/command/src/main/java/org/snipewind/command/Command.java
+++ b/command/src/main/java/org/snipewind/command/Command.java
@@ -76,6 +76,9 @@
             return FolderCommands.check(
                     folderArgument(arguments), arguments.getBoolean("json"), new ResultWriter(output));
         }
+        if (arguments.getString(CommandLine.SUBCOMMAND).equals("rollouts")) {
+            return showRollouts(arguments.getString("instance"));
+        }
         if (arguments.getString(CommandLine.SUBCOMMAND).equals("replay")) {
             ReplayOptions options = new ReplayOptions(
                     arguments.<String>getList("to"),
@@ -89,6 +92,20 @@
         }
     }
 
+    private int showRollouts(String instance) {
+        return fleetClient
+                .readRollouts(instance)
+                .fold(
+                        problem -> {
+                            errors.println("instance not reachable: " + problem);
+                            return ExitCode.UNREACHABLE;
+                        },
+                        text -> {
+                            output.print(text.isEmpty() ? "no roll-outs\n" : text);
+                            return ExitCode.DONE;
+                        });
+    }
+
     private static int run(Namespace arguments, CommandContext context) throws IOException {
         switch (arguments.getString(CommandLine.SUBCOMMAND)) {
             case "diff":
--- a/command/src/main/java/org/snipewind/command/CommandLine.java
+++ b/command/src/main/java/org/snipewind/command/CommandLine.java
@@ -59,6 +59,12 @@
         Subparser rollback =
                 addChangeOptions(subparsers.addParser("rollback").help("put an earlier revision in force again"));
         rollback.addArgument("revision").type(Long.class).metavar("REVISION").help("number of the revision");
+        subparsers
+                .addParser("rollouts")
+                .help("show the roll-outs as an instance of the router knows them")
+                .addArgument("instance")
+                .metavar("ADDRESS")
+                .help("host and port of the metrics of an instance");
         addReplaySubcommand(subparsers);
         return parser;
     }
--- a/command/src/main/java/org/snipewind/command/FleetClient.java
+++ b/command/src/main/java/org/snipewind/command/FleetClient.java
@@ -18,6 +18,9 @@
     /** Decodes the value of a store key {@code assignment/POOL}, or returns why it is invalid. */
     Either<String, SliceTable> decodeSliceTable(byte[] content);
 
+    /** Reads the roll-outs as an instance of the router knows them, one line a pool, or returns why it could not. */
+    Either<String, String> readRollouts(String instanceAddress);
+
     /** Reads the status of a daemon, or returns why it could not be read; takes a few seconds at most. */
     Either<String, DaemonStatus> readStatus(String operatorAddress);
 }
--- a/command/src/main/java/org/snipewind/command/HttpFleetClient.java
+++ b/command/src/main/java/org/snipewind/command/HttpFleetClient.java
@@ -62,6 +62,14 @@
         }
     }
 
+    @Override
+    public Either<String, String> readRollouts(String instanceAddress) {
+        URI address = URI.create("http://" + instanceAddress + "/rollouts");
+        return Try.of(() -> client.get().toBlocking().retrieve(HttpRequest.GET(address), String.class))
+                .toEither()
+                .mapLeft(failure -> String.valueOf(failure.getMessage()));
+    }
+
     private static <T> Either<String, T> decode(byte[] content, Function<byte[], T> decoder) {
         return Try.of(() -> decoder.apply(content)).toEither().mapLeft(failure -> String.valueOf(failure.getMessage()));
     }
--- a/command/src/test/java/org/snipewind/command/CommandTest.java
+++ b/command/src/test/java/org/snipewind/command/CommandTest.java
@@ -66,6 +66,15 @@
         assertThat(runOnStore("diff", folder.toString())).isEqualTo(ExitCode.DONE);
     }
 
+    /** Guards against an unreachable instance that looks like one without roll-outs. */
+    @Test
+    void rolloutsAreShownAsTheInstanceKnowsThem() {
+        assertThat(run("rollouts", "127.0.0.1:2")).isEqualTo(ExitCode.DONE);
+        assertThat(output.toString(StandardCharsets.UTF_8)).contains("phase=CANARY");
+        assertThat(run("rollouts", "127.0.0.1:1")).isEqualTo(ExitCode.UNREACHABLE);
+        assertThat(errors.toString(StandardCharsets.UTF_8)).contains("connection refused");
+    }
+
     /** Guards against a folder of unknown origin replacing the fleet's configuration. */
     @Test
     void applyWithoutABaseRevisionIsRefusedIfTheStoreHasARevision() {
--- a/command/src/test/java/org/snipewind/command/InMemoryFleetClient.java
+++ b/command/src/test/java/org/snipewind/command/InMemoryFleetClient.java
@@ -43,6 +43,13 @@
         return Either.right(SliceTable.empty("reelteca"));
     }
 
+    @Override
+    public Either<String, String> readRollouts(String instanceAddress) {
+        return instanceAddress.endsWith(":1")
+                ? Either.left("connection refused")
+                : Either.right("pool=p order=v2 within 12000ms version=v2 phase=CANARY share=0.03\n");
+    }
+
     @Override
     public Either<String, DaemonStatus> readStatus(String operatorAddress) {
         return Either.right(
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -23,7 +23,6 @@
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
-import org.snipewind.router.metrics.PrometheusText;
 import org.snipewind.router.path.CallerServer;
 import org.snipewind.router.path.OrganisationRateLimiter;
 import org.snipewind.router.path.RoutingContext;
@@ -269,8 +268,7 @@
                 ActivityLog.INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         new TextServer(controlGroup, uri -> readiness()).start(settings.readiness());
-        new TextServer(controlGroup, uri -> new TextServer.Page(OK, PrometheusText.write(metrics.registry())))
-                .start(settings.metrics());
+        new TextServer(controlGroup, new InternalPages(metrics, tracker, clock)::page).start(settings.metrics());
         callers.start(settings.callers());
         log.write(
                 RouterEvent.STARTED,
