--- a/command/src/main/java/org/snipewind/command/FleetClient.java
+++ b/command/src/main/java/org/snipewind/command/FleetClient.java
@@ -21,6 +21,9 @@
     /** Asks an instance where it would send a request, or returns why there is no explanation. */
     Either<ExplainFailure, String> explainRoute(String metricsAddress, RouteQuestion question);
 
+    /** Reads the roll-outs as an instance of the router knows them, one line a pool, or returns why it could not. */
+    Either<String, String> readRollouts(String instanceAddress);
+
     /** Reads the status of a daemon, or returns why it could not be read; takes a few seconds at most. */
     Either<String, DaemonStatus> readStatus(String operatorAddress);
 }
--- a/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/LeastResponseTimeSelector.java
@@ -116,7 +116,9 @@
         List<TargetState> targets = candidates.targets();
         if (SharedSelection.isShared(targets, nowMillis)) {
             return sharedSelection.choose(
-                    candidates, nowMillis, candidate -> place.test(candidate) && candidate.isPaused(nowMillis) == paused);
+                    candidates,
+                    nowMillis,
+                    candidate -> place.test(candidate) && candidate.isPaused(nowMillis) == paused);
         }
         int start = targets.isEmpty() ? 0 : (int) (random.getAsDouble() * targets.size());
         List<TargetState> connectedTargets = new ArrayList<>(MAX_COMPARED);
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -24,7 +24,6 @@
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
-import org.snipewind.router.metrics.PrometheusText;
 import org.snipewind.router.path.CallerServer;
 import org.snipewind.router.path.OrganisationRateLimiter;
 import org.snipewind.router.path.RoutingContext;
@@ -277,12 +276,12 @@
         new TextServer(controlGroup, uri -> CompletableFuture.completedFuture(readiness())).start(settings.readiness());
         ExplainRoutePage explainRoute =
                 new ExplainRoutePage(callers::explain, tracker, storeCache, clock, log, settings.name());
+        InternalPages internalPages = new InternalPages(metrics, tracker, clock);
         new TextServer(
                         controlGroup,
                         uri -> explainRoute
                                 .serve(uri)
-                                .orElseGet(() -> CompletableFuture.completedFuture(
-                                        new TextServer.Page(OK, PrometheusText.write(metrics.registry())))))
+                                .orElseGet(() -> CompletableFuture.completedFuture(internalPages.page(uri))))
                 .start(settings.metrics());
         callers.start(settings.callers());
         log.write(
