Test the choice of data centre through a worker

Cause: only the selector was tested; nothing showed that a worker uses it and counts the requests that cross.

--- a/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
@@ -116,17 +116,27 @@
     }
 
     void addTarget(String id, String pool, com.sun.net.httpserver.HttpHandler handler) throws Exception {
+        addTargetIn("dc", id, pool, handler);
+    }
+
+    /** Starts a target in a data centre; that of the instance is named dc. */
+    void addTargetIn(String dataCentre, String id, String pool, com.sun.net.httpserver.HttpHandler handler)
+            throws Exception {
         HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
         server.setExecutor(serverThreads);
         server.createContext("/", handler);
         server.start();
         servers.add(server);
-        addTarget(id, pool, server.getAddress().getPort());
+        register(id, pool, server.getAddress().getPort(), dataCentre);
     }
 
     /** Registers a target that listens on a port of this machine. */
     void addTarget(String id, String pool, int port) throws Exception {
-        String registration = pool + " " + port;
+        register(id, pool, port, "dc");
+    }
+
+    private void register(String id, String pool, int port, String dataCentre) throws Exception {
+        String registration = pool + " " + port + " " + dataCentre;
         runOnLoop(() -> tracker.itemChanged(new StoreItem("target/" + id, registration.getBytes(), ++revision, 0)));
     }
 
@@ -296,7 +306,7 @@
         public Either<String, TargetRegistration> parseTarget(String id, byte[] value) {
             String[] parts = new String(value).split(" ");
             return Either.right(new TargetRegistration(
-                    id, 1, 1, parts[0], "127.0.0.1", Integer.parseInt(parts[1]), "dc", 2, false, 0));
+                    id, 1, 1, parts[0], "127.0.0.1", Integer.parseInt(parts[1]), parts[2], 2, false, 0));
         }
     }
 
