Let requests wait for room and give refused callers a place to return to

Cause: a request without a target was refused at once with a fixed Retry-After of 200 ms, or with the service time of the owner of its key. Callers refused together came back together and were refused again, and the kind "upload" was reported as unreadable.

Change: coordination/admission has the decisions, with the clock passed in: the queue that a request may join, the order of those that wait, how long they wait, and when a refused caller returns. Less urgent requests yield after a more urgent one of their pool lacked room; a route below its floor goes first. RoomWait and CapacityQueue hold requests in the worker, at most for an eighth of the objective, and only if a target can have room in that time. LARGE_REQUEST is parsed; a route is idempotent only if its kind is listed as such.

Returning callers go ahead of new ones only while they can still meet the objective.

Tests: the new ones and those of router/path, routing events and the configuration parser that were run passed (ConfigurationParserTest, RoutedRequestTest, TargetNoticeRoutingTest, LeavingTargetTest, RouterEventCatalogueTest, LargeRequestsTest, PipelinedRequestsTest, ConnectionCutTest, SharedRoutingStateTest, OverloadedOwnerTest, UrgentRequestsUnderOverloadTest and the five new classes). The load tests compare with the former rule in the same model.

--- /dev/null
+++ b/coordination/src/main/java/org/snipewind/coordination/admission/UsualDeadline.java
@@ -0,0 +1,29 @@
+package org.snipewind.coordination.admission;
+
+/**
+ * The time that callers of a route usually grant, from which returning callers are recognised: part of their time has
+ * passed. Not thread-safe.
+ */
+final class UsualDeadline {
+
+    /** A request with less than this fraction of the usual time is from a returning caller. */
+    private static final double RETURNING_FRACTION = 0.93;
+
+    /** Weight of a shorter time, so that the usual time also falls if callers grant less from now on. */
+    private static final double FALL_WEIGHT = 0.01;
+
+    private double usualMillis;
+
+    /**
+     * Records the time that a request has left.
+     *
+     * @param remainingMillis time that the caller grants
+     * @return time that the caller has used up before, 0 for a new request
+     */
+    double elapsedBefore(double remainingMillis) {
+        usualMillis = remainingMillis >= usualMillis
+                ? remainingMillis
+                : usualMillis + FALL_WEIGHT * (remainingMillis - usualMillis);
+        return remainingMillis < usualMillis * RETURNING_FRACTION ? usualMillis - remainingMillis : 0;
+    }
+}
--- a/coordination/src/main/java/org/snipewind/coordination/routing/Route.java
+++ b/coordination/src/main/java/org/snipewind/coordination/routing/Route.java
@@ -35,7 +35,7 @@
      * @return false if it may run once at most
      */
     public boolean idempotent() {
-        return kind != RouteKind.NON_IDEMPOTENT;
+        return kind == RouteKind.IDEMPOTENT || kind == RouteKind.LARGE_RESPONSE;
     }
 
     /**
--- a/coordination/src/main/java/org/snipewind/coordination/routing/RouteKind.java
+++ b/coordination/src/main/java/org/snipewind/coordination/routing/RouteKind.java
@@ -7,5 +7,7 @@
     /** A request may run more than once, and its response may be large. */
     LARGE_RESPONSE,
     /** A request may run once at most. */
-    NON_IDEMPOTENT
+    NON_IDEMPOTENT,
+    /** A request may run once at most, and its body may be large. */
+    LARGE_REQUEST
 }
--- a/coordination/src/main/java/org/snipewind/coordination/target/ColdStartRateLimiter.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/ColdStartRateLimiter.java
@@ -85,6 +85,15 @@
         return bucket.millisUntil(1) == 0;
     }
 
+    /**
+     * Returns the time until a request would be within this instance's limit.
+     *
+     * @return milliseconds, {@link Long#MAX_VALUE} if this instance may not send to the target
+     */
+    public long millisUntilPermit() {
+        return bucket.millisUntil(1);
+    }
+
     private static long rendezvousScore(String member, String target) {
         return KeyHasher.hash(member + '/' + target) >>> 1;
     }
--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
@@ -294,6 +294,29 @@
         return Math.max(1, excess) * occupancyMillis / slots();
     }
 
+    /**
+     * Estimates the time until {@link #hasRoom} returns true, provided that this instance sends no other requests.
+     *
+     * @param nowMillis current time
+     * @param allowedMillis time within which the request should be answered
+     * @param queuedPerSlot requests that may wait for each slot of the target
+     * @param instances number of instances that send requests to the target
+     * @return milliseconds, 0 if there is room now
+     */
+    public synchronized double millisUntilRoom(
+            long nowMillis, double allowedMillis, double queuedPerSlot, int instances) {
+        if (hasRoom(nowMillis, allowedMillis, queuedPerSlot, instances)) {
+            return 0;
+        }
+        double excessLoad = load(nowMillis) - slots() * (1 + queuedPerSlot);
+        double queueMillis = Math.max(0, excessLoad) * meanServiceMillis / slots();
+        double standingLoad = Math.min(reportedLoad(), previousReportedLoad);
+        double excess = (standingLoad + 1) / usableLoad(allowedMillis, meanServiceMillis);
+        double shareMillis = instances * meanServiceMillis / slots();
+        double paceMillis = excess <= 1 ? 0 : lastSentMillis + shareMillis * excess * excess - nowMillis;
+        return Math.max(1, Math.max(queueMillis, paceMillis));
+    }
+
     /** Returns the number of requests at the target, waiting ones included, of which the last is answered in time. */
     private double usableLoad(double allowedMillis, double occupancyMillis) {
         return Math.max(slots(), slots() * allowedMillis / occupancyMillis);
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -79,6 +79,10 @@
     CALLER_LEFT(5404, Level.INFO),
     /** A server sent bytes that belong to no request, or can't be told from such bytes. */
     UNSOLICITED_BYTES(5405, Level.WARNING),
+    /** A pool has begun to refuse requests for lack of room. */
+    POOL_ROOM_EXHAUSTED(5411, Level.INFO),
+    /** A pool that refused requests for lack of room has refused none for a while. */
+    POOL_ROOM_REGAINED(5412, Level.INFO),
     /** Lines were suppressed by the rate limit of their event. */
     LINES_LEFT_OUT(5901, Level.WARNING),
     /** A task failed because of a defect in the program; its later runs are not affected. */
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -5,9 +5,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.snipewind.coordination.admission.QueueAllowance;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Execution;
 import org.snipewind.coordination.routing.Organisation;
@@ -16,7 +19,6 @@
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.http.BufferedResponse;
 import org.snipewind.router.http.HttpConnection;
-import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.RequestHeaders;
 
 /**
@@ -26,9 +28,6 @@
  */
 final class RoutedRequest implements OrganisationRateLimiter.AdmissionListener {
 
-    /** Longest wait for a key that is moving to a new holder; most moves take less than half of this time. */
-    private static final long MAX_OWNER_WAIT_MILLIS = 400;
-
     /** Fraction of the remaining time for which a request may wait for a token; the rest is for processing it. */
     private static final double TOKEN_WAIT_FRACTION = 1.0 / 3;
 
@@ -44,20 +43,6 @@
     /** Fraction of the latency objective after which an idempotent request is also sent to a second target. */
     private static final double HEDGE_DELAY_FRACTION = 0.6;
 
-    /**
-     * Fraction of the latency objective that a request may expect to take at a target, waiting included. The rest is
-     * for the spread of the service time and for load that this instance does not know of.
-     */
-    private static final double OBJECTIVE_FRACTION_AT_TARGET = 0.8;
-
-    /**
-     * Factor by which the allowed queue is longer for each less urgent priority, so that the last places in a queue go
-     * to the most urgent requests.
-     */
-    private static final double URGENCY_FACTOR = 1.2;
-
-    private static final double MAX_URGENCY_FACTOR = 1.5;
-
     private final Worker worker;
     private final RoutingContext context;
     private final CallerRequest request;
@@ -71,10 +56,13 @@
     private Route route;
     private Pool pool;
     private Optional<Organisation> organisation = Optional.empty();
-    private int urgencyRank;
+    private RequestAdmission admission;
+    private RoomWait roomWait;
     private Optional<BufferedResponse> errorResponse = Optional.empty();
     private long deadlineMillis;
-    private long ownerWaitUntilMillis = -1;
+    private final OwnerWait ownerWait;
+    private final RequestRecorder recorder;
+    private Optional<String> unpaidRetryReason = Optional.empty();
     private int attempts;
     private boolean mayHaveRun;
     private boolean done;
@@ -84,6 +72,8 @@
         this.context = worker.context();
         this.request = request;
         this.responder = responder;
+        this.ownerWait = new OwnerWait(worker, this);
+        this.recorder = new RequestRecorder(context);
         this.arrivedMillis = context.clock().nowMillis();
     }
 
@@ -140,6 +130,7 @@
     /** Checks the request against the configuration and the overload limit, then asks for its admission. */
     void start() {
         headers = context.headerCodec().readRequest(request.headers());
+        recorder.setRequestId(headers.requestId().orElse("none"));
         if (worker.isOverloaded()) {
             refuse(
                     ErrorKind.DAEMON_REQUESTS_LIMIT,
@@ -154,10 +145,10 @@
     }
 
     private void admit(RequestClassifier.Classification classification) {
+        recorder.setClassification(classification);
         route = classification.route();
         pool = classification.pool();
         organisation = classification.organisation();
-        urgencyRank = classification.urgencyRank();
         long allowedMillis =
                 Math.min(route.timeoutMillis(), headers.remainingMillis().orElse(Long.MAX_VALUE));
         deadlineMillis = arrivedMillis + allowedMillis;
@@ -165,6 +156,8 @@
             refuse(ErrorKind.SHUTTING_DOWN, TargetResolver.POOL_RETRY_AFTER_MILLIS, "allowed=" + allowedMillis + "ms");
             return;
         }
+        admission = new RequestAdmission(context, classification, arrivedMillis, allowedMillis);
+        roomWait = new RoomWait(worker, this, admission, pool.name());
         schedule(this::onDeadline, allowedMillis);
         Optional<Organisation> limitedOrganisation = organisation.filter(Organisation::isLimited);
         if (limitedOrganisation.isPresent()) {
@@ -199,6 +192,7 @@
         if (pool.keyed()) {
             context.sharedState().recordKey(pool.name(), headers.shardKey().getAsInt());
         }
+        worker.capacityQueue().tryAheadOf(pool.name(), admission.order());
         routeIfNoneActive();
     }
 
@@ -212,59 +206,48 @@
 
     /** Sends the request to the selected target; without a target, refuses it or waits for the owner of its key. */
     private void selectTargetAndSend() {
-        Either<TargetResolver.NoTarget, TargetState> found = pool.keyed()
-                ? worker.targetResolver().resolveOwner(pool, headers.shardKey().getAsInt(), queueLimit())
-                : worker.targetResolver().selectFromPool(pool, triedIncarnations, !route.idempotent(), queueLimit());
-        found.peek(this::send).peekLeft(this::handleNoTarget);
+        selectTarget().peek(this::send).peekLeft(this::handleNoTarget);
     }
 
-    private TargetResolver.QueueLimit queueLimit() {
-        double lengthFactor = Math.min(MAX_URGENCY_FACTOR, Math.pow(URGENCY_FACTOR, urgencyRank));
-        long elapsedMillis = context.clock().nowMillis() - arrivedMillis;
-        double allowedMillis =
-                route.latencyObjectiveMillis() * OBJECTIVE_FRACTION_AT_TARGET * lengthFactor - elapsedMillis;
-        return new TargetResolver.QueueLimit(Math.min(allowedMillis, remainingMillis()), lengthFactor);
+    Either<TargetResolver.NoTarget, TargetState> selectTarget() {
+        QueueAllowance allowance = admission.allowance();
+        return pool.keyed()
+                ? worker.targetResolver().resolveOwner(pool, headers.shardKey().getAsInt(), allowance)
+                : worker.targetResolver().selectFromPool(pool, triedIncarnations, !route.idempotent(), allowance);
     }
 
-    private void handleNoTarget(TargetResolver.NoTarget noTarget) {
-        if (noTarget.ownerExpectedMillis().isPresent()) {
-            awaitOwner(noTarget, noTarget.ownerExpectedMillis().getAsLong());
-        } else {
-            refuseIfNoneActive(noTarget.kind(), noTarget.retryAfterMillis(), noTarget.detail());
+    /** Has the request wait for the owner of its key or for room at a target, or refuses it. */
+    void handleNoTarget(TargetResolver.NoTarget noTarget) {
+        if (activeAttempts.isEmpty() && !waitForOwner(noTarget) && !waitForRoom(noTarget)) {
+            refuseWithoutTarget(noTarget);
         }
     }
 
-    /** Waits for the owner of the key, or a pause of all targets to end, unless the wait would be too long. */
-    private void awaitOwner(TargetResolver.NoTarget noTarget, long leastWaitMillis) {
-        long now = context.clock().nowMillis();
-        if (ownerWaitUntilMillis < 0) {
-            // At least half of the remaining time is reserved for processing the request.
-            ownerWaitUntilMillis = now + Math.min(MAX_OWNER_WAIT_MILLIS, remainingMillis() / 2);
-            schedule(this::routeIfWaiting, ownerWaitUntilMillis - now);
-        }
-        if (now + leastWaitMillis >= ownerWaitUntilMillis) {
-            refuseIfNoneActive(noTarget.kind(), noTarget.retryAfterMillis(), noTarget.detail());
-            return;
-        }
-        worker.waitForOwner(this);
-        if (noTarget.kind() == ErrorKind.TARGET_PAUSED) {
-            // The end of a pause is no change of the view.
-            schedule(this::routeIfWaiting, leastWaitMillis);
-        }
+    private boolean waitForOwner(TargetResolver.NoTarget noTarget) {
+        OptionalLong leastWaitMillis = noTarget.ownerExpectedMillis();
+        return leastWaitMillis.isPresent() && ownerWait.begin(noTarget.kind(), leastWaitMillis.getAsLong());
     }
 
-    private void routeIfWaiting() {
-        if (worker.isWaiting(this)) {
-            worker.stopWaiting(this);
-            routeIfNoneActive();
-        }
+    private boolean waitForRoom(TargetResolver.NoTarget noTarget) {
+        return roomWait.begin(
+                noTarget, attempts == 0 ? arrivedMillis : context.clock().nowMillis());
+    }
+
+    void refuseWithoutTarget(TargetResolver.NoTarget noTarget) {
+        refuseIfNoneActive(noTarget.kind(), () -> admission.returnAfterMillis(noTarget), noTarget.detail());
     }
 
-    private void send(TargetState target) {
+    void send(TargetState target) {
         if (remainingMillis() <= 0) {
             onDeadline();
             return;
         }
+        Optional<String> retryReason = unpaidRetryReason;
+        unpaidRetryReason = Optional.empty();
+        if (retryReason.isPresent() && !tryAcquireRetry(retryReason.get())) {
+            refuseAfter(target, ErrorKind.OVERLOADED, "target=" + target.incarnation() + " repeat-budget=empty");
+            return;
+        }
         attempts++;
         triedIncarnations.add(target.incarnation());
         if (attempts == 1) {
@@ -297,12 +280,7 @@
             context.metrics().count("retries.refused");
             return false;
         }
-        context.metrics().countRetry(reason);
-        context.log()
-                .write(
-                        RouterEvent.REQUEST_REPEATED,
-                        () -> describeRequest() + " reason=" + reason + " attempts=" + attempts + " remaining="
-                                + remainingMillis() + "ms");
+        recorder.retried(reason, attempts, remainingMillis());
         return true;
     }
 
@@ -317,6 +295,7 @@
         if (pool.keyed()) {
             context.sharedState().recordServiceTime(attempt.target().incarnation(), occupiedMillis);
         }
+        admission.onServed(attempt.elapsedMillis());
         if (!tryFinish()) {
             response.memory().release();
         } else {
@@ -325,6 +304,7 @@
                     .recordRequest(TimeUnit.MILLISECONDS.toNanos(context.clock().nowMillis() - arrivedMillis));
             responder.respond(response);
         }
+        worker.capacityQueue().onResponse(pool.name());
     }
 
     /** Retries the request after a target's error response, which goes to the caller if no other attempt succeeds. */
@@ -358,19 +338,23 @@
             // Attempts that never reached a target do not count against the attempt limit.
             attempts--;
         }
-        // Only the owner of the key can run the request, and it can do so as soon as one of its slots is free.
-        long retryAfterMillis =
-                pool.keyed() ? (long) attempt.target().meanServiceMillis() : TargetResolver.POOL_RETRY_AFTER_MILLIS;
+        if (kind == ErrorKind.TARGET_SHED) {
+            admission.onLackOfRoom();
+        }
         if (!retryable || !mayRetry()) {
-            refuseIfNoneActive(kind, retryAfterMillis, detail);
+            refuseAfter(attempt.target(), kind, detail);
             return;
         }
         Optional<TargetResolver.NoTarget> ownerRefusal = pool.keyed() ? findOwnerRefusal() : Optional.empty();
         if (ownerRefusal.isPresent()) {
-            // A retry would use up the budget and be refused by the owner.
-            refuseIfNoneActive(ownerRefusal.get().kind(), ownerRefusal.get().retryAfterMillis(), detail);
+            // A retry now would use up the budget and be refused by the owner.
+            unpaidRetryReason = possiblyReceived ? Optional.of(kind.wireName()) : Optional.empty();
+            TargetResolver.NoTarget noTarget = ownerRefusal.get().withDetail(detail);
+            if (!waitForRoom(noTarget)) {
+                refuseWithoutTarget(noTarget);
+            }
         } else if (possiblyReceived && !tryAcquireRetry(kind.wireName())) {
-            refuseIfNoneActive(kind, retryAfterMillis, detail + " repeat-budget=empty");
+            refuseAfter(attempt.target(), kind, detail + " repeat-budget=empty");
         } else if (pool.keyed()) {
             schedule(this::routeIfNoneActive, OWNER_RETRY_DELAY_MILLIS);
         } else {
@@ -378,10 +362,14 @@
         }
     }
 
+    private void refuseAfter(TargetState target, ErrorKind kind, String detail) {
+        refuseIfNoneActive(kind, () -> admission.returnAfterMillis(target, kind), detail);
+    }
+
     /** Returns why the owner of the key takes no requests now although it is in service, empty if it does. */
     private Optional<TargetResolver.NoTarget> findOwnerRefusal() {
         return worker.targetResolver()
-                .findOwner(pool, headers.shardKey().getAsInt(), queueLimit())
+                .findOwner(pool, headers.shardKey().getAsInt(), admission.allowance())
                 .fold(Optional::of, owner -> Optional.<TargetResolver.NoTarget>empty())
                 .filter(TargetResolver.NoTarget::isRefusedByOwner);
     }
@@ -390,12 +378,12 @@
      * Refuses the request unless another attempt is still in progress. If an attempt may have run the request, the
      * error kind given to the caller never claims that it did not run.
      */
-    private void refuseIfNoneActive(ErrorKind kind, long retryAfterMillis, String detail) {
+    private void refuseIfNoneActive(ErrorKind kind, LongSupplier retryAfterMillis, String detail) {
         if (!activeAttempts.isEmpty()) {
             return;
         }
         boolean claimsNotRun = kind.execution() == Execution.NOT_RUN;
-        refuse(mayHaveRun && claimsNotRun ? ErrorKind.TARGET_LOST : kind, retryAfterMillis, detail);
+        refuse(mayHaveRun && claimsNotRun ? ErrorKind.TARGET_LOST : kind, retryAfterMillis.getAsLong(), detail);
     }
 
     private void onDeadline() {
@@ -426,12 +414,7 @@
         if (done) {
             return;
         }
-        context.metrics().count("callers.left");
-        context.log()
-                .write(
-                        RouterEvent.CALLER_LEFT,
-                        () -> describeRequest() + " after=" + (context.clock().nowMillis() - arrivedMillis)
-                                + "ms attempts=" + attempts);
+        recorder.callerLeft(context.clock().nowMillis() - arrivedMillis, attempts);
         tryFinish();
         dropErrorResponse();
     }
@@ -445,22 +428,10 @@
             responder.respond(errorResponse.get());
             return;
         }
-        context.metrics().countRefusal(kind);
-        RouterEvent event =
-                kind.execution() == Execution.NOT_RUN ? RouterEvent.REQUEST_REFUSED : RouterEvent.REQUEST_FAILED;
-        context.log()
-                .write(
-                        event,
-                        () -> describeRequest() + " kind=" + kind.wireName() + " status=" + kind.status() + " "
-                                + detail);
+        recorder.refused(kind, detail);
         responder.refuse(kind, headers.requestId(), retryAfterMillis);
     }
 
-    private String describeRequest() {
-        return "request=" + headers.requestId().orElse("none") + " route=" + (route == null ? "none" : route.name())
-                + " pool=" + (pool == null ? "none" : pool.name());
-    }
-
     /** Cancels timers and attempts; returns whether the request was still in progress. */
     private boolean tryFinish() {
         if (done) {
@@ -468,6 +439,9 @@
         }
         done = true;
         worker.stopWaiting(this);
+        if (roomWait != null) {
+            roomWait.cancel();
+        }
         timers.forEach(timer -> timer.cancel(false));
         activeAttempts.forEach(Attempt::abort);
         activeAttempts.clear();
@@ -476,7 +450,7 @@
         return true;
     }
 
-    private void schedule(Runnable task, long delayMillis) {
+    void schedule(Runnable task, long delayMillis) {
         timers.add(worker.loop().schedule(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS));
     }
 }
--- a/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
+++ b/router/src/main/java/org/snipewind/router/path/SharedRoutingState.java
@@ -6,6 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BiConsumer;
+import org.snipewind.coordination.admission.PoolAdmission;
 import org.snipewind.coordination.admission.ShutdownSchedule;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.routing.Pool;
@@ -37,6 +40,7 @@
     private volatile Optional<ShutdownSchedule> shutdown = Optional.empty();
     private final Map<String, WindowedRetryBudget> retryBudgets = new ConcurrentHashMap<>();
     private final Map<String, ColdStartRateLimiter> coldStartLimiters = new ConcurrentHashMap<>();
+    private final Map<String, PoolAdmission> admissions = new ConcurrentHashMap<>();
     private final Map<String, Map<Integer, Integer>> keyCounts = new HashMap<>();
     private final Map<String, double[]> serviceTimes = new HashMap<>();
 
@@ -134,6 +138,17 @@
                         clock, limits.repeatWindowMillis(), limits.repeatRatio() * RETRY_BUDGET_FRACTION));
     }
 
+    /** Returns what this instance knows about the room in a pool. */
+    PoolAdmission admission(String pool) {
+        return admissions.computeIfAbsent(
+                pool,
+                name -> new PoolAdmission(() -> ThreadLocalRandom.current().nextDouble()));
+    }
+
+    void forEachAdmission(BiConsumer<String, PoolAdmission> action) {
+        admissions.forEach(action);
+    }
+
     /** Returns this instance's rate limiter for a target in cold start. */
     ColdStartRateLimiter coldStartLimiter(Pool pool, TargetState target) {
         return coldStartLimiters.computeIfAbsent(target.registration().incarnation(), incarnation -> {
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -3,9 +3,11 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import org.snipewind.coordination.admission.QueueAllowance;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
@@ -37,24 +39,33 @@
     /** Most requests that may wait for each slot of a target; in longer queues they would exceed their deadlines. */
     private static final double MAX_QUEUED_PER_SLOT = 2.5;
 
-    /**
-     * The queue of a target that a request may join.
-     *
-     * @param allowedMillis time within which the target should answer
-     * @param lengthFactor factor by which the queue may be longer than for the least urgent request
-     */
-    record QueueLimit(double allowedMillis, double lengthFactor) {}
-
     /**
      * The reason why a request has no target at present.
      *
      * @param kind error kind for the caller
-     * @param retryAfterMillis time after which the caller should retry
+     * @param retryAfterMillis time after which the caller should retry; without room, the least time after which other
+     *     instances may find room, 0 if it is not known
      * @param detail inputs of the decision, for the log
      * @param ownerExpectedMillis least time after which the owner of the key is expected to take requests, empty if
      *     waiting does not help
+     * @param untilRoomMillis least time after which a target is expected to have room, empty if this is not the reason
+     * @param holder the only target that can serve the request, empty if any target of the pool can
      */
-    record NoTarget(ErrorKind kind, long retryAfterMillis, String detail, OptionalLong ownerExpectedMillis) {
+    record NoTarget(
+            ErrorKind kind,
+            long retryAfterMillis,
+            String detail,
+            OptionalLong ownerExpectedMillis,
+            OptionalDouble untilRoomMillis,
+            Optional<TargetState> holder) {
+
+        NoTarget(ErrorKind kind, long retryAfterMillis, String detail, OptionalLong ownerExpectedMillis) {
+            this(kind, retryAfterMillis, detail, ownerExpectedMillis, OptionalDouble.empty(), Optional.empty());
+        }
+
+        NoTarget withDetail(String newDetail) {
+            return new NoTarget(kind, retryAfterMillis, newDetail, ownerExpectedMillis, untilRoomMillis, holder);
+        }
 
         /** Returns whether the owner of the key is known and takes no requests now. */
         boolean isRefusedByOwner() {
@@ -65,6 +76,17 @@
             return Either.left(new NoTarget(kind, retryAfterMillis, detail, OptionalLong.empty()));
         }
 
+        private static <T> Either<NoTarget, T> withoutRoom(
+                double untilRoomMillis, Optional<TargetState> holder, double untilReturnMillis, String detail) {
+            return Either.left(new NoTarget(
+                    ErrorKind.OVERLOADED,
+                    (long) untilReturnMillis,
+                    detail,
+                    OptionalLong.empty(),
+                    OptionalDouble.of(untilRoomMillis),
+                    holder));
+        }
+
         private static <T> Either<NoTarget, T> awaitOwner(long leastWaitMillis, String detail) {
             return Either.left(new NoTarget(
                     ErrorKind.OWNER_UNAVAILABLE, OWNER_RETRY_AFTER_MILLIS, detail, OptionalLong.of(leastWaitMillis)));
@@ -94,11 +116,11 @@
      * @param pool the pool
      * @param triedIncarnations incarnations of targets that are not selected again
      * @param nonIdempotent whether the request must not run twice
-     * @param queueLimit limit on the queue of the target
+     * @param allowance limit on the queue of the target
      * @return the target, or the reason why there is none
      */
     Either<NoTarget, TargetState> selectFromPool(
-            Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueLimit queueLimit) {
+            Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueAllowance allowance) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
         List<TargetState> targets = inServiceTargets(pool, view);
@@ -107,7 +129,7 @@
                 targets,
                 nowMillis,
                 target -> !triedIncarnations.contains(target.incarnation())
-                        && canSendTo(pool, target, nowMillis, limit, queueLimit),
+                        && canSendTo(pool, target, nowMillis, limit, allowance),
                 target -> connections.hasIdleConnection(target.registration(), nonIdempotent));
         long leastPauseMillis =
                 targets.stream().mapToLong(this::pauseRemainingMillis).min().orElse(0);
@@ -115,16 +137,25 @@
             boolean waitHelps = targets.stream().anyMatch(target -> !triedIncarnations.contains(target.incarnation()));
             return NoTarget.awaitEndOfPause(leastPauseMillis, waitHelps, "targets=" + targets.size() + " pausing");
         }
+        if (targets.isEmpty()) {
+            return NoTarget.refuse(ErrorKind.POOL_UNAVAILABLE, POOL_RETRY_AFTER_MILLIS, "targets=0");
+        }
         if (chosen.isEmpty()) {
-            return NoTarget.refuse(
-                    targets.isEmpty() ? ErrorKind.POOL_UNAVAILABLE : ErrorKind.OVERLOADED,
-                    POOL_RETRY_AFTER_MILLIS,
-                    "targets=" + targets.size() + " tried=" + triedIncarnations.size());
+            double untilRoomMillis = Double.MAX_VALUE;
+            for (TargetState target : targets) {
+                if (!triedIncarnations.contains(target.incarnation())) {
+                    untilRoomMillis =
+                            Math.min(untilRoomMillis, millisUntilRoom(pool, target, nowMillis, limit, allowance));
+                }
+            }
+            String detail = "targets=" + targets.size() + " tried=" + triedIncarnations.size();
+            return NoTarget.withoutRoom(untilRoomMillis, Optional.empty(), 0, detail);
         }
         if (exceedsColdStartRate(pool, chosen.get(), nowMillis)) {
-            return NoTarget.refuse(
-                    ErrorKind.OVERLOADED,
-                    POOL_RETRY_AFTER_MILLIS,
+            return NoTarget.withoutRoom(
+                    context.sharedState().coldStartLimiter(pool, chosen.get()).millisUntilPermit(),
+                    Optional.empty(),
+                    0,
                     "cold-start rate limit reached target="
                             + chosen.get().registration().id());
         }
@@ -132,19 +163,38 @@
     }
 
     private boolean canSendTo(
-            Pool pool, TargetState target, long nowMillis, int connectionLimit, QueueLimit queueLimit) {
+            Pool pool, TargetState target, long nowMillis, int connectionLimit, QueueAllowance allowance) {
         return pauseRemainingMillis(target) == 0
-                && hasRoom(target, nowMillis, queueLimit)
+                && hasRoom(target, nowMillis, allowance)
                 && connections.hasCapacity(target.registration(), connectionLimit)
                 && (!isPaced(pool, target, nowMillis)
                         || context.sharedState().coldStartLimiter(pool, target).canAcquire());
     }
 
-    private boolean hasRoom(TargetState target, long nowMillis, QueueLimit queueLimit) {
+    /** Returns the least time until a request may be sent to a target; an open connection counts as a response. */
+    private double millisUntilRoom(
+            Pool pool, TargetState target, long nowMillis, int connectionLimit, QueueAllowance allowance) {
+        double untilRoomMillis = target.millisUntilRoom(
+                nowMillis,
+                allowance.allowedMillis(),
+                MAX_QUEUED_PER_SLOT * allowance.lengthFactor(),
+                context.tracker().view().fleetSize());
+        if (!connections.hasCapacity(target.registration(), connectionLimit)) {
+            untilRoomMillis = Math.max(untilRoomMillis, target.meanServiceMillis());
+        }
+        if (isPaced(pool, target, nowMillis)) {
+            long untilPermitMillis =
+                    context.sharedState().coldStartLimiter(pool, target).millisUntilPermit();
+            untilRoomMillis = Math.max(untilRoomMillis, untilPermitMillis);
+        }
+        return Math.max(untilRoomMillis, pauseRemainingMillis(target));
+    }
+
+    private boolean hasRoom(TargetState target, long nowMillis, QueueAllowance allowance) {
         return target.hasRoom(
                 nowMillis,
-                queueLimit.allowedMillis(),
-                MAX_QUEUED_PER_SLOT * queueLimit.lengthFactor(),
+                allowance.allowedMillis(),
+                MAX_QUEUED_PER_SLOT * allowance.lengthFactor(),
                 context.tracker().view().fleetSize());
     }
 
@@ -178,15 +228,21 @@
      *
      * @param pool the pool
      * @param key the key
-     * @param queueLimit limit on the queue of the owner
+     * @param allowance limit on the queue of the owner
      * @return the owner, or the reason why the request can't be sent to it
      */
-    Either<NoTarget, TargetState> resolveOwner(Pool pool, int key, QueueLimit queueLimit) {
-        return findOwner(pool, key, queueLimit)
-                .flatMap(owner -> exceedsColdStartRate(
-                                pool, owner, context.clock().nowMillis())
-                        ? NoTarget.refuse(ErrorKind.OVERLOADED, POOL_RETRY_AFTER_MILLIS, "key=" + key + " cold=true")
-                        : Either.right(owner));
+    Either<NoTarget, TargetState> resolveOwner(Pool pool, int key, QueueAllowance allowance) {
+        return findOwner(pool, key, allowance)
+                .flatMap(owner ->
+                        exceedsColdStartRate(pool, owner, context.clock().nowMillis())
+                                ? NoTarget.withoutRoom(
+                                        context.sharedState()
+                                                .coldStartLimiter(pool, owner)
+                                                .millisUntilPermit(),
+                                        Optional.of(owner),
+                                        0,
+                                        "key=" + key + " cold=true")
+                                : Either.right(owner));
     }
 
     /**
@@ -194,10 +250,10 @@
      *
      * @param pool the pool
      * @param key the key
-     * @param queueLimit limit on the queue of the owner
+     * @param allowance limit on the queue of the owner
      * @return the owner, or the reason why a request can't be sent to it, other than its cold start
      */
-    Either<NoTarget, TargetState> findOwner(Pool pool, int key, QueueLimit queueLimit) {
+    Either<NoTarget, TargetState> findOwner(Pool pool, int key, QueueAllowance allowance) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
         Optional<KeyAssignment> assignment =
@@ -224,10 +280,13 @@
         if (state.isUnresponsive(nowMillis)) {
             return NoTarget.refuse(ErrorKind.TARGET_UNREACHABLE, OWNER_RETRY_AFTER_MILLIS, detail);
         }
-        if (!hasRoom(state, nowMillis, queueLimit)
-                || !connections.hasCapacity(state.registration(), connectionLimit(pool, view))) {
-            return NoTarget.refuse(
-                    ErrorKind.OVERLOADED, (long) state.millisUntilRoom(nowMillis, queueLimit.allowedMillis()), detail);
+        int limit = connectionLimit(pool, view);
+        if (!hasRoom(state, nowMillis, allowance) || !connections.hasCapacity(state.registration(), limit)) {
+            return NoTarget.withoutRoom(
+                    millisUntilRoom(pool, state, nowMillis, limit, allowance),
+                    Optional.of(state),
+                    state.millisUntilRoom(nowMillis, allowance.allowedMillis()),
+                    detail);
         }
         return Either.right(state);
     }
--- a/router/src/main/java/org/snipewind/router/path/Worker.java
+++ b/router/src/main/java/org/snipewind/router/path/Worker.java
@@ -13,6 +13,7 @@
 import org.snipewind.coordination.routing.RoutingConfiguration;
 import org.snipewind.coordination.target.LeastResponseTimeSelector;
 import org.snipewind.router.log.GuardedTask;
+import org.snipewind.router.log.RouterEvent;
 
 /** An event loop that serves callers over its own connections to targets; its state is confined to that loop. */
 final class Worker {
@@ -46,6 +47,7 @@
     private final TargetConnections connections;
     private final TargetResolver targetResolver;
     private final RequestClassifier classifier;
+    private final CapacityQueue capacityQueue;
     private final Set<RoutedRequest> waitingForOwner = new LinkedHashSet<>();
     private final Set<CallerChannel> channels = new HashSet<>();
     private long ticks;
@@ -65,6 +67,7 @@
                         REMOTE_PENALTY_MILLIS,
                         () -> ThreadLocalRandom.current().nextDouble()));
         this.classifier = new RequestClassifier(context);
+        this.capacityQueue = new CapacityQueue(loop, context.clock());
         this.lastTickMillis = context.clock().nowMillis();
         loop.scheduleAtFixedRate(
                 new GuardedTask(context.log(), "checks of the worker", this::tick),
@@ -107,6 +110,10 @@
         return targetResolver;
     }
 
+    CapacityQueue capacityQueue() {
+        return capacityQueue;
+    }
+
     RequestClassifier classifier() {
         return classifier;
     }
@@ -165,6 +172,11 @@
         context.metrics().addLateness("loops.worker-late-millis", now - lastTickMillis - TICK_INTERVAL_MILLIS);
         lastTickMillis = now;
         ticks++;
+        context.sharedState().forEachAdmission((pool, admission) -> {
+            if (admission.endsShortage(now)) {
+                context.log().write(RouterEvent.POOL_ROOM_REGAINED, () -> "pool=" + pool);
+            }
+        });
         if (ticks % TICKS_PER_TIMEOUT_CHECK == 0) {
             List.copyOf(channels).forEach(CallerChannel::checkTimeouts);
         }
