--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
@@ -308,7 +308,9 @@
         if (hasRoom(nowMillis, allowedMillis, queuedPerSlot, instances)) {
             return 0;
         }
-        double excessLoad = load(nowMillis) - slots() * (1 + queuedPerSlot);
+        double limit = slots() * (1 + queuedPerSlot);
+        // The estimate of a reported load falls with time, this instance's own requests only with responses.
+        double excessLoad = inFlight >= limit ? inFlight - limit + 1 : load(nowMillis) - limit;
         double queueMillis = Math.max(0, excessLoad) * meanServiceMillis / slots();
         double standingLoad = Math.min(reportedLoad(), previousReportedLoad);
         double excess = (standingLoad + 1) / usableLoad(allowedMillis, meanServiceMillis);
--- a/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
@@ -56,6 +56,10 @@
 
     static final String KEYED_POOL = "keyed";
     static final String PLAIN_POOL = "plain";
+    static final long OBJECTIVE_MILLIS = 200;
+    /** Latency objective of the routes whose requests wait longer for room. */
+    static final long PATIENT_OBJECTIVE_MILLIS = 2_000;
+
     static final long MAX_WAIT_MILLIS = 5_000;
     static final long MAX_RESPONSE_MEMORY_BYTES = 1 << 20;
     static final long MAX_REQUEST_MEMORY_BYTES = 1 << 20;
@@ -279,7 +283,9 @@
                     List.of(
                             route("/keyed-once/", KEYED_POOL, false),
                             route("/plain-once/", PLAIN_POOL, false),
-                            route("/plain/", PLAIN_POOL, true)),
+                            route("/plain/", PLAIN_POOL, true),
+                            patientRoute("/keyed-patient/", KEYED_POOL),
+                            patientRoute("/patient/", PLAIN_POOL)),
                     List.of(new Pool(KEYED_POOL, true, 100, 1, "/h"), new Pool(PLAIN_POOL, false, 100, 1, "/h")),
                     List.of(),
                     CallerLimits.DEFAULT));
@@ -287,7 +293,16 @@
 
         private static Route route(String prefix, String pool, boolean idempotent) {
             RouteKind kind = idempotent ? RouteKind.IDEMPOTENT : RouteKind.NON_IDEMPOTENT;
-            return new Route(prefix, "h", prefix, kind, 2_000, 200, 0, List.of(new PoolShare(pool, 1)), 2, true);
+            return route(prefix, pool, kind, OBJECTIVE_MILLIS);
+        }
+
+        private static Route patientRoute(String prefix, String pool) {
+            return route(prefix, pool, RouteKind.LARGE_REQUEST, PATIENT_OBJECTIVE_MILLIS);
+        }
+
+        private static Route route(String prefix, String pool, RouteKind kind, long objectiveMillis) {
+            List<PoolShare> shares = List.of(new PoolShare(pool, 1));
+            return new Route(prefix, "h", prefix, kind, 2_000, objectiveMillis, 0, shares, 2, true);
         }
 
         @Override
