Limit yielding to the holder, and recognise returns only by a usual deadline

Cause: a request to one owner of keys yielded because another owner was busy; a late response counted as a lack of room, although lateness has other causes; and where callers vary their deadlines, those with short ones counted as returning and could lose their place in the queue.

Change: lack of room is kept by place (a holder, or the pool) and lasts 5 s; late responses no longer count. Returning callers are recognised only if 0.4 of the requests grant the usual time. Other refusals limit Retry-After to a third of the remaining time, except those that state the time of a pause or of an organisation's rate.

--- a/coordination/src/main/java/org/snipewind/coordination/admission/PoolAdmission.java
+++ b/coordination/src/main/java/org/snipewind/coordination/admission/PoolAdmission.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /**
  * What this instance knows about the room in one pool: completions, promised places, the shares of the routes and the
@@ -14,8 +15,11 @@
     /** Time after the last refusal for lack of room until the pool counts as having room again. */
     private static final long SHORTAGE_END_MILLIS = 2_000;
 
-    /** Time for which less urgent requests yield after a more urgent one lacked room. */
-    private static final long YIELD_MILLIS = 3_000;
+    /**
+     * Time for which less urgent requests yield after a more urgent one lacked room. An instance of a large fleet has
+     * only about one urgent request per second; with 1.5 s, it often forgot the shortage before the next one.
+     */
+    private static final long YIELD_MILLIS = 5_000;
 
     /** A route whose served share is below this fraction of the pool's is starved. */
     private static final double FLOOR_FRACTION = 0.25;
@@ -32,6 +36,8 @@
     /** Part of the delay that is random for callers without a promised place, so that they return apart. */
     private static final double LATEST_SPREAD = 0.25;
 
+    private record Waiter(String place, int urgencyRank) {}
+
     private record Lack(long atMillis, double objectiveMillis) {}
 
     private final DoubleSupplier random;
@@ -40,7 +46,7 @@
     private final Map<String, ReturnSchedule> holderReturns = new HashMap<>();
     private final Map<String, UsualDeadline> usualDeadlines = new HashMap<>();
     private final Map<String, RouteShare> shares = new HashMap<>();
-    private final Map<Integer, Lack> lackByRank = new HashMap<>();
+    private final Map<Waiter, Lack> lacks = new HashMap<>();
     private double meanResponseMillis;
     private boolean isShort;
     private long lastRefusedMillis;
@@ -82,19 +88,18 @@
                 ? responseMillis
                 : meanResponseMillis + SAMPLE_WEIGHT * (responseMillis - meanResponseMillis);
         shares.computeIfAbsent(request.route(), name -> new RouteShare()).recordServed(nowMillis);
-        if (request.objectiveRemainingMillis(nowMillis) < 0) {
-            onLackOfRoom(request, nowMillis);
-        }
     }
 
     /**
-     * Records that a request lacked room: it found none, a target rejected it or it was answered late.
+     * Records that a request lacked room: it found none, or a target rejected it.
      *
      * @param request the request
+     * @param place the only target that can serve the request, or the same text for any target of the pool
      * @param nowMillis current time
      */
-    public synchronized void onLackOfRoom(AdmissionRequest request, long nowMillis) {
-        lackByRank.put(request.urgencyRank(), new Lack(nowMillis, request.objectiveMillis()));
+    public synchronized void onLackOfRoom(AdmissionRequest request, String place, long nowMillis) {
+        lacks.values().removeIf(lack -> nowMillis - lack.atMillis() >= YIELD_MILLIS);
+        lacks.put(new Waiter(place, request.urgencyRank()), new Lack(nowMillis, request.objectiveMillis()));
     }
 
     /**
@@ -139,10 +144,12 @@
      * request only.
      *
      * @param request the request
+     * @param place finds the only target that can serve the request, or returns the same text for any target of the
+     *     pool; used only while requests lack room
      * @param nowMillis current time
      * @return the allowance
      */
-    public synchronized QueueAllowance allowance(AdmissionRequest request, long nowMillis) {
+    public synchronized QueueAllowance allowance(AdmissionRequest request, Supplier<String> place, long nowMillis) {
         boolean starved = isStarved(request.route(), nowMillis);
         QueueAllowance allowance = QueueAllowance.of(
                 starved ? STARVED_RANK : request.urgencyRank(),
@@ -152,14 +159,19 @@
         if (request.standing(nowMillis, meanResponseMillis) == CallerStanding.LATE) {
             allowance = allowance.late();
         }
-        return starved ? allowance : restrict(allowance, request.urgencyRank(), nowMillis);
+        return starved || lacks.isEmpty()
+                ? allowance
+                : restrict(allowance, request.urgencyRank(), place.get(), nowMillis);
     }
 
-    private QueueAllowance restrict(QueueAllowance allowance, int rank, long nowMillis) {
+    private QueueAllowance restrict(QueueAllowance allowance, int rank, String place, long nowMillis) {
         double urgentObjectiveMillis = Double.MAX_VALUE;
-        for (Map.Entry<Integer, Lack> entry : lackByRank.entrySet()) {
+        for (Map.Entry<Waiter, Lack> entry : lacks.entrySet()) {
+            Waiter waiter = entry.getKey();
             Lack lack = entry.getValue();
-            if (entry.getKey() > rank && nowMillis - lack.atMillis() < YIELD_MILLIS) {
+            if (waiter.urgencyRank() > rank
+                    && waiter.place().equals(place)
+                    && nowMillis - lack.atMillis() < YIELD_MILLIS) {
                 urgentObjectiveMillis = Math.min(urgentObjectiveMillis, lack.objectiveMillis());
             }
         }
--- a/coordination/src/main/java/org/snipewind/coordination/admission/ReturnWindow.java
+++ b/coordination/src/main/java/org/snipewind/coordination/admission/ReturnWindow.java
@@ -19,6 +19,17 @@
      */
     private static final double UNUSED_FRACTION = 0.5;
 
+    /**
+     * Limits the delay after which a caller should return.
+     *
+     * @param delayMillis delay
+     * @param remainingMillis time until the caller's deadline
+     * @return the delay, at most a third of the remaining time
+     */
+    public static long limit(long delayMillis, long remainingMillis) {
+        return Math.min(delayMillis, (long) (Math.max(0, remainingMillis) * MAX_FRACTION_OF_REMAINING));
+    }
+
     /**
      * Determines the window of a request.
      *
--- a/coordination/src/main/java/org/snipewind/coordination/admission/UsualDeadline.java
+++ b/coordination/src/main/java/org/snipewind/coordination/admission/UsualDeadline.java
@@ -12,7 +12,17 @@
     /** Weight of a shorter time, so that the usual time also falls if callers grant less from now on. */
     private static final double FALL_WEIGHT = 0.01;
 
+    /** Weight of the newest request in the fraction of requests with the usual time. */
+    private static final double FRACTION_WEIGHT = 0.05;
+
+    /**
+     * Least fraction of requests with the usual time for which returning callers can be recognised. Callers return at
+     * most once for each new request, so that at least half of the requests are new unless deadlines vary anyway.
+     */
+    private static final double LEAST_USUAL_FRACTION = 0.4;
+
     private double usualMillis;
+    private double usualFraction = 0.5;
 
     /**
      * Records the time that a request has left.
@@ -24,6 +34,8 @@
         usualMillis = remainingMillis >= usualMillis
                 ? remainingMillis
                 : usualMillis + FALL_WEIGHT * (remainingMillis - usualMillis);
-        return remainingMillis < usualMillis * RETURNING_FRACTION ? usualMillis - remainingMillis : 0;
+        boolean less = remainingMillis < usualMillis * RETURNING_FRACTION;
+        usualFraction += FRACTION_WEIGHT * ((less ? 0 : 1) - usualFraction);
+        return less && usualFraction >= LEAST_USUAL_FRACTION ? usualMillis - remainingMillis : 0;
     }
 }
--- a/coordination/src/test/java/org/snipewind/coordination/admission/PoolModel.java
+++ b/coordination/src/test/java/org/snipewind/coordination/admission/PoolModel.java
@@ -158,7 +158,7 @@
         if (trySend(request)) {
             return;
         }
-        admission.onLackOfRoom(request.admission, now);
+        admission.onLackOfRoom(request.admission, "", now);
         long until = request.admission.waitUntilMillis(now, kind.serviceMillis());
         if (decides && now < until) {
             queues.get(request.instance).offer(request, "", admission.order(request.admission, now), until);
@@ -183,7 +183,7 @@
 
     private boolean trySend(Request request) {
         QueueAllowance allowance = decides
-                ? admissions.get(request.instance).allowance(request.admission, now)
+                ? admissions.get(request.instance).allowance(request.admission, () -> "", now)
                 : QueueAllowance.of(
                         request.kind.urgencyRank(),
                         request.kind.objectiveMillis(),
--- a/coordination/src/test/java/org/snipewind/coordination/admission/RecognisedReturnsTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/admission/RecognisedReturnsTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -29,27 +30,40 @@
         assertThat(returning.isReturning()).isTrue();
         assertThat(returning.elapsedBeforeMillis()).isWithin(10).of(430);
         assertThat(pool.order(returning, NOW)).isLessThan(pool.order(fresh, NOW));
-        assertThat(pool.allowance(returning, NOW)).isEqualTo(pool.allowance(fresh, NOW));
+        assertThat(pool.allowance(returning, () -> "", NOW)).isEqualTo(pool.allowance(fresh, () -> "", NOW));
     }
 
     /** Guards against a pool in which late requests displace new ones, until all of them are late. */
     @Test
     void aReturningCallerThatWillBeLateDoesNotGoAheadOfNewOnes() {
+        arrive(1_580, 1);
         AdmissionRequest fresh = arrive(1_580, 1);
         AdmissionRequest late = arrive(940, 1);
         assertThat(late.isReturning()).isTrue();
         assertThat(pool.order(fresh, NOW)).isLessThan(pool.order(late, NOW));
-        assertThat(pool.allowance(late, NOW).lengthFactor())
-                .isLessThan(pool.allowance(fresh, NOW).lengthFactor());
+        assertThat(pool.allowance(late, () -> "", NOW).lengthFactor())
+                .isLessThan(pool.allowance(fresh, () -> "", NOW).lengthFactor());
     }
 
     @Test
     void aMoreUrgentNewRequestGoesAheadOfAReturningOne() {
         arrive(1_580, 0);
         AdmissionRequest returning = arrive(1_150, 0);
+        assertThat(returning.isReturning()).isTrue();
         assertThat(pool.order(arrive(1_580, 1), NOW)).isLessThan(pool.order(returning, NOW));
     }
 
+    /** Guards against new requests that count as returning, and give way, where callers vary their deadlines. */
+    @Test
+    void noCallerCountsAsReturningWhereDeadlinesVary() {
+        Random random = new Random(5);
+        int returning = 0;
+        for (int each = 0; each < 500; each++) {
+            returning += arrive(800 + 800 * random.nextDouble(), 0).isReturning() ? 1 : 0;
+        }
+        assertThat(returning).isLessThan(25);
+    }
+
     @Test
     void callersThatGrantLessFromNowOnCountAsNewAfterAWhile() {
         arrive(3_000, 0);
--- a/coordination/src/test/java/org/snipewind/coordination/admission/UploadsBesideUrgentRequestsTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/admission/UploadsBesideUrgentRequestsTest.java
@@ -74,15 +74,26 @@
     void uploadsTakeUnusedCapacityWhenNoUrgentRequestLacksRoom() {
         PoolAdmission pool = new PoolAdmission(() -> 0.5);
         AdmissionRequest upload = new AdmissionRequest("upload", 0, 2_101, 0, NOW, NOW + 3_139);
-        QueueAllowance usual = pool.allowance(upload, NOW);
-        pool.onLackOfRoom(new AdmissionRequest("invoice", 1, 537, 0, NOW, NOW + 1_278), NOW);
-        assertThat(pool.allowance(upload, NOW).lengthFactor()).isLessThan(usual.lengthFactor());
-        assertThat(pool.allowance(upload, NOW).allowedMillis()).isLessThan(537.0);
+        QueueAllowance usual = pool.allowance(upload, () -> "", NOW);
+        pool.onLackOfRoom(new AdmissionRequest("invoice", 1, 537, 0, NOW, NOW + 1_278), "", NOW);
+        assertThat(pool.allowance(upload, () -> "", NOW).lengthFactor()).isLessThan(usual.lengthFactor());
+        assertThat(pool.allowance(upload, () -> "", NOW).allowedMillis()).isLessThan(537.0);
         // The same request is used at the later time, so only the elapsed time differs.
-        QueueAllowance later = pool.allowance(upload, NOW + 10_000);
+        QueueAllowance later = pool.allowance(upload, () -> "", NOW + 10_000);
         assertThat(later.lengthFactor()).isEqualTo(usual.lengthFactor());
     }
 
+    /** Guards against requests for one key's owner that yield because another owner is busy. */
+    @Test
+    void requestsForOtherTargetsDoNotYield() {
+        PoolAdmission pool = new PoolAdmission(() -> 0.5);
+        AdmissionRequest upload = new AdmissionRequest("upload", 0, 2_101, 0, NOW, NOW + 3_139);
+        QueueAllowance usual = pool.allowance(upload, () -> "b", NOW);
+        pool.onLackOfRoom(new AdmissionRequest("invoice", 1, 537, 0, NOW, NOW + 1_278), "a", NOW);
+        assertThat(pool.allowance(upload, () -> "b", NOW)).isEqualTo(usual);
+        assertThat(pool.allowance(upload, () -> "a", NOW)).isNotEqualTo(usual);
+    }
+
     @Test
     void anUploadThatWaitsIsNotEvictedByUrgentRequests() {
         WaitingQueue<String> queue = new WaitingQueue<>(2);
--- a/router/src/main/java/org/snipewind/router/path/RequestAdmission.java
+++ b/router/src/main/java/org/snipewind/router/path/RequestAdmission.java
@@ -1,6 +1,7 @@
 package org.snipewind.router.path;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.snipewind.coordination.admission.AdmissionRequest;
 import org.snipewind.coordination.admission.PoolAdmission;
@@ -8,6 +9,8 @@
 import org.snipewind.coordination.admission.RequestOrder;
 import org.snipewind.coordination.admission.ReturnWindow;
 import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.keyspace.KeyAssignment;
+import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.routing.Pool;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.log.RouterEvent;
@@ -19,15 +22,18 @@
     private final Pool pool;
     private final PoolAdmission poolAdmission;
     private final AdmissionRequest request;
+    private final OptionalInt key;
     private OptionalLong waitUntilMillis = OptionalLong.empty();
 
     RequestAdmission(
             RoutingContext context,
             RequestClassifier.Classification classification,
+            OptionalInt key,
             long arrivedMillis,
             long allowedMillis) {
         this.context = context;
         this.pool = classification.pool();
+        this.key = pool.keyed() ? key : OptionalInt.empty();
         this.poolAdmission = context.sharedState().admission(pool.name());
         String route = classification.route().name();
         double elapsedBeforeMillis = poolAdmission.onArrival(route, allowedMillis, arrivedMillis);
@@ -44,7 +50,21 @@
     }
 
     QueueAllowance allowance() {
-        return poolAdmission.allowance(request, context.clock().nowMillis());
+        return poolAdmission.allowance(request, this::place, context.clock().nowMillis());
+    }
+
+    /** Returns the incarnation of the only target that can serve the request, or an empty text. */
+    private String place() {
+        return key.stream()
+                .mapToObj(value -> context.tracker()
+                        .view()
+                        .keyTables()
+                        .getOrDefault(pool.name(), KeyTable.EMPTY)
+                        .find(value))
+                .flatMap(Optional::stream)
+                .map(KeyAssignment::holder)
+                .findFirst()
+                .orElse("");
     }
 
     RequestOrder order() {
@@ -78,7 +98,7 @@
 
     /** Records that the request was sent to a target that rejected it, or that there was none with room. */
     void onLackOfRoom() {
-        poolAdmission.onLackOfRoom(request, context.clock().nowMillis());
+        poolAdmission.onLackOfRoom(request, place(), context.clock().nowMillis());
     }
 
     void onServed(double responseMillis) {
@@ -87,11 +107,15 @@
 
     /** Returns when the caller should return after a refusal without a target. */
     long returnAfterMillis(TargetResolver.NoTarget noTarget) {
+        long now = context.clock().nowMillis();
         if (noTarget.kind() == ErrorKind.POOL_UNAVAILABLE) {
             return returnAfterMillis(0, Optional.empty());
         }
         if (noTarget.untilRoomMillis().isEmpty()) {
-            return noTarget.retryAfterMillis();
+            // A target states how long it pauses, whatever time the caller has left.
+            return noTarget.kind() == ErrorKind.TARGET_PAUSED
+                    ? noTarget.retryAfterMillis()
+                    : ReturnWindow.limit(noTarget.retryAfterMillis(), request.deadlineMillis() - now);
         }
         recordShortage();
         return returnAfterMillis(noTarget.retryAfterMillis(), noTarget.holder());
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.snipewind.coordination.admission.QueueAllowance;
+import org.snipewind.coordination.admission.ReturnWindow;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Execution;
 import org.snipewind.coordination.routing.Organisation;
@@ -153,10 +154,13 @@
                 Math.min(route.timeoutMillis(), headers.remainingMillis().orElse(Long.MAX_VALUE));
         deadlineMillis = arrivedMillis + allowedMillis;
         if (!context.sharedState().mayStart(allowedMillis)) {
-            refuse(ErrorKind.SHUTTING_DOWN, TargetResolver.POOL_RETRY_AFTER_MILLIS, "allowed=" + allowedMillis + "ms");
+            refuse(
+                    ErrorKind.SHUTTING_DOWN,
+                    ReturnWindow.limit(TargetResolver.POOL_RETRY_AFTER_MILLIS, allowedMillis),
+                    "allowed=" + allowedMillis + "ms");
             return;
         }
-        admission = new RequestAdmission(context, classification, arrivedMillis, allowedMillis);
+        admission = new RequestAdmission(context, classification, headers.shardKey(), arrivedMillis, allowedMillis);
         roomWait = new RoomWait(worker, this, admission, pool.name());
         schedule(this::onDeadline, allowedMillis);
         Optional<Organisation> limitedOrganisation = organisation.filter(Organisation::isLimited);
@@ -405,7 +409,7 @@
         activeAttempts.clear();
         refuse(
                 mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : kindIfNotSent,
-                TargetResolver.POOL_RETRY_AFTER_MILLIS,
+                ReturnWindow.limit(TargetResolver.POOL_RETRY_AFTER_MILLIS, remainingMillis()),
                 "time is up after " + (context.clock().nowMillis() - arrivedMillis) + "ms attempts=" + attempts);
     }
 
