End waits on time, and count only offered requests for the floor

Cause: a wait that ended before the next try of its worker ended up to 25 ms late. Requests that were refused by the rate of their organisation counted as not served by the pool, so that their route could take precedence as starved.

Change: the timer of the worker moves forward to the next end of a wait. PoolAdmission counts a request as offered once its organisation's rate admits it. admission.served-after-wait counts requests that were answered after a wait.

--- a/coordination/src/main/java/org/snipewind/coordination/admission/PoolAdmission.java
+++ b/coordination/src/main/java/org/snipewind/coordination/admission/PoolAdmission.java
@@ -61,20 +61,28 @@
     }
 
     /**
-     * Records a request that has arrived, and recognises a caller that was refused before by the time that it has left.
+     * Recognises a caller that was refused before by the time that it has left.
      *
      * @param route name of the route
      * @param remainingMillis time that the caller grants
-     * @param nowMillis current time
      * @return time that the caller has used up before, 0 for a new request
      */
-    public synchronized double onArrival(String route, double remainingMillis, long nowMillis) {
-        shares.computeIfAbsent(route, name -> new RouteShare()).recordOffered(nowMillis);
+    public synchronized double elapsedBeforeMillis(String route, double remainingMillis) {
         return usualDeadlines
                 .computeIfAbsent(route, name -> new UsualDeadline())
                 .elapsedBefore(remainingMillis);
     }
 
+    /**
+     * Records a request that is to be sent to a target of the pool, as it is within the rate of its organisation.
+     *
+     * @param request the request
+     * @param nowMillis current time
+     */
+    public synchronized void onOffered(AdmissionRequest request, long nowMillis) {
+        shares.computeIfAbsent(request.route(), name -> new RouteShare()).recordOffered(nowMillis);
+    }
+
     /**
      * Records a response to a request.
      *
--- a/coordination/src/test/java/org/snipewind/coordination/admission/PoolModel.java
+++ b/coordination/src/test/java/org/snipewind/coordination/admission/PoolModel.java
@@ -68,10 +68,11 @@
             this.firstArrivalMillis = firstArrivalMillis;
             this.returned = returned;
             double remaining = kind.deadlineMillis() - (now - firstArrivalMillis);
-            double elapsedBefore = admissions.get(instance).onArrival(kind.route(), remaining, now);
+            double elapsedBefore = admissions.get(instance).elapsedBeforeMillis(kind.route(), remaining);
             this.admission = new AdmissionRequest(
                     kind.route(), kind.urgencyRank(), kind.objectiveMillis(), elapsedBefore, now, (long)
                             (now + remaining));
+            admissions.get(instance).onOffered(admission, now);
         }
     }
 
--- a/coordination/src/test/java/org/snipewind/coordination/admission/RecognisedReturnsTest.java
+++ b/coordination/src/test/java/org/snipewind/coordination/admission/RecognisedReturnsTest.java
@@ -16,7 +16,7 @@
     private final PoolAdmission pool = new PoolAdmission(() -> 0.5);
 
     private AdmissionRequest arrive(double remainingMillis, int urgencyRank) {
-        double elapsedBefore = pool.onArrival("r", remainingMillis, NOW);
+        double elapsedBefore = pool.elapsedBeforeMillis("r", remainingMillis);
         return new AdmissionRequest("r", urgencyRank, 600, elapsedBefore, NOW, (long) (NOW + remainingMillis));
     }
 
--- a/router/src/main/java/org/snipewind/router/path/CapacityQueue.java
+++ b/router/src/main/java/org/snipewind/router/path/CapacityQueue.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.snipewind.coordination.admission.RequestOrder;
 import org.snipewind.coordination.admission.WaitingQueue;
@@ -24,7 +25,8 @@
     private final EventLoop loop;
     private final MillisClock clock;
     private final Map<String, WaitingQueue<RoomWait>> queues = new HashMap<>();
-    private boolean timerRunning;
+    private Optional<Future<?>> timer = Optional.empty();
+    private long timerAtMillis;
     private boolean trying;
 
     CapacityQueue(EventLoop loop, MillisClock clock) {
@@ -70,21 +72,24 @@
         }
     }
 
+    /** Schedules the next try, or moves it forward if a wait ends before it. */
     private void startTimer() {
         long nextEndMillis = queues.values().stream()
                 .mapToLong(WaitingQueue::nextEndMillis)
                 .min()
                 .orElse(Long.MAX_VALUE);
-        if (timerRunning || nextEndMillis == Long.MAX_VALUE) {
+        boolean earlyEnough = timer.isPresent() && timerAtMillis <= nextEndMillis;
+        if (nextEndMillis == Long.MAX_VALUE || earlyEnough) {
             return;
         }
-        timerRunning = true;
-        long delayMillis = Math.max(1, Math.min(TRY_INTERVAL_MILLIS, nextEndMillis - clock.nowMillis()));
-        loop.schedule(this::onTimer, delayMillis, TimeUnit.MILLISECONDS);
+        timer.ifPresent(later -> later.cancel(false));
+        long now = clock.nowMillis();
+        timerAtMillis = Math.min(now + TRY_INTERVAL_MILLIS, nextEndMillis);
+        timer = Optional.of(loop.schedule(this::onTimer, Math.max(1, timerAtMillis - now), TimeUnit.MILLISECONDS));
     }
 
     private void onTimer() {
-        timerRunning = false;
+        timer = Optional.empty();
         try {
             queues.keySet().forEach(this::onResponse);
         } finally {
--- a/router/src/main/java/org/snipewind/router/path/RequestAdmission.java
+++ b/router/src/main/java/org/snipewind/router/path/RequestAdmission.java
@@ -36,7 +36,7 @@
         this.key = pool.keyed() ? key : OptionalInt.empty();
         this.poolAdmission = context.sharedState().admission(pool.name());
         String route = classification.route().name();
-        double elapsedBeforeMillis = poolAdmission.onArrival(route, allowedMillis, arrivedMillis);
+        double elapsedBeforeMillis = poolAdmission.elapsedBeforeMillis(route, allowedMillis);
         this.request = new AdmissionRequest(
                 route,
                 classification.urgencyRank(),
@@ -49,6 +49,10 @@
         }
     }
 
+    void onOffered() {
+        poolAdmission.onOffered(request, context.clock().nowMillis());
+    }
+
     QueueAllowance allowance() {
         return poolAdmission.allowance(request, this::place, context.clock().nowMillis());
     }
--- a/router/src/main/java/org/snipewind/router/path/RoomWait.java
+++ b/router/src/main/java/org/snipewind/router/path/RoomWait.java
@@ -78,6 +78,12 @@
         lackOfRoom.ifPresent(request::refuseWithoutTarget);
     }
 
+    void onServed() {
+        if (lackOfRoom.isPresent()) {
+            count("admission.served-after-wait");
+        }
+    }
+
     void cancel() {
         worker.capacityQueue().remove(this, pool);
     }
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -196,6 +196,7 @@
         if (pool.keyed()) {
             context.sharedState().recordKey(pool.name(), headers.shardKey().getAsInt());
         }
+        admission.onOffered();
         worker.capacityQueue().tryAheadOf(pool.name(), admission.order());
         routeIfNoneActive();
     }
@@ -300,6 +301,7 @@
             context.sharedState().recordServiceTime(attempt.target().incarnation(), occupiedMillis);
         }
         admission.onServed(attempt.elapsedMillis());
+        roomWait.onServed();
         if (!tryFinish()) {
             response.memory().release();
         } else {
--- a/router/src/test/java/org/snipewind/router/path/CapacityWaitTest.java
+++ b/router/src/test/java/org/snipewind/router/path/CapacityWaitTest.java
@@ -71,6 +71,7 @@
         }
         assertThat(received.get()).isEqualTo(FULL + 1);
         assertThat(count("admission.waited")).isEqualTo(1);
+        assertThat(count("admission.served-after-wait")).isEqualTo(1);
         assertThat(count("admission.sent-after-wait")).isEqualTo(1);
     }
 
