--- a/coordination/src/test/java/org/snipewind/coordination/admission/PoolModel.java
+++ b/coordination/src/test/java/org/snipewind/coordination/admission/PoolModel.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 
@@ -96,7 +97,7 @@
     /**
      * Creates an idle pool.
      *
-     * @param decides false for the behaviour before: refusal at once, return after 200 ms
+     * @param decides false for the former behaviour: refusal at once, return after a fixed time or that of the holder
      */
     PoolModel(int targets, int slotsPerTarget, int instances, boolean decides, long seed) {
         this.slotsPerTarget = slotsPerTarget;
@@ -245,16 +246,34 @@
         }
         PoolAdmission admission = admissions.get(request.instance);
         admission.onRefused(now);
-        long delayMillis = decides ? returnAfter(request, admission) : 200;
+        long delayMillis = decides ? returnAfter(request, admission) : formerReturnAfter(request);
         schedule(now + delayMillis, () -> arrive(request.kind, request.firstArrivalMillis, true));
     }
 
+    /** Returns the former time: that of the holder until its queue is short again, or 200 ms in a pool. */
+    private long formerReturnAfter(Request request) {
+        if (!isOneHolder()) {
+            return 200;
+        }
+        double usable = slotsPerTarget * request.kind.objectiveMillis() * 0.8 / request.kind.serviceMillis();
+        return (long) (Math.max(1, load[0] + 1 - usable) * request.kind.serviceMillis() / slotsPerTarget);
+    }
+
+    /** Returns whether the only target stands for the owner of a key. */
+    private boolean isOneHolder() {
+        return load.length == 1;
+    }
+
     private long returnAfter(Request request, PoolAdmission admission) {
         ReturnWindow window = ReturnWindow.of(
                 0,
                 request.admission.deadlineMillis() - now,
                 request.admission.objectiveRemainingMillis(now),
                 admission.meanResponseMillis());
-        return admission.promisePlace(window, now).orElseGet(() -> admission.latestReturnMillis(window));
+        double spacingMillis = request.kind.serviceMillis() / slotsPerTarget * admissions.size();
+        OptionalLong place = isOneHolder()
+                ? admission.promisePlaceAt("holder", spacingMillis, window, now)
+                : admission.promisePlace(window, now);
+        return place.orElseGet(() -> admission.latestReturnMillis(window));
     }
 }
