--- a/router/src/main/java/org/snipewind/router/path/RouteExplainer.java
+++ b/router/src/main/java/org/snipewind/router/path/RouteExplainer.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.snipewind.coordination.admission.AdmissionRequest;
+import org.snipewind.coordination.admission.QueueAllowance;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
@@ -109,16 +111,27 @@
                     "allowed=" + allowedMillis + "ms");
             return;
         }
-        QueueLimit queueLimit = QueueLimit.of(route, classification.urgencyRank(), 0, allowedMillis);
+        long now = context.clock().nowMillis();
+        QueueAllowance allowance = context.sharedState()
+                .admission(classification.pool().name())
+                .allowance(
+                        new AdmissionRequest(
+                                route.name(),
+                                classification.urgencyRank(),
+                                route.latencyObjectiveMillis(),
+                                0,
+                                now,
+                                now + allowedMillis),
+                        () -> describeHolder(classification, headers),
+                        now);
         if (classification.pool().keyed()) {
             int key = headers.shardKey().getAsInt();
-            addResult(
-                    pool, worker.targetResolver().explainOwner(classification.pool(), key, queueLimit), allowedMillis);
+            addResult(pool, worker.targetResolver().explainOwner(classification.pool(), key, allowance), allowedMillis);
             pool.put("owner", describeOwner(classification.pool().name(), key));
         } else {
             SpilloverRequest spillover = SpilloverRequest.of(classification.pool(), route, 0, allowedMillis, 0, false);
             PoolExplanation explanation = worker.targetResolver()
-                    .explainPool(classification.pool(), !route.idempotent(), queueLimit, spillover);
+                    .explainPool(classification.pool(), !route.idempotent(), allowance, spillover);
             addResult(pool, explanation.result(), allowedMillis);
             pool.put(
                     "candidate",
@@ -128,6 +141,15 @@
         }
     }
 
+    private String describeHolder(RequestClassifier.Classification classification, RequestHeaders headers) {
+        return classification.pool().keyed()
+                ? findAssignment(
+                                classification.pool().name(), headers.shardKey().getAsInt())
+                        .map(KeyAssignment::holder)
+                        .orElse("")
+                : "";
+    }
+
     private static Map<String, Object> describeRoute(Route route) {
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("name", route.name());
@@ -173,6 +195,7 @@
                     boolean waits = noTarget.ownerExpectedMillis().isPresent()
                             && noTarget.ownerExpectedMillis().getAsLong() < maxWaitMillis;
                     addRefusal(fields, noTarget.kind(), noTarget.retryAfterMillis(), noTarget.detail());
+                    noTarget.untilRoomMillis().ifPresent(millis -> addLackOfRoom(fields, millis));
                     if (waits) {
                         fields.put(OUTCOME, "wait");
                         fields.put("maxWaitMillis", maxWaitMillis);
@@ -180,6 +203,12 @@
                 });
     }
 
+    /** Adds that the request waits for room or is refused with the next free place, which only a refusal takes. */
+    private static void addLackOfRoom(Map<String, Object> fields, double untilRoomMillis) {
+        fields.put("roomExpectedAfterMillis", Math.round(untilRoomMillis));
+        fields.put("retryAfter", "the next place that becomes free, promised at the refusal");
+    }
+
     private static void addRefusal(Map<String, Object> fields, ErrorKind kind, long retryAfterMillis, String detail) {
         fields.put(OUTCOME, "refuse");
         fields.put("error", kind.wireName());
@@ -193,12 +222,7 @@
     private Map<String, Object> describeOwner(String pool, int key) {
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("key", key);
-        Optional<KeyAssignment> assignment = context.tracker()
-                .view()
-                .keyTables()
-                .getOrDefault(pool, KeyTable.EMPTY)
-                .find(key);
-        assignment.ifPresent(found -> {
+        findAssignment(pool, key).ifPresent(found -> {
             fields.put("holder", found.holder());
             fields.put("epoch", found.epoch());
             fields.put("firstKey", found.from());
@@ -208,6 +232,14 @@
         return fields;
     }
 
+    private Optional<KeyAssignment> findAssignment(String pool, int key) {
+        return context.tracker()
+                .view()
+                .keyTables()
+                .getOrDefault(pool, KeyTable.EMPTY)
+                .find(key);
+    }
+
     private static Map<String, Object> describeCandidate(PoolExplanation.ExplainedTarget candidate) {
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("target", candidate.state().registration().id());
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -5,9 +5,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.snipewind.coordination.admission.QueueAllowance;
+import org.snipewind.coordination.admission.ReturnWindow;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.error.Execution;
 import org.snipewind.coordination.routing.Organisation;
@@ -16,7 +20,6 @@
 import org.snipewind.coordination.target.SpilloverRequest;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.http.BufferedResponse;
-import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.port.RequestHeaders;
 
 /**
@@ -52,10 +55,13 @@
     private Pool pool;
     private Optional<SecondAttempt> secondAttempt = Optional.empty();
     private Optional<Organisation> organisation = Optional.empty();
-    private int urgencyRank;
+    private RequestAdmission admission;
+    private RoomWait roomWait;
     private Optional<BufferedResponse> errorResponse = Optional.empty();
     private long deadlineMillis;
-    private long ownerWaitUntilMillis = -1;
+    private final OwnerWait ownerWait;
+    private final RequestRecorder recorder;
+    private Optional<String> unpaidRetryReason = Optional.empty();
     private int attempts;
     private boolean mayHaveRun;
     private boolean done;
@@ -65,6 +71,8 @@
         this.context = worker.context();
         this.request = request;
         this.responder = responder;
+        this.ownerWait = new OwnerWait(worker, this);
+        this.recorder = new RequestRecorder(context);
         this.arrivedMillis = context.clock().nowMillis();
     }
 
@@ -113,6 +121,7 @@
     /** Checks the request against the configuration and the overload limit, then asks for its admission. */
     void start() {
         headers = context.headerCodec().readRequest(request.headers());
+        recorder.setRequestId(headers.requestId().orElse("none"));
         if (worker.isOverloaded()) {
             refuse(
                     ErrorKind.DAEMON_REQUESTS_LIMIT,
@@ -127,17 +136,22 @@
     }
 
     private void admit(RequestClassifier.Classification classification) {
+        recorder.setClassification(classification);
         route = classification.route();
         pool = classification.pool();
         secondAttempt = Optional.of(new SecondAttempt(this, route, pool));
         organisation = classification.organisation();
-        urgencyRank = classification.urgencyRank();
         long allowedMillis = classification.allowedMillis(headers);
         deadlineMillis = arrivedMillis + allowedMillis;
         if (!context.sharedState().mayStart(allowedMillis)) {
-            refuse(ErrorKind.SHUTTING_DOWN, TargetResolver.POOL_RETRY_AFTER_MILLIS, "allowed=" + allowedMillis + "ms");
+            refuse(
+                    ErrorKind.SHUTTING_DOWN,
+                    ReturnWindow.limit(TargetResolver.POOL_RETRY_AFTER_MILLIS, allowedMillis),
+                    "allowed=" + allowedMillis + "ms");
             return;
         }
+        admission = new RequestAdmission(context, classification, headers.shardKey(), arrivedMillis, allowedMillis);
+        roomWait = new RoomWait(worker, this, admission, pool.name());
         schedule(this::onDeadline, allowedMillis);
         Optional<Organisation> limitedOrganisation = organisation.filter(Organisation::isLimited);
         if (limitedOrganisation.isPresent()) {
@@ -177,6 +191,8 @@
         if (pool.keyed()) {
             context.sharedState().recordKey(pool.name(), headers.shardKey().getAsInt());
         }
+        admission.onOffered();
+        worker.capacityQueue().tryAheadOf(pool.name(), admission.order());
         routeIfNoneActive();
     }
 
@@ -190,16 +206,26 @@
 
     /** Sends the request to the selected target; without a target, refuses it or waits for the owner of its key. */
     void selectTargetAndSend() {
-        Either<TargetResolver.NoTarget, TargetState> found = pool.keyed()
-                ? worker.targetResolver().resolveOwner(pool, headers.shardKey().getAsInt(), queueLimit())
+        selectTarget().peek(this::send).peekLeft(this::handleNoTarget);
+    }
+
+    Either<TargetResolver.NoTarget, TargetState> selectTarget() {
+        QueueAllowance allowance = admission.allowance();
+        return pool.keyed()
+                ? worker.targetResolver().resolveOwner(pool, headers.shardKey().getAsInt(), allowance)
                 : worker.targetResolver()
-                        .selectFromPool(pool, triedIncarnations, !route.idempotent(), queueLimit(), spilloverRequest());
-        found.peek(this::sendOrEnd).peekLeft(this::handleNoTarget);
+                        .selectFromPool(pool, triedIncarnations, !route.idempotent(), allowance, spilloverRequest());
+    }
+
+    private SpilloverRequest spilloverRequest() {
+        long elapsedMillis = context.clock().nowMillis() - arrivedMillis;
+        return SpilloverRequest.of(
+                pool, route, elapsedMillis, remainingMillis(), request.body().length(), attempts > 0);
     }
 
     /** Returns the best target for a second attempt, empty if none is free and responds at its usual speed. */
     Optional<TargetState> selectForSecondAttempt() {
-        return worker.targetResolver().selectForSecondAttempt(pool, triedIncarnations, queueLimit());
+        return worker.targetResolver().selectForSecondAttempt(pool, triedIncarnations, admission.allowance());
     }
 
     /** Returns whether one attempt is in progress, has no response yet, and another one is within the limit. */
@@ -211,57 +237,39 @@
                 && attempts < route.maxAttempts();
     }
 
-    private QueueLimit queueLimit() {
-        long elapsedMillis = context.clock().nowMillis() - arrivedMillis;
-        return QueueLimit.of(route, urgencyRank, elapsedMillis, remainingMillis());
+    /** Has the request wait for the owner of its key or for room at a target, or refuses it. */
+    void handleNoTarget(TargetResolver.NoTarget noTarget) {
+        if (activeAttempts.isEmpty() && !waitForOwner(noTarget) && !waitForRoom(noTarget)) {
+            refuseWithoutTarget(noTarget);
+        }
     }
 
-    private SpilloverRequest spilloverRequest() {
-        long elapsedMillis = context.clock().nowMillis() - arrivedMillis;
-        return SpilloverRequest.of(
-                pool, route, elapsedMillis, remainingMillis(), request.body().length(), attempts > 0);
+    private boolean waitForOwner(TargetResolver.NoTarget noTarget) {
+        OptionalLong leastWaitMillis = noTarget.ownerExpectedMillis();
+        return leastWaitMillis.isPresent() && ownerWait.begin(noTarget.kind(), leastWaitMillis.getAsLong());
     }
 
-    private void handleNoTarget(TargetResolver.NoTarget noTarget) {
-        if (noTarget.ownerExpectedMillis().isPresent()) {
-            awaitOwner(noTarget, noTarget.ownerExpectedMillis().getAsLong());
-        } else {
-            refuseIfNoneActive(noTarget.kind(), noTarget.retryAfterMillis(), noTarget.detail());
-        }
+    private boolean waitForRoom(TargetResolver.NoTarget noTarget) {
+        return roomWait.begin(
+                noTarget, attempts == 0 ? arrivedMillis : context.clock().nowMillis());
     }
 
-    /** Waits for the owner of the key, or a pause of all targets to end, unless the wait would be too long. */
-    private void awaitOwner(TargetResolver.NoTarget noTarget, long leastWaitMillis) {
-        long now = context.clock().nowMillis();
-        if (ownerWaitUntilMillis < 0) {
-            ownerWaitUntilMillis = now + TargetResolver.maxOwnerWaitMillis(remainingMillis());
-            schedule(this::routeIfWaiting, ownerWaitUntilMillis - now);
-        }
-        if (now + leastWaitMillis >= ownerWaitUntilMillis) {
-            refuseIfNoneActive(noTarget.kind(), noTarget.retryAfterMillis(), noTarget.detail());
-            return;
-        }
-        worker.waitForOwner(this);
-        if (noTarget.kind() == ErrorKind.TARGET_PAUSED) {
-            // The end of a pause is no change of the view.
-            schedule(this::routeIfWaiting, leastWaitMillis);
-        }
+    void refuseWithoutTarget(TargetResolver.NoTarget noTarget) {
+        refuseIfNoneActive(noTarget.kind(), () -> admission.returnAfterMillis(noTarget), noTarget.detail());
     }
 
-    private void routeIfWaiting() {
-        if (worker.isWaiting(this)) {
-            worker.stopWaiting(this);
-            routeIfNoneActive();
-        }
-    }
-
-    private void sendOrEnd(TargetState target) {
+    void send(TargetState target) {
         if (remainingMillis() <= 0) {
             onDeadline();
-        } else {
-            Attempt attempt = prepareAttempt(target);
-            attempt.start();
+            return;
         }
+        Optional<String> retryReason = unpaidRetryReason;
+        unpaidRetryReason = Optional.empty();
+        if (retryReason.isPresent() && !tryAcquireRetry(retryReason.get())) {
+            refuseAfter(target, ErrorKind.OVERLOADED, "target=" + target.incarnation() + " repeat-budget=empty");
+            return;
+        }
+        prepareAttempt(target).start();
     }
 
     /** Registers an attempt that has not been started yet. */
@@ -282,12 +290,7 @@
             context.metrics().count("retries.refused");
             return false;
         }
-        context.metrics().countRetry(reason);
-        context.log()
-                .write(
-                        RouterEvent.REQUEST_REPEATED,
-                        () -> describeRequest() + " reason=" + reason + " attempts=" + attempts + " remaining="
-                                + remainingMillis() + "ms");
+        recorder.retried(reason, attempts, remainingMillis());
         return true;
     }
 
@@ -302,6 +305,8 @@
         if (pool.keyed()) {
             context.sharedState().recordServiceTime(attempt.target().incarnation(), occupiedMillis);
         }
+        admission.onServed(attempt.elapsedMillis());
+        roomWait.onServed();
         if (!tryFinish(Optional.of(attempt))) {
             response.memory().release();
         } else {
@@ -310,6 +315,7 @@
                     .recordRequest(TimeUnit.MILLISECONDS.toNanos(context.clock().nowMillis() - arrivedMillis));
             responder.respond(response);
         }
+        worker.capacityQueue().onResponse(pool.name());
     }
 
     /** Retries the request after a target's error response, which goes to the caller if no other attempt succeeds. */
@@ -344,19 +350,23 @@
             // Attempts that never reached a target do not count against the attempt limit.
             attempts--;
         }
-        // Only the owner of the key can run the request, and it can do so as soon as one of its slots is free.
-        long retryAfterMillis =
-                pool.keyed() ? (long) attempt.target().meanServiceMillis() : TargetResolver.POOL_RETRY_AFTER_MILLIS;
+        if (kind == ErrorKind.TARGET_SHED) {
+            admission.onLackOfRoom();
+        }
         if (!retryable || !mayRetry()) {
-            refuseIfNoneActive(kind, retryAfterMillis, detail);
+            refuseAfter(attempt.target(), kind, detail);
             return;
         }
         Optional<TargetResolver.NoTarget> ownerRefusal = pool.keyed() ? findOwnerRefusal() : Optional.empty();
         if (ownerRefusal.isPresent()) {
-            // A retry would use up the budget and be refused by the owner.
-            refuseIfNoneActive(ownerRefusal.get().kind(), ownerRefusal.get().retryAfterMillis(), detail);
+            // A retry now would use up the budget and be refused by the owner.
+            unpaidRetryReason = possiblyReceived ? Optional.of(kind.wireName()) : Optional.empty();
+            TargetResolver.NoTarget noTarget = ownerRefusal.get().withDetail(detail);
+            if (!waitForRoom(noTarget)) {
+                refuseWithoutTarget(noTarget);
+            }
         } else if (possiblyReceived && !tryAcquireRetry(kind.wireName())) {
-            refuseIfNoneActive(kind, retryAfterMillis, detail + " repeat-budget=empty");
+            refuseAfter(attempt.target(), kind, detail + " repeat-budget=empty");
         } else if (pool.keyed()) {
             schedule(this::routeIfNoneActive, OWNER_RETRY_DELAY_MILLIS);
         } else {
@@ -364,10 +374,14 @@
         }
     }
 
+    private void refuseAfter(TargetState target, ErrorKind kind, String detail) {
+        refuseIfNoneActive(kind, () -> admission.returnAfterMillis(target, kind), detail);
+    }
+
     /** Returns why the owner of the key takes no requests now although it is in service, empty if it does. */
     private Optional<TargetResolver.NoTarget> findOwnerRefusal() {
         return worker.targetResolver()
-                .findOwner(pool, headers.shardKey().getAsInt(), queueLimit())
+                .findOwner(pool, headers.shardKey().getAsInt(), admission.allowance())
                 .fold(Optional::of, owner -> Optional.<TargetResolver.NoTarget>empty())
                 .filter(TargetResolver.NoTarget::isRefusedByOwner);
     }
@@ -376,12 +390,12 @@
      * Refuses the request unless another attempt is still in progress. If an attempt may have run the request, the
      * error kind given to the caller never claims that it did not run.
      */
-    private void refuseIfNoneActive(ErrorKind kind, long retryAfterMillis, String detail) {
+    private void refuseIfNoneActive(ErrorKind kind, LongSupplier retryAfterMillis, String detail) {
         if (!activeAttempts.isEmpty()) {
             return;
         }
         boolean claimsNotRun = kind.execution() == Execution.NOT_RUN;
-        refuse(mayHaveRun && claimsNotRun ? ErrorKind.TARGET_LOST : kind, retryAfterMillis, detail);
+        refuse(mayHaveRun && claimsNotRun ? ErrorKind.TARGET_LOST : kind, retryAfterMillis.getAsLong(), detail);
     }
 
     private void onDeadline() {
@@ -403,7 +417,7 @@
         activeAttempts.clear();
         refuse(
                 mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : kindIfNotSent,
-                TargetResolver.POOL_RETRY_AFTER_MILLIS,
+                ReturnWindow.limit(TargetResolver.POOL_RETRY_AFTER_MILLIS, remainingMillis()),
                 "time is up after " + (context.clock().nowMillis() - arrivedMillis) + "ms attempts=" + attempts);
     }
 
@@ -412,12 +426,7 @@
         if (done) {
             return;
         }
-        context.metrics().count("callers.left");
-        context.log()
-                .write(
-                        RouterEvent.CALLER_LEFT,
-                        () -> describeRequest() + " after=" + (context.clock().nowMillis() - arrivedMillis)
-                                + "ms attempts=" + attempts);
+        recorder.callerLeft(context.clock().nowMillis() - arrivedMillis, attempts);
         tryFinish(Optional.empty());
         dropErrorResponse();
     }
@@ -431,22 +440,10 @@
             responder.respond(errorResponse.get());
             return;
         }
-        context.metrics().countRefusal(kind);
-        RouterEvent event =
-                kind.execution() == Execution.NOT_RUN ? RouterEvent.REQUEST_REFUSED : RouterEvent.REQUEST_FAILED;
-        context.log()
-                .write(
-                        event,
-                        () -> describeRequest() + " kind=" + kind.wireName() + " status=" + kind.status() + " "
-                                + detail);
+        recorder.refused(kind, detail);
         responder.refuse(kind, headers.requestId(), retryAfterMillis);
     }
 
-    private String describeRequest() {
-        return "request=" + headers.requestId().orElse("none") + " route=" + (route == null ? "none" : route.name())
-                + " pool=" + (pool == null ? "none" : pool.name());
-    }
-
     /** Cancels timers and attempts; returns whether the request was still in progress. */
     private boolean tryFinish(Optional<Attempt> winner) {
         if (done) {
@@ -455,6 +452,9 @@
         done = true;
         secondAttempt.ifPresent(planned -> planned.onFinished(winner));
         worker.stopWaiting(this);
+        if (roomWait != null) {
+            roomWait.cancel();
+        }
         timers.forEach(timer -> timer.cancel(false));
         activeAttempts.forEach(Attempt::abort);
         activeAttempts.clear();
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.snipewind.coordination.admission.QueueAllowance;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.keyspace.KeyTable;
@@ -54,12 +56,29 @@
      * The reason why a request has no target at present.
      *
      * @param kind error kind for the caller
-     * @param retryAfterMillis time after which the caller should retry
+     * @param retryAfterMillis time after which the caller should retry; without room, the least time after which other
+     *     instances may find room, 0 if it is not known
      * @param detail inputs of the decision, for the log
      * @param ownerExpectedMillis least time after which the owner of the key is expected to take requests, empty if
      *     waiting does not help
+     * @param untilRoomMillis least time after which a target is expected to have room, empty if this is not the reason
+     * @param holder the only target that can serve the request, empty if any target of the pool can
      */
-    record NoTarget(ErrorKind kind, long retryAfterMillis, String detail, OptionalLong ownerExpectedMillis) {
+    record NoTarget(
+            ErrorKind kind,
+            long retryAfterMillis,
+            String detail,
+            OptionalLong ownerExpectedMillis,
+            OptionalDouble untilRoomMillis,
+            Optional<TargetState> holder) {
+
+        NoTarget(ErrorKind kind, long retryAfterMillis, String detail, OptionalLong ownerExpectedMillis) {
+            this(kind, retryAfterMillis, detail, ownerExpectedMillis, OptionalDouble.empty(), Optional.empty());
+        }
+
+        NoTarget withDetail(String newDetail) {
+            return new NoTarget(kind, retryAfterMillis, newDetail, ownerExpectedMillis, untilRoomMillis, holder);
+        }
 
         /** Returns whether the owner of the key is known and takes no requests now. */
         boolean isRefusedByOwner() {
@@ -70,6 +89,17 @@
             return Either.left(new NoTarget(kind, retryAfterMillis, detail, OptionalLong.empty()));
         }
 
+        private static <T> Either<NoTarget, T> withoutRoom(
+                double untilRoomMillis, Optional<TargetState> holder, double untilReturnMillis, String detail) {
+            return Either.left(new NoTarget(
+                    ErrorKind.OVERLOADED,
+                    (long) untilReturnMillis,
+                    detail,
+                    OptionalLong.empty(),
+                    OptionalDouble.of(untilRoomMillis),
+                    holder));
+        }
+
         private static <T> Either<NoTarget, T> awaitOwner(long leastWaitMillis, String detail) {
             return Either.left(new NoTarget(
                     ErrorKind.OWNER_UNAVAILABLE, OWNER_RETRY_AFTER_MILLIS, detail, OptionalLong.of(leastWaitMillis)));
@@ -108,7 +138,7 @@
      * @param pool the pool
      * @param triedIncarnations incarnations of targets that are not selected again
      * @param nonIdempotent whether the request must not run twice
-     * @param queueLimit limit on the queue of the target
+     * @param allowance limit on the queue of the target
      * @param spillover determines whether the request may leave the data centre of this instance
      * @return the target, or the reason why there is none
      */
@@ -116,14 +146,14 @@
             Pool pool,
             Set<String> triedIncarnations,
             boolean nonIdempotent,
-            QueueLimit queueLimit,
+            QueueAllowance allowance,
             SpilloverRequest spillover) {
         Choice choice = new Choice(
                 candidates ->
                         selector.choose(spillover, candidates, context.clock().nowMillis()),
                 takenPermits,
                 ScoreObserver.NONE);
-        return selectFromPool(pool, triedIncarnations, nonIdempotent, queueLimit, choice)
+        return selectFromPool(pool, triedIncarnations, nonIdempotent, allowance, choice)
                 .peek(selection -> selection.spillover().ifPresent(this::countSpillover))
                 .map(Selection::target);
     }
@@ -134,19 +164,20 @@
      *
      * @param pool an undivided pool
      * @param nonIdempotent whether the request must not run twice
-     * @param queueLimit limit on the queue of the target
+     * @param allowance limit on the queue of the target
      * @param spillover determines whether the request may leave the data centre of this instance
      * @return the target or the reason why there is none, and all targets of the pool
      */
-    PoolExplanation explainPool(Pool pool, boolean nonIdempotent, QueueLimit queueLimit, SpilloverRequest spillover) {
+    PoolExplanation explainPool(
+            Pool pool, boolean nonIdempotent, QueueAllowance allowance, SpilloverRequest spillover) {
         Map<TargetState, Double> scores = new HashMap<>();
         Choice choice = new Choice(
                 candidates ->
                         selector.preview(spillover, candidates, context.clock().nowMillis()),
                 untouchedPermits,
                 scores::put);
-        Either<NoTarget, TargetState> result = selectFromPool(pool, Set.of(), nonIdempotent, queueLimit, choice)
-                .map(Selection::target);
+        Either<NoTarget, TargetState> result =
+                selectFromPool(pool, Set.of(), nonIdempotent, allowance, choice).map(Selection::target);
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
         List<PoolExplanation.ExplainedTarget> targets = view.targets().values().stream()
@@ -158,13 +189,13 @@
                         Optional.ofNullable(scores.get(target)),
                         result.fold(none -> false, chosen -> chosen == target)
                                 ? "selected"
-                                : reasonAgainst(pool, target, nowMillis, view, queueLimit, scores.containsKey(target))))
+                                : reasonAgainst(pool, target, nowMillis, view, allowance, scores.containsKey(target))))
                 .toList();
         return new PoolExplanation(result, targets);
     }
 
     private String reasonAgainst(
-            Pool pool, TargetState target, long nowMillis, FleetView view, QueueLimit queueLimit, boolean compared) {
+            Pool pool, TargetState target, long nowMillis, FleetView view, QueueAllowance allowance, boolean compared) {
         if (target.registration().draining()) {
             return "draining";
         }
@@ -175,7 +206,7 @@
             return "leaving";
         }
         Suitability suitability =
-                suitability(pool, target, nowMillis, connectionLimit(pool, view), queueLimit, untouchedPermits);
+                suitability(pool, target, nowMillis, connectionLimit(pool, view), allowance, untouchedPermits);
         if (suitability != Suitability.SUITABLE) {
             return suitability.description();
         }
@@ -190,12 +221,12 @@
             Function<Candidates, Optional<Selection>> selection, ColdStartPermits permits, ScoreObserver observer) {}
 
     private Either<NoTarget, Selection> selectFromPool(
-            Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueLimit queueLimit, Choice choice) {
+            Pool pool, Set<String> triedIncarnations, boolean nonIdempotent, QueueAllowance allowance, Choice choice) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
         int limit = connectionLimit(pool, view);
         Predicate<TargetState> suitable = target ->
-                suitability(pool, target, nowMillis, limit, queueLimit, choice.permits()) == Suitability.SUITABLE;
+                suitability(pool, target, nowMillis, limit, allowance, choice.permits()) == Suitability.SUITABLE;
         List<TargetState> targets = context.sharedState()
                 .versions()
                 .candidates(pool.name(), inServiceTargets(pool, view), triedIncarnations.isEmpty(), suitable);
@@ -212,16 +243,25 @@
             boolean waitHelps = targets.stream().anyMatch(target -> !triedIncarnations.contains(target.incarnation()));
             return NoTarget.awaitEndOfPause(leastPauseMillis, waitHelps, "targets=" + targets.size() + " pausing");
         }
+        if (targets.isEmpty()) {
+            return NoTarget.refuse(ErrorKind.POOL_UNAVAILABLE, POOL_RETRY_AFTER_MILLIS, "targets=0");
+        }
         if (chosen.isEmpty()) {
-            return NoTarget.refuse(
-                    targets.isEmpty() ? ErrorKind.POOL_UNAVAILABLE : ErrorKind.OVERLOADED,
-                    POOL_RETRY_AFTER_MILLIS,
-                    "targets=" + targets.size() + " tried=" + triedIncarnations.size());
+            double untilRoomMillis = Double.MAX_VALUE;
+            for (TargetState target : targets) {
+                if (!triedIncarnations.contains(target.incarnation())) {
+                    untilRoomMillis =
+                            Math.min(untilRoomMillis, millisUntilRoom(pool, target, nowMillis, limit, allowance));
+                }
+            }
+            String detail = "targets=" + targets.size() + " tried=" + triedIncarnations.size();
+            return NoTarget.withoutRoom(untilRoomMillis, Optional.empty(), 0, detail);
         }
         if (exceedsColdStartRate(pool, chosen.get(), nowMillis, choice.permits())) {
-            return NoTarget.refuse(
-                    ErrorKind.OVERLOADED,
-                    POOL_RETRY_AFTER_MILLIS,
+            return NoTarget.withoutRoom(
+                    context.sharedState().coldStartLimiter(pool, chosen.get()).millisUntilPermit(),
+                    Optional.empty(),
+                    0,
                     "cold-start rate limit reached target="
                             + chosen.get().registration().id());
         }
@@ -238,10 +278,10 @@
      *
      * @param pool the pool
      * @param triedIncarnations incarnations of targets that are not selected again
-     * @param queueLimit limit on the queue of the target
+     * @param allowance limit on the queue of the target
      * @return the target, empty if there is none
      */
-    Optional<TargetState> selectForSecondAttempt(Pool pool, Set<String> triedIncarnations, QueueLimit queueLimit) {
+    Optional<TargetState> selectForSecondAttempt(Pool pool, Set<String> triedIncarnations, QueueAllowance allowance) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
         List<TargetState> targets = context.sharedState()
@@ -253,7 +293,7 @@
                 && !target.isPaused(nowMillis)
                 && !target.isColdStarting(nowMillis)
                 && !context.tracker().notices().isResuming(target.incarnation())
-                && suitability(pool, target, nowMillis, limit, queueLimit, takenPermits) == Suitability.SUITABLE;
+                && suitability(pool, target, nowMillis, limit, allowance, takenPermits) == Suitability.SUITABLE;
         Predicate<TargetState> connected = target -> connections.hasIdleConnection(target.registration(), false);
         return selector.chooseNearest(new Candidates(targets, suitable, connected), nowMillis);
     }
@@ -263,12 +303,12 @@
             TargetState target,
             long nowMillis,
             int connectionLimit,
-            QueueLimit queueLimit,
+            QueueAllowance allowance,
             ColdStartPermits permits) {
         if (pauseRemainingMillis(target) > 0) {
             return Suitability.PAUSING;
         }
-        if (!hasRoom(target, nowMillis, queueLimit)) {
+        if (!hasRoom(target, nowMillis, allowance)) {
             return Suitability.NO_ROOM;
         }
         if (!connections.hasCapacity(target.registration(), connectionLimit)) {
@@ -279,11 +319,30 @@
                 : Suitability.SUITABLE;
     }
 
-    private boolean hasRoom(TargetState target, long nowMillis, QueueLimit queueLimit) {
+    /** Returns the least time until a request may be sent to a target; an open connection counts as a response. */
+    private double millisUntilRoom(
+            Pool pool, TargetState target, long nowMillis, int connectionLimit, QueueAllowance allowance) {
+        double untilRoomMillis = target.millisUntilRoom(
+                nowMillis,
+                allowance.allowedMillis(),
+                MAX_QUEUED_PER_SLOT * allowance.lengthFactor(),
+                context.tracker().view().fleetSize());
+        if (!connections.hasCapacity(target.registration(), connectionLimit)) {
+            untilRoomMillis = Math.max(untilRoomMillis, target.meanServiceMillis());
+        }
+        if (isPaced(pool, target, nowMillis)) {
+            long untilPermitMillis =
+                    context.sharedState().coldStartLimiter(pool, target).millisUntilPermit();
+            untilRoomMillis = Math.max(untilRoomMillis, untilPermitMillis);
+        }
+        return Math.max(untilRoomMillis, pauseRemainingMillis(target));
+    }
+
+    private boolean hasRoom(TargetState target, long nowMillis, QueueAllowance allowance) {
         return target.hasRoom(
                 nowMillis,
-                queueLimit.allowedMillis(),
-                MAX_QUEUED_PER_SLOT * queueLimit.lengthFactor(),
+                allowance.allowedMillis(),
+                MAX_QUEUED_PER_SLOT * allowance.lengthFactor(),
                 context.tracker().view().fleetSize());
     }
 
@@ -316,25 +375,31 @@
      *
      * @param pool the pool
      * @param key the key
-     * @param queueLimit limit on the queue of the owner
+     * @param allowance limit on the queue of the owner
      * @return the owner, or the reason why the request can't be sent to it
      */
-    Either<NoTarget, TargetState> resolveOwner(Pool pool, int key, QueueLimit queueLimit) {
-        return resolveOwner(pool, key, queueLimit, takenPermits).peek(this::countIfElsewhere);
+    Either<NoTarget, TargetState> resolveOwner(Pool pool, int key, QueueAllowance allowance) {
+        return resolveOwner(pool, key, allowance, takenPermits).peek(this::countIfElsewhere);
     }
 
-    /** Finds the owner like {@link #resolveOwner(Pool, int, QueueLimit)}, but takes no permit. */
-    Either<NoTarget, TargetState> explainOwner(Pool pool, int key, QueueLimit queueLimit) {
-        return resolveOwner(pool, key, queueLimit, untouchedPermits);
+    /** Finds the owner like {@link #resolveOwner(Pool, int, QueueAllowance)}, but takes no permit. */
+    Either<NoTarget, TargetState> explainOwner(Pool pool, int key, QueueAllowance allowance) {
+        return resolveOwner(pool, key, allowance, untouchedPermits);
     }
 
     private Either<NoTarget, TargetState> resolveOwner(
-            Pool pool, int key, QueueLimit queueLimit, ColdStartPermits permits) {
-        return findOwner(pool, key, queueLimit)
-                .flatMap(owner -> exceedsColdStartRate(
-                                pool, owner, context.clock().nowMillis(), permits)
-                        ? NoTarget.refuse(ErrorKind.OVERLOADED, POOL_RETRY_AFTER_MILLIS, "key=" + key + " cold=true")
-                        : Either.right(owner));
+            Pool pool, int key, QueueAllowance allowance, ColdStartPermits permits) {
+        return findOwner(pool, key, allowance)
+                .flatMap(owner ->
+                        exceedsColdStartRate(pool, owner, context.clock().nowMillis(), permits)
+                                ? NoTarget.withoutRoom(
+                                        context.sharedState()
+                                                .coldStartLimiter(pool, owner)
+                                                .millisUntilPermit(),
+                                        Optional.of(owner),
+                                        0,
+                                        "key=" + key + " cold=true")
+                                : Either.right(owner));
     }
 
     private void countIfElsewhere(TargetState owner) {
@@ -348,10 +413,10 @@
      *
      * @param pool the pool
      * @param key the key
-     * @param queueLimit limit on the queue of the owner
+     * @param allowance limit on the queue of the owner
      * @return the owner, or the reason why a request can't be sent to it, other than its cold start
      */
-    Either<NoTarget, TargetState> findOwner(Pool pool, int key, QueueLimit queueLimit) {
+    Either<NoTarget, TargetState> findOwner(Pool pool, int key, QueueAllowance allowance) {
         FleetView view = context.tracker().view();
         long nowMillis = context.clock().nowMillis();
         Optional<KeyAssignment> assignment =
@@ -381,10 +446,13 @@
         if (state.isUnresponsive(nowMillis)) {
             return NoTarget.refuse(ErrorKind.TARGET_UNREACHABLE, OWNER_RETRY_AFTER_MILLIS, detail);
         }
-        if (!hasRoom(state, nowMillis, queueLimit)
-                || !connections.hasCapacity(state.registration(), connectionLimit(pool, view))) {
-            return NoTarget.refuse(
-                    ErrorKind.OVERLOADED, (long) state.millisUntilRoom(nowMillis, queueLimit.allowedMillis()), detail);
+        int limit = connectionLimit(pool, view);
+        if (!hasRoom(state, nowMillis, allowance) || !connections.hasCapacity(state.registration(), limit)) {
+            return NoTarget.withoutRoom(
+                    millisUntilRoom(pool, state, nowMillis, limit, allowance),
+                    Optional.of(state),
+                    state.millisUntilRoom(nowMillis, allowance.allowedMillis()),
+                    detail);
         }
         return Either.right(state);
     }
