--- a/router/src/test/java/org/snipewind/router/lead/RestorableStoreClient.java
+++ b/router/src/test/java/org/snipewind/router/lead/RestorableStoreClient.java
@@ -38,6 +38,7 @@
     private final Random random;
     private final EraTranslation eras = new EraTranslation();
     private boolean cut;
+    private boolean readsCut;
     private double lostFraction;
 
     RestorableStoreClient(RestorableStore store, EventLoop loop, Random random) {
@@ -51,8 +52,9 @@
         cut = isCut;
     }
 
-    boolean isCut() {
-        return cut;
+    /** Sets whether reads and watches get no response, while other calls do. */
+    void setReadsCut(boolean areCut) {
+        readsCut = areCut;
     }
 
     /** Sets the fraction of the calls that are lost on the way there, and of those whose responses are. */
@@ -67,6 +69,9 @@
 
     @Override
     public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
+        if (readsCut) {
+            return new CompletableFuture<>();
+        }
         return call(() -> respond(() -> new StorePage(store.items(), false, store.revision())), response -> {
             List<StoreItem> items = response.content().items().stream()
                     .filter(item -> item.key().startsWith(prefix))
@@ -85,6 +90,9 @@
 
     @Override
     public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
+        if (readsCut) {
+            return new CompletableFuture<>();
+        }
         Optional<StoreException> outdated = eras.checkWatch(afterRevision);
         if (outdated.isPresent()) {
             return CompletableFuture.failedFuture(outdated.get());
--- a/router/src/test/java/org/snipewind/router/lead/StoreRestorationTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/StoreRestorationTest.java
@@ -237,6 +237,34 @@
         }
     }
 
+    /** Guards against the end of another instance's lease, which has the number of the former leader's lease now. */
+    @Test
+    void anInstanceThatHasNotReadTheRestoredStoreEndsNoLease() {
+        RestorableStore.Copy empty = fleet.copy();
+        fleet.run(SETTLE_MILLIS);
+        fleet.setExchanging(false);
+        SimulatedInstance away = fleet.instances().stream()
+                .filter(each -> !each.isLeading())
+                .findFirst()
+                .orElseThrow();
+        away.client().setReadsCut(true);
+        long formerLease = away.tracker().view().leader().orElseThrow().leaseId();
+        fleet.restore(empty, false);
+        long lease = 0;
+        while (lease < formerLease) {
+            lease = fleet.store().openLease(60_000);
+        }
+        assertThat(lease).isEqualTo(formerLease);
+        fleet.store().commit("other/item", 0, new byte[0], lease);
+        while (away.cache().eras().era() == 0) {
+            fleet.run(5);
+        }
+        assertThat(away.eraOfCache()).isEqualTo(0);
+        away.replaceLeader();
+        fleet.run(1_000);
+        assertThat(fleet.store().item("other/item")).isPresent();
+    }
+
     /** Guards against a leader that acts on after another instance has told it that its lease may be lost. */
     @Test
     void aLeaderThatLearnsTheEraFromAPeerFirstStopsUntilTheStoreHasConfirmedItsLease() {
