Keep the state of the lease's proof in one class

Cause: LeaderElection had grown by the state of the proof that its lease exists in a restored store.

Change: LeaseProof holds that state. No change of behaviour.

Measured: StoreRestorationTest, RandomRestorationTest, LeaderElectionTest, LeaderServiceTest, RestoredStoreTest, RestoredStoreFleetTest, PlatformFleetTest and StoreOutageTest pass.

--- a/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.election.CandidatePriority;
-import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.router.log.RouterEvent;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.CoordinationStore;
@@ -48,9 +47,6 @@
     /** Delay between requests to a former leader to end its term. */
     private static final long TERM_END_RETRY_DELAY_MILLIS = 200;
 
-    /** Delay between attempts to show that the lease exists in a restored store. */
-    private static final long PROOF_RETRY_DELAY_MILLIS = 200;
-
     /** Without contact to the store for longer than this, the store cache does not show whether there is a leader. */
     private static final long MAX_CONTACT_AGE_MILLIS = 1_500;
 
@@ -76,14 +72,6 @@
     private long noClaimBeforeMillis;
     private long outrankedSinceMillis;
 
-    /** Newest era of the store in which this leader's lease is known to exist. */
-    private long provenEra;
-
-    /** The lease of an earlier era in whose place this leader has the present one, 0 if there is none. */
-    private long replacedLeaseId;
-
-    private boolean proofInProgress;
-    private long nextProofMillis;
     private TermEndRequester termEndRequester = formerLeader -> CompletableFuture.completedFuture(false);
     private Runnable onFormerLeaderEnded = () -> {};
 
@@ -119,7 +107,7 @@
         this.self = self;
         this.termListener = termListener;
         this.onTermEnd = onTermEnd;
-        this.leaseProof = new LeaseProof(this.store, self);
+        this.leaseProof = new LeaseProof(this.store, cache.eras(), clock, self);
     }
 
     /** Starts to check the leadership on each change of the fleet view and periodically. */
@@ -157,10 +145,7 @@
      * @return true while the lease is certain to be valid and is not being ended
      */
     public boolean isLeading() {
-        return leading
-                && !handingOver
-                && provenEra >= cache.eras().newestKnown()
-                && clock.nowMillis() < leaseValidUntilMillis;
+        return leading && !handingOver && !leaseProof.isOutstanding() && clock.nowMillis() < leaseValidUntilMillis;
     }
 
     /**
@@ -203,7 +188,7 @@
         // the time before a restoration of the store is no reason to end a term that was shown to exist after it, but
         // it has to know that this instance still acts.
         boolean claimsUnderIt = claimInProgress && leaseId == endedLeaseId;
-        boolean actsInItsPlace = leading && replacedLeaseId == endedLeaseId;
+        boolean actsInItsPlace = leading && leaseProof.hasReplaced(endedLeaseId);
         return !claimsUnderIt && !actsInItsPlace;
     }
 
@@ -252,7 +237,7 @@
             endTerm("another instance leads");
         } else if (now >= leaseValidUntilMillis) {
             endTerm("the lease may have ended");
-        } else if (provenEra < cache.eras().newestKnown()) {
+        } else if (leaseProof.isOutstanding()) {
             proveLease(now);
         } else if (shouldHandOver(now)) {
             noClaimBeforeMillis = now + CLAIM_DELAY_AFTER_HANDOVER_MILLIS;
@@ -271,27 +256,22 @@
 
     /** Shows that the lease exists in a restored store; until then, this instance does not act. */
     private void proveLease(long now) {
-        if (proofInProgress || handingOver || now < nextProofMillis) {
+        if (handingOver || !leaseProof.isDue(now)) {
             return;
         }
-        proofInProgress = true;
-        long era = cache.eras().newestKnown();
         long provenLeaseId = leaseId;
-        leaseProof.show(provenLeaseId, clock).whenComplete((shown, failure) -> {
-            proofInProgress = false;
-            nextProofMillis = clock.nowMillis() + PROOF_RETRY_DELAY_MILLIS;
+        leaseProof.show(provenLeaseId).whenComplete((shown, failure) -> {
             if (!leading || leaseId != provenLeaseId) {
                 return;
             }
             if (failure == null) {
-                replacedLeaseId = provenLeaseId;
                 leaseId = shown.leaseId();
-                // Another instance may have been wrong about the era.
-                provenEra = Math.max(era, StorePosition.eraOf(shown.item().revision()));
                 setLeaseRenewed(shown.requestedAtMillis());
                 cache.recordContact();
                 cache.applyWrite(shown.item());
-                log.write(RouterEvent.LEADERSHIP_PROVEN, () -> "era=" + provenEra + " lease=" + leaseId);
+                log.write(
+                        RouterEvent.LEADERSHIP_PROVEN,
+                        () -> "revision=" + shown.item().revision() + " lease=" + leaseId);
             } else if (isLost(StoreException.kindOf(failure))) {
                 endTerm("the restored store does not list the lease");
             } else {
@@ -330,7 +310,7 @@
                 setLeaseRenewed(now);
             } else if (StoreException.kindOf(failure) == StoreException.Kind.LEASE_ENDED
                     && leading
-                    && provenEra >= cache.eras().newestKnown()) {
+                    && !leaseProof.isOutstanding()) {
                 endTerm("the lease has ended");
             } else {
                 logFailure("renewal of the leader's lease", failure);
@@ -427,8 +407,7 @@
     private void startTerm(long leaseRequestedAtMillis, long revision, Optional<LeaderRecord> formerLeader) {
         leading = true;
         outrankedSinceMillis = clock.nowMillis();
-        provenEra = StorePosition.eraOf(revision);
-        replacedLeaseId = 0;
+        leaseProof.onTermStart(revision);
         setLeaseRenewed(leaseRequestedAtMillis);
         nextRenewalMillis = clock.nowMillis() + LeaderTimes.LEASE_RENEWAL_INTERVAL_MILLIS;
         cache.recordContact();
