--- a/coordination/src/main/java/org/snipewind/coordination/target/SharedSelection.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/SharedSelection.java
@@ -18,8 +18,9 @@
 
     /**
      * Factor by which a target is drawn less often if that takes a new connection. Each instance sends few requests to
-     * each target, so that without it up to two thirds of them would open a connection. With 32 no more are opened than
-     * by selection of the best target; with 16 the times were no shorter in the simulation of SharedSelectionTest.
+     * each target, so that without it up to two thirds of them would open a connection. In the simulation of
+     * SharedSelectionTest, about as many are opened with 32 as by selection of the best target, and up to 1.5 times as
+     * many with 16.
      */
     private static final double UNCONNECTED_FACTOR = 32;
 
