Reject a status that is not from 100 to 599 on the daemon's path as well

The older path of the daemon decodes with another client, which accepts any integer, and still passed 0 on.

Change: HttpTransport fails such a response as no answer, so that an idempotent request goes to another target. A sign or leading zeros ("+200", "0200") are not visible above the daemon's client; it passes them on as 200.

--- a/clients/src/main/java/org/snipewind/clients/transport/HttpTransport.java
+++ b/clients/src/main/java/org/snipewind/clients/transport/HttpTransport.java
@@ -40,6 +40,8 @@
 public final class HttpTransport implements AutoCloseable {
 
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}(?: |$)");
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
@@ -138,10 +140,10 @@
             headers.put(name, List.copyOf(response.getHeaders().getAll(name)));
         }
         BufferedResponse head = new BufferedResponse(response.code(), headers, new byte[0]);
-        if (containsStatusLine(response.reason(), headers)) {
+        Optional<String> problem = problemOf(response, headers);
+        if (problem.isPresent()) {
             connectionPermits.release();
-            outcome.completeExceptionally(new HttpExchangeException(
-                    Stage.NO_ANSWER, "the head contains the beginning of another response", null));
+            outcome.completeExceptionally(new HttpExchangeException(Stage.NO_ANSWER, problem.get(), null));
             close(response);
             return;
         }
@@ -166,6 +168,16 @@
         });
     }
 
+    private static Optional<String> problemOf(HttpResponse<?> response, Map<String, List<String>> headers) {
+        // The client accepts any integer as a status.
+        if (response.code() < MIN_STATUS || response.code() > MAX_STATUS) {
+            return Optional.of("the status is not from 100 to 599");
+        }
+        return containsStatusLine(response.reason(), headers)
+                ? Optional.of("the head contains the beginning of another response")
+                : Optional.empty();
+    }
+
     /**
      * Returns whether a head contains the status line of another response. A server that breaks off a second copy of a
      * response leaves its beginning on the connection, and the next response is then decoded as the rest of it.
--- a/clients/src/test/java/org/snipewind/clients/transport/UnsolicitedBytesTest.java
+++ b/clients/src/test/java/org/snipewind/clients/transport/UnsolicitedBytesTest.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -76,6 +77,19 @@
         }
     }
 
+    /** A target in trouble sent a response with status 000, and a client received it. */
+    @Test
+    void aResponseWhoseStatusIsNotFrom100To599IsAFailure() throws Exception {
+        for (String status : List.of("000", "0", "20", "99", "099", "600", "999", "1000", "-200", "2 00")) {
+            CompletableFuture<BufferedResponse> outcome = send();
+            write(nextRequest(), "HTTP/1.1 " + status + " Status\r\nContent-Length: 3\r\n\r\none");
+            String received = outcome.handle(
+                            (response, failure) -> failure == null ? Integer.toString(response.status()) : "failed")
+                    .get(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+            assertWithMessage("status %s", status).that(received).isEqualTo("failed");
+        }
+    }
+
     private Socket receiveFirst(String response) throws Exception {
         CompletableFuture<BufferedResponse> first = send();
         Socket connection = nextRequest();
