Account for what callers' connections cost, and close the most costly first

Cause: heads and trailers of many tiny fields cost a hundred times their bytes, requests sent ahead were all decoded however many waited, bodies in one-byte chunks kept the event loop from other connections, and nothing limited the number of connections. A body of 64 MiB was always refused, since the bodies' share of a heap of 96 MB is 24 MB.

Change: ClientMemory accounts for undecoded bytes, fields, unanswered requests, small bodies and unread responses of all callers' connections in one budget, an eighth of the heap, and refuses or closes the unfinished connections that hold most. CallerRequestDecoder takes 256 steps for a connection in a turn, decodes nothing while 8 requests are unanswered, and closes a connection after 1,024 bytes of empty lines. Receive buffers have at most 16 KiB. Bodies reserve memory by the pieces that they hold; those that the heap can't hold, and the rest of chunked ones above 1 MiB, lie outside it, in a budget derived from the new setting memoryMegabytes (limits.memory_mb, 290 if absent). A body that stood still for 1 s gives way to one that waits. Callers get half of the descriptors. Readiness and metrics serve one request a connection, at most 64 connections for 10 s, and fields of 32 KiB. The daemon limits the memory of a head's fields to 256 KiB.

--- a/daemon/src/main/java/org/snipewind/daemon/http/FramingHeaders.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/FramingHeaders.java
@@ -1,9 +1,9 @@
 package org.snipewind.daemon.http;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.snipewind.router.memory.CountingHeaders;
 
 /**
  * Headers of a request that reject an ambiguous message length, to prevent request smuggling.
@@ -12,7 +12,14 @@
  * coding other than chunked as one without a body. A proxy in front of the daemon may interpret such a request in
  * another way (RFC 9112, section 6.3).
  */
-final class FramingHeaders extends DefaultHttpHeaders {
+final class FramingHeaders extends CountingHeaders {
+
+    /** Memory that the fields of a head may take, enough for about a thousand of them. */
+    private static final long MAX_MEMORY_BYTES = 256 * 1024;
+
+    FramingHeaders() {
+        super(MAX_MEMORY_BYTES);
+    }
 
     @Override
     public HttpHeaders add(CharSequence name, Object value) {
--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -25,6 +25,7 @@
 import org.snipewind.router.metrics.ProcessMetrics;
 import org.snipewind.router.metrics.PrometheusText;
 import org.snipewind.router.path.CallerServer;
+import org.snipewind.router.path.ClientResources;
 import org.snipewind.router.path.OrganisationRateLimiter;
 import org.snipewind.router.path.RoutingContext;
 import org.snipewind.router.path.SharedRoutingState;
@@ -62,9 +63,6 @@
     /** Fraction of the heap for the bodies of requests. */
     private static final double REQUEST_MEMORY_FRACTION = 0.25;
 
-    /** Size up to which the body of a request is received at once, however many large ones wait. */
-    private static final long SMALL_REQUEST_BYTES = 32 * 1024;
-
     private static final long STOP_CHECK_INTERVAL_MILLIS = 20;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -86,8 +84,9 @@
     private final StoreChangeBroadcaster changeBroadcaster;
     private final SharedRoutingState sharedState;
     private final CallerServer callers;
-    private final BufferMemory requestMemory =
-            new BufferMemory((long) (Runtime.getRuntime().maxMemory() * REQUEST_MEMORY_FRACTION), SMALL_REQUEST_BYTES);
+    private final BufferMemory requestMemory = new BufferMemory(
+            (long) (Runtime.getRuntime().maxMemory() * REQUEST_MEMORY_FRACTION), ClientResources.SMALL_REQUEST_BYTES);
+    private final ClientResources clients;
     private final BufferMemory responseMemory =
             new BufferMemory((long) (Runtime.getRuntime().maxMemory() * RESPONSE_MEMORY_FRACTION));
     private volatile boolean stopping;
@@ -116,12 +115,7 @@
         OutboundHttpClient httpClient =
                 new OutboundHttpClient(controlLoop, clock, new UnsolicitedBytesReporter(metrics, log));
         CoordinationStore store = storeFactory.apply(httpClient);
-        MemberRecord self = new MemberRecord(
-                settings.name(),
-                UUID.randomUUID().toString(),
-                hostAndPort(settings.peers()),
-                settings.dataCentre(),
-                CandidatePriority.capacity(settings.processorCores(), settings.linkMegabits()));
+        MemberRecord self = newMember(settings);
         tracker = new FleetTracker(itemParser, clock, log);
         tracker.setControlLoop(controlLoop);
         storeCache = new StoreCache(store, controlLoop, clock, log, tracker);
@@ -162,6 +156,8 @@
         OrganisationRateLimiter rateLimiter =
                 new OrganisationRateLimiter(tracker, clock, controlLoop, leaderClient::fetchTokens);
         tracker.addObserver(rateLimiter::onViewChanged);
+        clients =
+                ClientResources.of(settings.memoryBytes(), Runtime.getRuntime().maxMemory(), DescriptorLimit.read(log));
         callers = new CallerServer(
                 controlGroup,
                 workerGroup,
@@ -170,6 +166,7 @@
                         sharedState,
                         rateLimiter,
                         requestMemory,
+                        clients,
                         responseMemory,
                         headerCodec,
                         clock,
@@ -180,6 +177,15 @@
         registerGauges();
     }
 
+    private static MemberRecord newMember(RouterSettings settings) {
+        return new MemberRecord(
+                settings.name(),
+                UUID.randomUUID().toString(),
+                hostAndPort(settings.peers()),
+                settings.dataCentre(),
+                CandidatePriority.capacity(settings.processorCores(), settings.linkMegabits()));
+    }
+
     private void onTermStart(long formerTermEndMillis, Optional<MemberRecord> formerLeader) {
         leaderService.onTermStart(formerTermEndMillis, formerLeader);
         changeBroadcaster.onTermStart();
@@ -227,6 +233,9 @@
         metrics.gauge("fleet.members", () -> tracker.view().members().size());
         metrics.gauge("fleet.targets", () -> tracker.view().targets().size());
         metrics.gauge("requests.reserved-bytes", requestMemory::reservedBytes);
+        metrics.gauge(
+                "requests.large-reserved-bytes", () -> clients.largeBodies().reservedBytes());
+        metrics.gauge("clients.held-bytes", () -> clients.memory().heldBytes());
         metrics.gauge("responses.reserved-bytes", responseMemory::reservedBytes);
         metrics.gauge("store.contact-age-millis", storeCache::contactAgeMillis);
         metrics.gauge("store.confirmation-age-millis", storeCache::ageMillis);
@@ -249,8 +258,8 @@
                 ActivityLog.INTERVAL_MILLIS,
                 ActivityLog.INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
-        new TextServer(controlGroup, uri -> readiness()).start(settings.readiness());
-        new TextServer(controlGroup, uri -> new TextServer.Page(OK, PrometheusText.write(metrics.registry())))
+        new TextServer(controlGroup, metrics, uri -> readiness()).start(settings.readiness());
+        new TextServer(controlGroup, metrics, uri -> new TextServer.Page(OK, PrometheusText.write(metrics.registry())))
                 .start(settings.metrics());
         callers.start(settings.callers());
         log.write(
--- a/router/src/main/java/org/snipewind/router/RouterSettings.java
+++ b/router/src/main/java/org/snipewind/router/RouterSettings.java
@@ -16,6 +16,7 @@
  * @param processorCores processor time available to the instance, in cores
  * @param linkMegabits bandwidth of the instance's network link, in Mbit/s
  * @param graceMillis time from the termination signal until the process is killed
+ * @param memoryBytes memory that the process may take
  * @param limits limits that apply to all instances together
  */
 public record RouterSettings(
@@ -29,4 +30,5 @@
         double processorCores,
         double linkMegabits,
         long graceMillis,
+        long memoryBytes,
         RouterLimits limits) {}
--- a/router/src/main/java/org/snipewind/router/http/BufferMemory.java
+++ b/router/src/main/java/org/snipewind/router/http/BufferMemory.java
@@ -12,7 +12,7 @@
 public final class BufferMemory {
 
     /** Responses up to this size never wait, so that large responses can't delay small ones. */
-    static final int SMALL_BYTES = 64 * 1024;
+    public static final int SMALL_BYTES = 64 * 1024;
 
     private final long maxBytes;
     private final long smallBytes;
@@ -49,6 +49,15 @@
         return bytes <= Math.max(maxBytes, smallBytes);
     }
 
+    /**
+     * Returns the limit.
+     *
+     * @return bytes that all bodies together may take before large ones wait
+     */
+    public long maxBytes() {
+        return maxBytes;
+    }
+
     /**
      * Starts a reservation for one body.
      *
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -21,6 +21,8 @@
     SETTINGS_REJECTED(5007, Level.WARNING),
     /** A periodic summary of the instance's activity: the increase of its counters since the last summary. */
     INSTANCE_ACTIVITY(5008, Level.INFO),
+    /** The system does not tell how many file descriptors the process may have; a usual limit is assumed. */
+    DESCRIPTOR_LIMIT_UNKNOWN(5009, Level.WARNING),
     /** The store is unreachable. */
     STORE_LOST(5101, Level.WARNING),
     /** The store is reachable again. */
--- a/router/src/main/java/org/snipewind/router/path/BodyReceiver.java
+++ b/router/src/main/java/org/snipewind/router/path/BodyReceiver.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.snipewind.router.http.BufferMemory;
+import org.snipewind.router.memory.ConnectionMemory;
 
 /**
  * Receives the bodies of a connection's requests one after the other, as far as there is memory for them. Confined to
@@ -30,15 +31,19 @@
 
     private final Worker worker;
     private final BufferMemory memory;
+    private final BufferMemory largeMemory;
+    private final ConnectionMemory connectionMemory;
     private final Connection connection;
     private RequestBody body = RequestBody.empty();
 
     /** Refuses the body if it still waits for memory then; empty if it doesn't wait. */
     private Optional<Future<?>> memoryTimeout = Optional.empty();
 
-    BodyReceiver(Worker worker, Connection connection) {
+    BodyReceiver(Worker worker, ConnectionMemory connectionMemory, Connection connection) {
         this.worker = worker;
         this.memory = worker.context().requestMemory();
+        this.largeMemory = worker.context().clients().largeBodies();
+        this.connectionMemory = connectionMemory;
         this.connection = connection;
     }
 
@@ -52,6 +57,11 @@
         return body.length();
     }
 
+    /** Returns the memory of the current body as far as the budgets for bodies don't limit it. */
+    long smallBytes() {
+        return Math.min(body.heldBytes(), ClientResources.SMALL_REQUEST_BYTES);
+    }
+
     /**
      * Starts to receive a body. The memory for all of it is reserved before its first byte is read, as bodies that are
      * received in part would otherwise wait for each other.
@@ -59,10 +69,10 @@
      * @param announcedBytes length of the body, -1 if it was not announced and memory is reserved as it arrives
      */
     void start(long announcedBytes) {
-        body = RequestBody.receive(memory, announcedBytes);
-        if (!memory.mayHold(announcedBytes)) {
+        body = RequestBody.receive(memory, largeMemory, announcedBytes);
+        if (!memory.mayHold(announcedBytes) && !largeMemory.mayHold(announcedBytes)) {
             connection.bodyRefused("body exceeds the memory for all bodies");
-        } else if (announcedBytes <= 0 || reserve(announcedBytes)) {
+        } else if (announcedBytes <= 0 || waitUnless(body.reserveAnnounced(this::memoryGranted))) {
             connection.bodyAllowed();
         }
     }
@@ -70,19 +80,25 @@
     /** Adds bytes that were received, also while the body waits for memory. */
     void append(ByteBuf received) {
         if (!body.isLengthAnnounced()) {
-            reserve(received.readableBytes());
+            waitUnless(body.reserve(received.readableBytes(), this::memoryGranted));
         }
         body.append(received);
+        connectionMemory.bodyReceived(body.heldBytes(), worker.context().clock().nowMillis());
     }
 
-    /** Returns whether memory was reserved; otherwise reading pauses until it is, or the request is refused. */
-    private boolean reserve(long bytes) {
-        RequestBody waiting = body;
-        if (waiting.reserve(bytes, () -> worker.loop().execute(() -> memoryGranted(waiting)))) {
+    /** Unless memory was reserved, pauses reading until it is, or the request is refused. */
+    private boolean waitUnless(boolean reserved) {
+        if (reserved) {
             return true;
         }
         if (!isWaiting()) {
             worker.context().metrics().count("bodies.waited");
+            if (worker.context()
+                    .clients()
+                    .memory()
+                    .closeStalledBody(worker.context().clock().nowMillis())) {
+                worker.context().metrics().count("clients.closed.stalled-body");
+            }
             memoryTimeout = Optional.of(worker.loop()
                     .schedule(
                             () -> connection.bodyRefused("other bodies take the memory"),
@@ -93,11 +109,14 @@
         return false;
     }
 
+    /** Called on any thread. */
     private void memoryGranted(RequestBody granted) {
-        if (body == granted && isWaiting()) {
-            endWait();
-            connection.bodyAllowed();
-        }
+        worker.loop().execute(() -> {
+            if (body == granted && isWaiting()) {
+                endWait();
+                connection.bodyAllowed();
+            }
+        });
     }
 
     private void endWait() {
@@ -113,7 +132,7 @@
         endWait();
         RequestBody finished = body;
         finished.complete();
-        body = RequestBody.empty();
+        forgetBody();
         return finished;
     }
 
@@ -121,6 +140,11 @@
     void drop() {
         endWait();
         body.release();
+        forgetBody();
+    }
+
+    private void forgetBody() {
         body = RequestBody.empty();
+        connectionMemory.bodyReceived(0, worker.context().clock().nowMillis());
     }
 }
--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -1,54 +1,42 @@
 package org.snipewind.router.path;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ByteProcessor;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.List;
 import java.util.Optional;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.coordination.routing.CallerLimits;
 import org.snipewind.router.http.PendingBytes;
+import org.snipewind.router.memory.ConnectionMemory;
 
 /**
- * The connection of one caller: serves its requests and writes the responses in their order. Idempotent requests that
- * the caller sends ahead are served side by side; any other request is served alone.
+ * The connection of one caller: receives its requests, and writes the responses in their order.
  */
-final class CallerChannel extends ChannelInboundHandlerAdapter implements BodyReceiver.Connection {
+final class CallerChannel extends ChannelInboundHandlerAdapter
+        implements BodyReceiver.Connection, CallerRequestDecoder.Connection {
 
-    /** Number of unanswered requests at which reading from the connection pauses. */
-    private static final int MAX_PIPELINED_REQUESTS = 8;
-
-    /** Requests of one connection that are served at the same time, so that one caller can't fill the targets. */
-    private static final int MAX_CONCURRENT_REQUESTS = 4;
-
-    /** Longest time that a caller's next request takes from a new connection or the last response to its arrival. */
-    private static final long REQUEST_IN_TRANSIT_MILLIS = 200;
-
-    /** Longest time for which the rest of a refused request is read, which covers the upload of some megabytes. */
-    private static final long MAX_DISCARD_MILLIS = 5_000;
+    /** Undecoded bytes from which no more are read to learn of the caller's disconnection. */
+    private static final int MAX_UNDECODED_BYTES = 16 * 1024;
 
     private final Worker worker;
     private final CallerServer server;
-    private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
+    private final CallerExchanges exchanges;
     private ChannelHandlerContext channelContext;
     private HttpRequest requestHead;
     private final BodyReceiver bodyReceiver;
-    private boolean writing;
+    private final CallerActivity activity;
+    private final CallerRequestDecoder decoder;
+    private final ConnectionMemory memory;
+    private volatile boolean unused = true;
+    private Optional<CallerResponse> writing = Optional.empty();
 
     /** Whether further bytes of the caller are ignored, because the connection is closed after the responses. */
     private boolean closing;
@@ -56,25 +44,24 @@
     /** Whether the caller may still be sending a request that was refused. */
     private boolean requestUnread;
 
-    /** Time until which the rest of a refused request is read and dropped, -1 before its response is written. */
-    private long discardUntilMillis = -1;
-
-    private long lastActivityMillis;
-    private int unwrittenBytes;
-
-    /** Time at which the first bytes of an incomplete request arrived, -1 if there are none. */
-    private long messageStartMillis = -1;
-
     CallerChannel(Worker worker, CallerServer server) {
         this.worker = worker;
         this.server = server;
-        this.bodyReceiver = new BodyReceiver(worker, this);
+        this.exchanges = new CallerExchanges(() -> channelContext.channel().isActive(), server::isDraining);
+        this.activity = new CallerActivity(worker.context().clock());
+        this.decoder = new CallerRequestDecoder(worker.limits().maxHeaderBytes(), this);
+        this.memory =
+                worker.context().clients().memory().open(() -> worker.loop().execute(this::closeForMemory));
+        this.bodyReceiver = new BodyReceiver(worker, memory, this);
+    }
+
+    CallerRequestDecoder decoder() {
+        return decoder;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channelContext = context;
-        lastActivityMillis = nowMillis();
         worker.addChannel(this);
     }
 
@@ -82,25 +69,88 @@
         return worker;
     }
 
-    private long nowMillis() {
-        return worker.context().clock().nowMillis();
+    @Override
+    public void bytesReceived(ByteBuf bytes) {
+        activity.bytesReceived(bytes, requestHead != null);
     }
 
-    /**
-     * Records the arrival of bytes before they are decoded, so that the header timeout covers incomplete headers. Empty
-     * lines between requests belong to none (RFC 9112, section 2.2).
-     */
-    void onBytesReceived(ByteBuf bytes) {
-        boolean receiving = messageStartMillis >= 0 || requestHead != null;
-        if (closing || !receiving && bytes.forEachByte(ByteProcessor.FIND_NON_CRLF) < 0) {
+    @Override
+    public boolean mayDecode() {
+        return !exchanges.isFull();
+    }
+
+    @Override
+    public boolean isDropping() {
+        return closing;
+    }
+
+    @Override
+    public void decoded() {
+        updateMemory();
+        readingChanged();
+    }
+
+    @Override
+    public void emptyLinesExceeded() {
+        worker.context().metrics().count("clients.closed.empty-lines");
+        closing = true;
+        if (exchanges.isEmpty()) {
+            channelContext.close();
+        }
+    }
+
+    /** Tells the account what this connection takes; the account may close connections that take much. */
+    private void updateMemory() {
+        unused = exchanges.isEmpty() && !closing;
+        memory.update(heldBytes(), writing.isPresent() || requestHead != null || activity.isReceivingMessage());
+    }
+
+    /** Returns the memory that this connection takes, without large bodies, which have budgets of their own. */
+    long heldBytes() {
+        long headBytes = requestHead == null ? 0 : CallerExchange.headBytes(requestHead.uri(), requestHead.headers());
+        return decoder.heldBytes() + headBytes + bodyReceiver.smallBytes() + exchanges.heldBytes();
+    }
+
+    /** Refuses the request that is being received, or closes the connection if a response is left unread. */
+    private void closeForMemory() {
+        boolean receiving = requestHead != null || activity.isReceivingMessage();
+        if (writing.isEmpty() && !receiving) {
+            // The client has finished meanwhile, and a response now would belong to no request.
+            memory.closeDeferred();
+            return;
+        }
+        worker.context().metrics().count("clients.closed.memory");
+        if (writing.isPresent()) {
+            channelContext.close();
             return;
         }
-        lastActivityMillis = nowMillis();
-        if (messageStartMillis < 0) {
-            messageStartMillis = lastActivityMillis;
+        if (!exchanges.isEmpty()) {
+            memory.closeDeferred();
+        }
+        if (requestHead != null) {
+            bodyRefused("the connections of clients take too much memory");
+        } else {
+            refuseAndClose(ErrorKind.DAEMON_BYTES_LIMIT);
         }
     }
 
+    /** Closes the connection to make room for another one, unless a request of it is being served. */
+    void closeForConnections() {
+        if (exchanges.isEmpty()) {
+            worker.context().metrics().count("clients.closed.connections");
+            closing = true;
+            unused = false;
+            // The end of the connection is reported only later, and it must not count until then.
+            server.channelClosed(this);
+            channelContext.close();
+        }
+    }
+
+    /** Returns since when the connection has been idle, empty if it is not; may be called on any thread. */
+    Optional<Long> idleSinceMillis() {
+        return unused ? Optional.of(activity.lastActivityMillis()) : Optional.empty();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
         try {
@@ -120,60 +170,55 @@
 
     private void startRequest(HttpRequest request) {
         requestHead = request;
-        if (request.decoderResult().isFailure()) {
-            refuseUndecodable(request.decoderResult().cause());
-            return;
-        }
-        if (RequestFraming.isAmbiguous(request)) {
-            refuseAndClose(ErrorKind.MALFORMED_REQUEST);
-            return;
-        }
-        long announcedBytes = RequestFraming.announcedBodyBytes(request);
-        if (announcedBytes > worker.limits().maxBodyBytes()) {
-            refuseAndClose(ErrorKind.REQUEST_TOO_LARGE);
-            return;
+        Optional<ErrorKind> refusal = RequestFraming.refusalOf(request, worker.limits());
+        if (refusal.isPresent()) {
+            refuseAndClose(refusal.get());
+        } else {
+            bodyReceiver.start(RequestFraming.announcedBodyBytes(request));
         }
-        bodyReceiver.start(announcedBytes);
     }
 
     @Override
     public void bodyAllowed() {
-        lastActivityMillis = nowMillis();
+        activity.progressed();
         if (HttpUtil.is100ContinueExpected(requestHead) && bodyReceiver.length() == 0 && exchanges.isEmpty()) {
-            channelContext.writeAndFlush(new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            channelContext.writeAndFlush(CallerResponse.continuation());
         }
     }
 
     @Override
     public void readingChanged() {
-        boolean paused = exchanges.size() >= MAX_PIPELINED_REQUESTS || bodyReceiver.isWaiting();
+        boolean paused = !mayDecode() || bodyReceiver.isWaiting() || decoder.hasBacklog();
         channelContext.channel().config().setAutoRead(!paused);
+        if (mayDecode()) {
+            decoder.resume();
+        }
     }
 
     @Override
     public void bodyRefused(String reason) {
-        CallerRequest request =
-                new CallerRequest(requestHead.method(), requestHead.uri(), requestHead.headers(), RequestBody.empty());
+        CallerRequest request = receivedRequest(RequestBody.empty());
         String detail = reason + " received=" + bodyReceiver.length();
         endRequest();
         closing = true;
         requestUnread = true;
         CallerExchange exchange = new CallerExchange(this, request, true);
-        exchanges.addLast(exchange);
+        exchanges.add(exchange);
         exchange.refuseUnread(ErrorKind.DAEMON_BYTES_LIMIT, RequestClassifier.NOT_READY_RETRY_AFTER_MILLIS, detail);
     }
 
-    /** Forgets the request that was being received, and releases the memory of its body. */
+    /** Forgets the request that was being received, whose connection will be closed, and releases its memory. */
     private void endRequest() {
         bodyReceiver.drop();
+        decoder.abandon();
         requestHead = null;
-        messageStartMillis = -1;
+        activity.messageEnded();
+        updateMemory();
     }
 
     private void readContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            refuseUndecodable(content.decoderResult().cause());
+            refuseAndClose(RequestFraming.kindOf(content.decoderResult().cause()));
             return;
         }
         int receivedBytes = content.content().readableBytes();
@@ -185,77 +230,59 @@
             bodyReceiver.append(content.content());
         }
         if (content instanceof LastHttpContent) {
-            CallerRequest request = new CallerRequest(
-                    requestHead.method(), requestHead.uri(), requestHead.headers(), bodyReceiver.finish());
+            CallerRequest request = receivedRequest(bodyReceiver.finish());
             boolean last = !HttpUtil.isKeepAlive(requestHead);
             requestHead = null;
-            messageStartMillis = -1;
+            activity.messageEnded();
             enqueue(new CallerExchange(this, request, last));
         }
     }
 
+    private CallerRequest receivedRequest(RequestBody body) {
+        return new CallerRequest(requestHead.method(), requestHead.uri(), requestHead.headers(), body);
+    }
+
     private void enqueue(CallerExchange exchange) {
-        exchanges.addLast(exchange);
+        exchanges.add(exchange);
         closing |= exchange.isLastOnConnection();
         readingChanged();
         // The caller may have disconnected while the request waited in the socket buffer; this task runs only after the
         // end of the connection has been read.
-        worker.loop().execute(this::startRequests);
-    }
-
-    /**
-     * Starts the first request, and those behind it as long as all of them are idempotent. While the server drains, the
-     * requests behind the first one are not started: the caller learns from the close that they were not read.
-     */
-    private void startRequests() {
-        boolean first = true;
-        List<CallerExchange> startable =
-                exchanges.stream().limit(MAX_CONCURRENT_REQUESTS).toList();
-        for (CallerExchange exchange : startable) {
-            if (!channelContext.channel().isActive()) {
-                return;
-            }
-            if (!exchange.isStarted()) {
-                if (!first && (server.isDraining() || !exchange.isIdempotent())) {
-                    return;
-                }
-                exchange.start();
-            }
-            if (exchanges.size() > 1 && !exchange.isIdempotent()) {
-                return;
-            }
-            first = false;
-        }
+        worker.loop().execute(exchanges::start);
     }
 
     /** Writes the response to the first request if it is ready. */
     void writeNextResponse() {
-        CallerExchange exchange = exchanges.peekFirst();
-        if (writing || exchange == null || exchange.response().isEmpty()) {
+        updateMemory();
+        Optional<CallerExchange> first = exchanges.first();
+        if (writing.isPresent() || first.flatMap(CallerExchange::response).isEmpty()) {
             return;
         }
+        CallerExchange exchange = first.get();
         CallerResponse response = exchange.response().get();
-        boolean last = isLast(exchange);
+        boolean last = exchanges.isLast(exchange, closing);
         if (last) {
             response.announceClose();
             closing = true;
         }
-        writing = true;
-        unwrittenBytes = response.unwrittenBytes();
+        writing = Optional.of(response);
+        activity.responseStarted(response.unwrittenBytes());
+        updateMemory();
         server.responseWriteStarted();
         channelContext.writeAndFlush(response.message()).addListener(done -> {
             server.responseWriteEnded();
             response.releaseMemory();
-            writing = false;
-            lastActivityMillis = nowMillis();
+            writing = Optional.empty();
+            activity.progressed();
             exchanges.remove(exchange);
+            updateMemory();
             if (last && requestUnread && done.isSuccess()) {
                 discardRequest();
             } else if (last || !done.isSuccess()) {
                 channelContext.close();
             } else {
                 readingChanged();
-                startRequests();
+                exchanges.start();
                 writeNextResponse();
             }
         });
@@ -266,31 +293,22 @@
      * it, upon which the caller may lose the response.
      */
     private void discardRequest() {
-        discardUntilMillis = nowMillis() + MAX_DISCARD_MILLIS;
+        activity.discardStarted();
         channelContext.channel().config().setAutoRead(true);
         if (channelContext.channel() instanceof DuplexChannel duplexChannel) {
             duplexChannel.shutdownOutput();
         }
     }
 
-    /** Returns whether the connection is closed after a response: no request behind it has been started or may be. */
-    private boolean isLast(CallerExchange exchange) {
-        boolean startedBehind = exchanges.stream().anyMatch(other -> other != exchange && other.isStarted());
-        boolean closeRequested = closing && exchanges.size() == 1;
-        return exchange.isLastOnConnection() || closeRequested || server.isDraining() && !startedBehind;
-    }
-
     boolean isCallerPresent() {
         // Reads what has arrived so far; otherwise the loop would notice the end of the connection only after the
         // events of other connections.
-        PendingBytes.read(channelContext.channel());
+        if (decoder.undecodedBytes() < MAX_UNDECODED_BYTES) {
+            PendingBytes.read(channelContext.channel());
+        }
         return channelContext.channel().isActive();
     }
 
-    private void refuseUndecodable(Throwable cause) {
-        refuseAndClose(RequestFraming.kindOf(cause));
-    }
-
     private void refuseAndClose(ErrorKind kind) {
         closing = true;
         boolean respondingToHead = requestHead != null && HttpMethod.HEAD.equals(requestHead.method());
@@ -317,48 +335,39 @@
         if (!reading && !isCallerPresent()) {
             return;
         }
-        long now = nowMillis();
-        if (discardUntilMillis >= 0) {
-            if (now > discardUntilMillis) {
+        if (activity.isDiscarding()) {
+            if (activity.isDiscardOver()) {
                 channelContext.close();
             }
             return;
         }
         CallerLimits limits = worker.limits();
-        if (isWriteStalled(now, limits)) {
+        if (isWriteStalled(limits)) {
             worker.context().metrics().count("callers.stalled");
             channelContext.close();
-        } else if (messageStartMillis >= 0 && requestHead == null && exchanges.isEmpty()) {
-            if (now - messageStartMillis > limits.headerTimeoutMillis()) {
+        } else if (activity.isReceivingMessage() && requestHead == null && exchanges.isEmpty()) {
+            if (activity.isHeadLate(limits)) {
                 refuseAndClose(ErrorKind.REQUEST_TIMEOUT);
             }
-        } else if (requestHead != null && now - lastActivityMillis > limits.headerTimeoutMillis()) {
+        } else if (requestHead != null && activity.isBodyLate(limits)) {
             refuseAndClose(ErrorKind.REQUEST_TIMEOUT);
-        } else if (isIdle() && now - lastActivityMillis > limits.idleTimeoutMillis()) {
+        } else if (isIdle() && activity.isIdleTooLong(limits)) {
             channelContext.close();
         }
     }
 
-    /** Returns whether the caller has not taken any part of the response for the idle timeout. */
-    private boolean isWriteStalled(long now, CallerLimits limits) {
-        if (!writing) {
-            return false;
-        }
-        int unwritten = exchanges.getFirst().response().orElseThrow().unwrittenBytes();
-        if (unwritten != unwrittenBytes) {
-            unwrittenBytes = unwritten;
-            lastActivityMillis = now;
-        }
-        return now - lastActivityMillis > limits.idleTimeoutMillis();
+    private boolean isWriteStalled(CallerLimits limits) {
+        return writing.filter(response -> activity.isWriteStalled(response.unwrittenBytes(), limits))
+                .isPresent();
     }
 
     private boolean isIdle() {
-        return exchanges.isEmpty() && requestHead == null && messageStartMillis < 0;
+        return exchanges.isEmpty() && requestHead == null && !activity.isReceivingMessage();
     }
 
     /** Closes the connection unless a request is being received or served, or may be on its way. */
     void closeIfIdle() {
-        if (isIdle() && nowMillis() - lastActivityMillis >= REQUEST_IN_TRANSIT_MILLIS) {
+        if (isIdle() && activity.isQuiet()) {
             closing = true;
             channelContext.close();
         }
@@ -366,17 +375,17 @@
 
     /** Answers the requests in progress, because the process is about to end. */
     void endRequests() {
-        List.copyOf(exchanges).forEach(CallerExchange::endForShutdown);
+        exchanges.endForShutdown();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
         endRequest();
+        memory.release();
         worker.removeChannel(this);
         server.channelClosed(this);
-        exchanges.forEach(CallerExchange::cancel);
-        exchanges.clear();
+        exchanges.cancel();
     }
 
     @Override
--- a/router/src/main/java/org/snipewind/router/path/CallerExchange.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerExchange.java
@@ -1,11 +1,14 @@
 package org.snipewind.router.path;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Optional;
 import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.router.http.BufferMemory;
 import org.snipewind.router.http.BufferedResponse;
 import org.snipewind.router.log.RouterEvent;
+import org.snipewind.router.memory.CountingHeaders;
 
 /**
  * One request on a caller's connection and its response, which is written after the responses to the requests before
@@ -13,6 +16,9 @@
  */
 final class CallerExchange implements Responder {
 
+    /** Memory of a request besides its head and body. */
+    private static final int BASE_BYTES = 1_024;
+
     private final CallerChannel channel;
     private final CallerRequest request;
     private final boolean lastOnConnection;
@@ -44,6 +50,19 @@
         return idempotent.get();
     }
 
+    /** Returns the memory of the request and of its response as far as budgets for large bodies don't count it. */
+    long heldBytes() {
+        return headBytes(request.uri(), request.headers())
+                + Math.min(request.body().heldBytes(), ClientResources.SMALL_REQUEST_BYTES)
+                + response.map(ready -> Math.min(ready.unwrittenBytes(), BufferMemory.SMALL_BYTES))
+                        .orElse(0);
+    }
+
+    /** Returns the memory of a request's head. */
+    static long headBytes(String uri, HttpHeaders headers) {
+        return BASE_BYTES + uri.length() + (headers instanceof CountingHeaders counted ? counted.heldBytes() : 0);
+    }
+
     Optional<CallerResponse> response() {
         return response;
     }
--- a/router/src/main/java/org/snipewind/router/path/CallerResponse.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerResponse.java
@@ -67,6 +67,11 @@
         return new CallerResponse(message, Optional.empty());
     }
 
+    /** Creates the interim response that asks a caller to send the body. */
+    static FullHttpResponse continuation() {
+        return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
+    }
+
     /** Announces that the connection is closed after this response. */
     void announceClose() {
         message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/router/src/main/java/org/snipewind/router/path/CallerServer.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerServer.java
@@ -1,33 +1,32 @@
 package org.snipewind.router.path;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.snipewind.coordination.routing.CallerLimits;
-import org.snipewind.coordination.routing.RoutingConfiguration;
 
 /** Accepts the connections of callers and distributes them over the workers. */
 public final class CallerServer {
 
     private static final int BACKLOG = 1_024;
 
+    /** Sizes of receive buffers; the largest is also what a connection keeps undecoded while reading pauses. */
+    private static final int MIN_READ_BYTES = 64;
+
+    private static final int FIRST_READ_BYTES = 2_048;
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
     private final EventLoopGroup acceptorLoops;
     private final EventLoopGroup workerLoops;
     private final RoutingContext context;
@@ -66,7 +65,9 @@
                 // Reads until the socket is empty, so that the end of a connection is noticed along with its last
                 // request.
                 .childOption(
-                        ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                                .respectMaybeMoreData(false))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel accepted) {
@@ -80,43 +81,26 @@
     }
 
     private void initialize(Channel accepted) {
+        if (channels.size() >= context.clients().maxConnections()) {
+            makeRoom();
+        }
         Worker worker = workers.computeIfAbsent(accepted.eventLoop(), loop -> new Worker((EventLoop) loop, context));
         CallerChannel channel = new CallerChannel(worker, this);
         channels.add(channel);
-        int maxHeaderBytes = context.tracker()
-                .view()
-                .configuration()
-                .map(RoutingConfiguration::limits)
-                .orElse(CallerLimits.DEFAULT)
-                .maxHeaderBytes();
-        accepted.pipeline()
-                .addLast(
-                        new ChannelInboundHandlerAdapter() {
-                            @Override
-                            public void channelRead(ChannelHandlerContext handlerContext, Object message) {
-                                if (message instanceof ByteBuf bytes) {
-                                    channel.onBytesReceived(bytes);
-                                }
-                                handlerContext.fireChannelRead(message);
-                            }
-                        },
-                        new StrictRequestDecoder(maxHeaderBytes),
-                        new HttpResponseEncoder(),
-                        channel);
+        accepted.pipeline().addLast(channel.decoder(), new HttpResponseEncoder(), channel);
     }
 
-    /** Rejects messages with two framings, whereas the base class drops one of the two. */
-    private static final class StrictRequestDecoder extends HttpRequestDecoder {
-        StrictRequestDecoder(int maxHeaderBytes) {
-            super(new HttpDecoderConfig()
-                    .setMaxInitialLineLength(maxHeaderBytes)
-                    .setMaxHeaderSize(maxHeaderBytes)
-                    .setAllowDuplicateContentLengths(false));
-        }
-
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("both Content-Length and Transfer-Encoding are set");
+    /**
+     * Closes a connection, so that file descriptors are left for targets and the store: the one with the most costly
+     * unfinished request, or else the one that has been idle for longest.
+     */
+    private void makeRoom() {
+        if (!context.clients().memory().closeMostCostly()) {
+            channels.stream()
+                    .filter(channel -> channel.idleSinceMillis().isPresent())
+                    .min(Comparator.comparingLong(
+                            channel -> channel.idleSinceMillis().orElse(Long.MAX_VALUE)))
+                    .ifPresent(channel -> channel.worker().runOnLoop(channel::closeForConnections));
         }
     }
 
--- a/router/src/main/java/org/snipewind/router/path/RequestFraming.java
+++ b/router/src/main/java/org/snipewind/router/path/RequestFraming.java
@@ -7,7 +7,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.util.Optional;
 import org.snipewind.coordination.error.ErrorKind;
+import org.snipewind.coordination.routing.CallerLimits;
 
 /** How the end of a caller's request is found. */
 final class RequestFraming {
@@ -18,7 +20,7 @@
      * Returns whether the router and a target could disagree on where the request ends: with two framings or an unknown
      * transfer coding, a second request could be smuggled in.
      */
-    static boolean isAmbiguous(HttpRequest request) {
+    private static boolean isAmbiguous(HttpRequest request) {
         HttpHeaders headers = request.headers();
         return isChunked(request)
                         && !HttpHeaderValues.CHUNKED
@@ -28,6 +30,19 @@
                 || headers.getAll(HttpHeaderNames.HOST).size() > 1;
     }
 
+    /** Returns why a request is refused before its body is received, empty if it is not. */
+    static Optional<ErrorKind> refusalOf(HttpRequest request, CallerLimits limits) {
+        if (request.decoderResult().isFailure()) {
+            return Optional.of(kindOf(request.decoderResult().cause()));
+        }
+        if (isAmbiguous(request)) {
+            return Optional.of(ErrorKind.MALFORMED_REQUEST);
+        }
+        return announcedBodyBytes(request) > limits.maxBodyBytes()
+                ? Optional.of(ErrorKind.REQUEST_TOO_LARGE)
+                : Optional.empty();
+    }
+
     /** Returns the announced length of the body, -1 if the body is sent in chunks. */
     static long announcedBodyBytes(HttpRequest request) {
         return isChunked(request) ? -1 : HttpUtil.getContentLength(request, 0L);
--- a/router/src/main/java/org/snipewind/router/path/RoutingContext.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutingContext.java
@@ -14,6 +14,7 @@
  * @param sharedState retry budgets, cold-start rate limits and load counts
  * @param rateLimiter enforces the rate limits of organisations
  * @param requestMemory memory for the bodies of callers' requests
+ * @param clients what else the connections of callers may take
  * @param responseMemory memory for the responses of targets
  * @param headerCodec reads and writes the headers of requests and responses
  * @param clock clock for deadlines
@@ -26,6 +27,7 @@
         SharedRoutingState sharedState,
         OrganisationRateLimiter rateLimiter,
         BufferMemory requestMemory,
+        ClientResources clients,
         BufferMemory responseMemory,
         HeaderCodec headerCodec,
         MillisClock clock,
--- a/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
+++ b/router/src/test/java/org/snipewind/router/path/RoutingFixture.java
@@ -41,6 +41,7 @@
 import org.snipewind.router.http.BufferMemory;
 import org.snipewind.router.http.BufferedResponse;
 import org.snipewind.router.log.RouterEventLog;
+import org.snipewind.router.memory.ClientMemory;
 import org.snipewind.router.metrics.ProcessMetrics;
 import org.snipewind.router.port.HeaderCodec;
 import org.snipewind.router.port.RequestHeaders;
@@ -59,6 +60,12 @@
     static final long MAX_WAIT_MILLIS = 5_000;
     static final long MAX_RESPONSE_MEMORY_BYTES = 1 << 20;
     static final long MAX_REQUEST_MEMORY_BYTES = 1 << 20;
+    static final long MAX_CLIENT_MEMORY_BYTES = 1 << 20;
+    private static final int MAX_CONNECTIONS = 100;
+
+    /** Bodies are kept on the heap only. */
+    private static final long LARGE_BODY_BYTES = 0;
+
     private static final long SMALL_REQUEST_BYTES = 32 * 1024;
 
     final MillisClock clock = new SystemMillisClock();
@@ -90,6 +97,8 @@
                     loop,
                     request -> CompletableFuture.completedFuture(new BudgetGrant(true, request.tokens(), 0))),
             new BufferMemory(MAX_REQUEST_MEMORY_BYTES, SMALL_REQUEST_BYTES),
+            new ClientResources(
+                    new ClientMemory(MAX_CLIENT_MEMORY_BYTES), new BufferMemory(LARGE_BODY_BYTES, 0), MAX_CONNECTIONS),
             new BufferMemory(MAX_RESPONSE_MEMORY_BYTES),
             new TestHeaderCodec(),
             clock,
