Pause accepting while accepted connections wait for a worker

Cause: callers' connections count towards their limit only once their worker has initialized them, so a burst of 250 idle clients took all 256 descriptors.

Change: CallerServer stops accepting while 16 connections have no worker yet.

FramingHeadersTest, DaemonTest, DaemonFaultTest, CatalogueTest, RouterEventCatalogueTest, PlannedStopTest, CallerWorkTest, CallerRequestFuzzTest, PipelinedRequestsTest and LargeRequestsTest pass.

--- a/router/src/main/java/org/snipewind/router/path/CallerServer.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerServer.java
@@ -3,6 +3,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -21,6 +23,9 @@
 
     private static final int BACKLOG = 1_024;
 
+    /** Accepted connections without a worker, which use descriptors beyond the limit on connections. */
+    private static final int MAX_UNINITIALIZED = 16;
+
     /** Sizes of receive buffers; the largest is also what a connection keeps undecoded while reading pauses. */
     private static final int MIN_READ_BYTES = 64;
 
@@ -33,6 +38,10 @@
     private final Map<EventLoop, Worker> workers = new ConcurrentHashMap<>();
     private final Set<CallerChannel> channels = ConcurrentHashMap.newKeySet();
     private final AtomicInteger responsesBeingWritten = new AtomicInteger();
+
+    /** Connections that were accepted and have no worker yet. */
+    private final AtomicInteger uninitialized = new AtomicInteger();
+
     private Channel listenChannel;
     private volatile boolean draining;
 
@@ -61,6 +70,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .handler(new AcceptLimit())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Reads until the socket is empty, so that the end of a connection is noticed along with its last
                 // request.
@@ -71,6 +81,9 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel accepted) {
+                        if (uninitialized.decrementAndGet() < MAX_UNINITIALIZED) {
+                            accepted.parent().config().setAutoRead(true);
+                        }
                         initialize(accepted);
                     }
                 })
@@ -80,6 +93,21 @@
         return (InetSocketAddress) listenChannel.localAddress();
     }
 
+    /** Accepts no more connections while the workers are behind, since those count only once they are initialized. */
+    private final class AcceptLimit extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext listenerContext, Object message) {
+            if (uninitialized.incrementAndGet() >= MAX_UNINITIALIZED) {
+                listenerContext.channel().config().setAutoRead(false);
+                // The workers may have caught up between the two steps, and none would go on accepting.
+                if (uninitialized.get() < MAX_UNINITIALIZED) {
+                    listenerContext.channel().config().setAutoRead(true);
+                }
+            }
+            listenerContext.fireChannelRead(message);
+        }
+    }
+
     private void initialize(Channel accepted) {
         if (channels.size() >= context.clients().maxConnections()) {
             makeRoom();
