--- a/router/src/main/java/org/snipewind/router/Router.java
+++ b/router/src/main/java/org/snipewind/router/Router.java
@@ -25,6 +25,7 @@
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
 import org.snipewind.router.path.CallerServer;
+import org.snipewind.router.path.ClientResources;
 import org.snipewind.router.path.OrganisationRateLimiter;
 import org.snipewind.router.path.RoutingContext;
 import org.snipewind.router.path.SharedRoutingState;
@@ -64,9 +65,6 @@
     /** Fraction of the heap for the bodies of requests. */
     private static final double REQUEST_MEMORY_FRACTION = 0.25;
 
-    /** Size up to which the body of a request is received at once, however many large ones wait. */
-    private static final long SMALL_REQUEST_BYTES = 32 * 1024;
-
     private static final long STOP_CHECK_INTERVAL_MILLIS = 20;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -89,8 +87,9 @@
     private final StoreChangeBroadcaster changeBroadcaster;
     private final SharedRoutingState sharedState;
     private final CallerServer callers;
-    private final BufferMemory requestMemory =
-            new BufferMemory((long) (Runtime.getRuntime().maxMemory() * REQUEST_MEMORY_FRACTION), SMALL_REQUEST_BYTES);
+    private final BufferMemory requestMemory = new BufferMemory(
+            (long) (Runtime.getRuntime().maxMemory() * REQUEST_MEMORY_FRACTION), ClientResources.SMALL_REQUEST_BYTES);
+    private final ClientResources clients;
     private final BufferMemory responseMemory =
             new BufferMemory((long) (Runtime.getRuntime().maxMemory() * RESPONSE_MEMORY_FRACTION));
     private volatile boolean stopping;
@@ -119,12 +118,7 @@
         OutboundHttpClient httpClient =
                 new OutboundHttpClient(controlLoop, clock, new UnsolicitedBytesReporter(metrics, log));
         CoordinationStore store = storeFactory.apply(httpClient);
-        MemberRecord self = new MemberRecord(
-                settings.name(),
-                UUID.randomUUID().toString(),
-                hostAndPort(settings.peers()),
-                settings.dataCentre(),
-                CandidatePriority.capacity(settings.processorCores(), settings.linkMegabits()));
+        MemberRecord self = newMember(settings);
         tracker = new FleetTracker(itemParser, clock, log);
         tracker.setControlLoop(controlLoop);
         storeCache = new StoreCache(store, controlLoop, clock, log, tracker);
@@ -164,6 +158,8 @@
                 self);
         rolloutReporter = createRolloutReporter(store, itemParser, self);
         tracker.addObserver(sharedState::onViewChanged);
+        clients =
+                ClientResources.of(settings.memoryBytes(), Runtime.getRuntime().maxMemory(), DescriptorLimit.read(log));
         callers = new CallerServer(controlGroup, workerGroup, routingContext(createRateLimiter(), headerCodec));
         activityLog = new ActivityLog(metrics, log, clock, this::describeView);
         registerGauges();
@@ -175,6 +171,7 @@
                 sharedState,
                 rateLimiter,
                 requestMemory,
+                clients,
                 responseMemory,
                 headerCodec,
                 clock,
@@ -200,6 +197,15 @@
                 network, tracker, sharedState.versions().evidence(), service, controlLoop, log, self);
     }
 
+    private static MemberRecord newMember(RouterSettings settings) {
+        return new MemberRecord(
+                settings.name(),
+                UUID.randomUUID().toString(),
+                hostAndPort(settings.peers()),
+                settings.dataCentre(),
+                CandidatePriority.capacity(settings.processorCores(), settings.linkMegabits()));
+    }
+
     private void onTermStart(long formerTermEndMillis, Optional<MemberRecord> formerLeader) {
         leaderService.onTermStart(formerTermEndMillis, formerLeader);
         changeBroadcaster.onTermStart();
@@ -248,6 +254,9 @@
         metrics.gauge("fleet.members", () -> tracker.view().members().size());
         metrics.gauge("fleet.targets", () -> tracker.view().targets().size());
         metrics.gauge("requests.reserved-bytes", requestMemory::reservedBytes);
+        metrics.gauge(
+                "requests.large-reserved-bytes", () -> clients.largeBodies().reservedBytes());
+        metrics.gauge("clients.held-bytes", () -> clients.memory().heldBytes());
         metrics.gauge("responses.reserved-bytes", responseMemory::reservedBytes);
         metrics.gauge("store.contact-age-millis", storeCache::contactAgeMillis);
         metrics.gauge("store.confirmation-age-millis", storeCache::ageMillis);
@@ -273,12 +282,14 @@
                 ActivityLog.INTERVAL_MILLIS,
                 ActivityLog.INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
-        new TextServer(controlGroup, uri -> CompletableFuture.completedFuture(readiness())).start(settings.readiness());
+        new TextServer(controlGroup, metrics, uri -> CompletableFuture.completedFuture(readiness()))
+                .start(settings.readiness());
         ExplainRoutePage explainRoute =
                 new ExplainRoutePage(callers::explain, tracker, storeCache, clock, log, settings.name());
         InternalPages internalPages = new InternalPages(metrics, tracker, clock);
         new TextServer(
                         controlGroup,
+                        metrics,
                         uri -> explainRoute
                                 .serve(uri)
                                 .orElseGet(() -> CompletableFuture.completedFuture(internalPages.page(uri))))
--- a/router/src/main/java/org/snipewind/router/path/CallerServer.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerServer.java
@@ -1,7 +1,6 @@
 package org.snipewind.router.path;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,30 +10,39 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.snipewind.coordination.routing.CallerLimits;
-import org.snipewind.coordination.routing.RoutingConfiguration;
 
 /** Accepts the connections of callers and distributes them over the workers. */
 public final class CallerServer {
 
     private static final int BACKLOG = 1_024;
 
+    /** Accepted connections without a worker, which use descriptors beyond the limit on connections. */
+    private static final int MAX_UNINITIALIZED = 16;
+
+    /** Sizes of receive buffers; the largest is also what a connection keeps undecoded while reading pauses. */
+    private static final int MIN_READ_BYTES = 64;
+
+    private static final int FIRST_READ_BYTES = 2_048;
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
     private final EventLoopGroup acceptorLoops;
     private final EventLoopGroup workerLoops;
     private final RoutingContext context;
     private final Map<EventLoop, Worker> workers = new ConcurrentHashMap<>();
     private final Set<CallerChannel> channels = ConcurrentHashMap.newKeySet();
     private final AtomicInteger responsesBeingWritten = new AtomicInteger();
+
+    /** Connections that were accepted and have no worker yet. */
+    private final AtomicInteger uninitialized = new AtomicInteger();
+
     private Channel listenChannel;
     private volatile boolean draining;
 
@@ -63,14 +71,20 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .handler(new AcceptLimit())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Reads until the socket is empty, so that the end of a connection is noticed along with its last
                 // request.
                 .childOption(
-                        ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false))
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                                .respectMaybeMoreData(false))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel accepted) {
+                        if (uninitialized.decrementAndGet() < MAX_UNINITIALIZED) {
+                            accepted.parent().config().setAutoRead(true);
+                        }
                         initialize(accepted);
                     }
                 })
@@ -80,30 +94,29 @@
         return (InetSocketAddress) listenChannel.localAddress();
     }
 
+    /** Accepts no more connections while the workers are behind, since those count only once they are initialized. */
+    private final class AcceptLimit extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext listenerContext, Object message) {
+            if (uninitialized.incrementAndGet() >= MAX_UNINITIALIZED) {
+                listenerContext.channel().config().setAutoRead(false);
+                // The workers may have caught up between the two steps, and none would go on accepting.
+                if (uninitialized.get() < MAX_UNINITIALIZED) {
+                    listenerContext.channel().config().setAutoRead(true);
+                }
+            }
+            listenerContext.fireChannelRead(message);
+        }
+    }
+
     private void initialize(Channel accepted) {
+        if (channels.size() >= context.clients().maxConnections()) {
+            makeRoom();
+        }
         Worker worker = worker(accepted.eventLoop());
         CallerChannel channel = new CallerChannel(worker, this);
         channels.add(channel);
-        int maxHeaderBytes = context.tracker()
-                .view()
-                .configuration()
-                .map(RoutingConfiguration::limits)
-                .orElse(CallerLimits.DEFAULT)
-                .maxHeaderBytes();
-        accepted.pipeline()
-                .addLast(
-                        new ChannelInboundHandlerAdapter() {
-                            @Override
-                            public void channelRead(ChannelHandlerContext handlerContext, Object message) {
-                                if (message instanceof ByteBuf bytes) {
-                                    channel.onBytesReceived(bytes);
-                                }
-                                handlerContext.fireChannelRead(message);
-                            }
-                        },
-                        new StrictRequestDecoder(maxHeaderBytes),
-                        new HttpResponseEncoder(),
-                        channel);
+        accepted.pipeline().addLast(channel.decoder(), new HttpResponseEncoder(), channel);
     }
 
     private Worker worker(EventLoop eventLoop) {
@@ -121,18 +134,17 @@
         return CompletableFuture.supplyAsync(() -> new RouteExplainer(worker).explain(request), worker::runOnLoop);
     }
 
-    /** Rejects messages with two framings, whereas the base class drops one of the two. */
-    private static final class StrictRequestDecoder extends HttpRequestDecoder {
-        StrictRequestDecoder(int maxHeaderBytes) {
-            super(new HttpDecoderConfig()
-                    .setMaxInitialLineLength(maxHeaderBytes)
-                    .setMaxHeaderSize(maxHeaderBytes)
-                    .setAllowDuplicateContentLengths(false));
-        }
-
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("both Content-Length and Transfer-Encoding are set");
+    /**
+     * Closes a connection, so that file descriptors are left for targets and the store: the one with the most costly
+     * unfinished request, or else the one that has been idle for longest.
+     */
+    private void makeRoom() {
+        if (!context.clients().memory().closeMostCostly()) {
+            channels.stream()
+                    .filter(channel -> channel.idleSinceMillis().isPresent())
+                    .min(Comparator.comparingLong(
+                            channel -> channel.idleSinceMillis().orElse(Long.MAX_VALUE)))
+                    .ifPresent(channel -> channel.worker().runOnLoop(channel::closeForConnections));
         }
     }
 
