--- a/review/lib/Daemons.java
+++ b/review/lib/Daemons.java
@@ -86,7 +86,6 @@
         values.put("internal_ports", internal + "," + (internal + 1));
         values.put("platform_api.address", "127.0.0.1:" + storePort);
         values.put("limits.cpu_share", "0.6");
-        values.put("limits.memory_mb", "290");
         values.put("limits.cpu_cores", "1");
         values.put("limits.link_mbps", "1000.0");
         values.put("bounds.grace", "6s");
