--- a/router/src/main/java/org/snipewind/router/path/CallerRequestDecoder.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerRequestDecoder.java
@@ -131,12 +131,11 @@
         });
     }
 
-    /** Decodes what was left undecoded as no requests were wanted, in a task of its own. */
+    /** Decodes in a later turn what was left undecoded as no requests were wanted. */
     void resume() {
-        if (blocked && !turnScheduled) {
+        if (blocked) {
             blocked = false;
-            turnScheduled = true;
-            context.orElseThrow().executor().execute(this::nextTurn);
+            context.ifPresent(this::scheduleNextTurn);
         }
     }
 
