Give the reason for a missing target its own file, and reword comments

Change: NoTarget is a class of its own; reworded comments; neutral keys in the simulated fleet.

Result: compiled; behaviour unchanged.

--- a/coordination/src/main/java/org/snipewind/coordination/admission/ReturnWindow.java
+++ b/coordination/src/main/java/org/snipewind/coordination/admission/ReturnWindow.java
@@ -14,7 +14,7 @@
     private static final double MAX_FRACTION_OF_REMAINING = 1.0 / 3;
 
     /**
-     * Part of the window that is left out at its beginning. Callers have few retries, and the estimate of the earliest
+     * Part of the window that is not used at its beginning. Callers have few retries, and the estimate of the earliest
      * time assumes that no other request takes the place.
      */
     private static final double UNUSED_FRACTION = 0.5;
--- a/coordination/src/main/java/org/snipewind/coordination/rollout/RolloutPhase.java
+++ b/coordination/src/main/java/org/snipewind/coordination/rollout/RolloutPhase.java
@@ -16,7 +16,7 @@
     /**
      * Returns whether the roll-out goes on.
      *
-     * @return true as long as the version is neither introduced for good nor given up
+     * @return true as long as the version is neither completed nor rolled back
      */
     public boolean isInProgress() {
         return this == CANARY || this == RAMP || this == FULL;
--- a/router/src/main/java/org/snipewind/router/path/PoolExplanation.java
+++ b/router/src/main/java/org/snipewind/router/path/PoolExplanation.java
@@ -11,8 +11,7 @@
  * @param result the target, or the reason why there is none
  * @param targets all registered targets of the pool
  */
-record PoolExplanation(
-        Either<TargetResolver.NoTarget, TargetState> result, List<PoolExplanation.ExplainedTarget> targets) {
+record PoolExplanation(Either<NoTarget, TargetState> result, List<PoolExplanation.ExplainedTarget> targets) {
 
     /**
      * A registered target of the pool.
--- a/router/src/main/java/org/snipewind/router/path/RequestAdmission.java
+++ b/router/src/main/java/org/snipewind/router/path/RequestAdmission.java
@@ -110,7 +110,7 @@
     }
 
     /** Returns when the caller should return after a refusal without a target. */
-    long returnAfterMillis(TargetResolver.NoTarget noTarget) {
+    long returnAfterMillis(NoTarget noTarget) {
         long now = context.clock().nowMillis();
         if (noTarget.kind() == ErrorKind.POOL_UNAVAILABLE) {
             return returnAfterMillis(0, Optional.empty());
--- a/router/src/main/java/org/snipewind/router/path/RoomWait.java
+++ b/router/src/main/java/org/snipewind/router/path/RoomWait.java
@@ -12,7 +12,7 @@
     private final RoutedRequest request;
     private final RequestAdmission admission;
     private final String pool;
-    private Optional<TargetResolver.NoTarget> lackOfRoom = Optional.empty();
+    private Optional<NoTarget> lackOfRoom = Optional.empty();
 
     RoomWait(Worker worker, RoutedRequest request, RequestAdmission admission, String pool) {
         this.worker = worker;
@@ -28,7 +28,7 @@
      * @param heldSinceMillis time since which the request is held
      * @return false if the request has to be refused
      */
-    boolean begin(TargetResolver.NoTarget noTarget, long heldSinceMillis) {
+    boolean begin(NoTarget noTarget, long heldSinceMillis) {
         if (noTarget.untilRoomMillis().isEmpty()) {
             return false;
         }
@@ -56,13 +56,13 @@
         if (!request.checkCallerPresent()) {
             return true;
         }
-        Either<TargetResolver.NoTarget, TargetState> found = request.selectTarget();
+        Either<NoTarget, TargetState> found = request.selectTarget();
         if (found.isRight()) {
             count("admission.sent-after-wait");
             request.send(found.get());
             return true;
         }
-        TargetResolver.NoTarget noTarget = found.getLeft();
+        NoTarget noTarget = found.getLeft();
         if (noTarget.untilRoomMillis().isPresent()
                 && admission.mayWaitFor(noTarget.untilRoomMillis().getAsDouble())) {
             lackOfRoom = Optional.of(noTarget);
--- a/router/src/main/java/org/snipewind/router/path/RouteExplainer.java
+++ b/router/src/main/java/org/snipewind/router/path/RouteExplainer.java
@@ -183,8 +183,7 @@
                         + " if there is none";
     }
 
-    private void addResult(
-            Map<String, Object> fields, Either<TargetResolver.NoTarget, TargetState> result, long allowedMillis) {
+    private void addResult(Map<String, Object> fields, Either<NoTarget, TargetState> result, long allowedMillis) {
         result.peek(target -> {
                     fields.put(OUTCOME, "send");
                     fields.put("target", target.registration().id());
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -209,7 +209,7 @@
         selectTarget().peek(this::send).peekLeft(this::handleNoTarget);
     }
 
-    Either<TargetResolver.NoTarget, TargetState> selectTarget() {
+    Either<NoTarget, TargetState> selectTarget() {
         QueueAllowance allowance = admission.allowance();
         return pool.keyed()
                 ? worker.targetResolver().resolveOwner(pool, headers.shardKey().getAsInt(), allowance)
@@ -238,23 +238,23 @@
     }
 
     /** Has the request wait for the owner of its key or for room at a target, or refuses it. */
-    void handleNoTarget(TargetResolver.NoTarget noTarget) {
+    void handleNoTarget(NoTarget noTarget) {
         if (activeAttempts.isEmpty() && !waitForOwner(noTarget) && !waitForRoom(noTarget)) {
             refuseWithoutTarget(noTarget);
         }
     }
 
-    private boolean waitForOwner(TargetResolver.NoTarget noTarget) {
+    private boolean waitForOwner(NoTarget noTarget) {
         OptionalLong leastWaitMillis = noTarget.ownerExpectedMillis();
         return leastWaitMillis.isPresent() && ownerWait.begin(noTarget.kind(), leastWaitMillis.getAsLong());
     }
 
-    private boolean waitForRoom(TargetResolver.NoTarget noTarget) {
+    private boolean waitForRoom(NoTarget noTarget) {
         return roomWait.begin(
                 noTarget, attempts == 0 ? arrivedMillis : context.clock().nowMillis());
     }
 
-    void refuseWithoutTarget(TargetResolver.NoTarget noTarget) {
+    void refuseWithoutTarget(NoTarget noTarget) {
         refuseIfNoneActive(noTarget.kind(), () -> admission.returnAfterMillis(noTarget), noTarget.detail());
     }
 
@@ -357,11 +357,11 @@
             refuseAfter(attempt.target(), kind, detail);
             return;
         }
-        Optional<TargetResolver.NoTarget> ownerRefusal = pool.keyed() ? findOwnerRefusal() : Optional.empty();
+        Optional<NoTarget> ownerRefusal = pool.keyed() ? findOwnerRefusal() : Optional.empty();
         if (ownerRefusal.isPresent()) {
             // A retry now would use up the budget and be refused by the owner.
             unpaidRetryReason = possiblyReceived ? Optional.of(kind.wireName()) : Optional.empty();
-            TargetResolver.NoTarget noTarget = ownerRefusal.get().withDetail(detail);
+            NoTarget noTarget = ownerRefusal.get().withDetail(detail);
             if (!waitForRoom(noTarget)) {
                 refuseWithoutTarget(noTarget);
             }
@@ -379,11 +379,11 @@
     }
 
     /** Returns why the owner of the key takes no requests now although it is in service, empty if it does. */
-    private Optional<TargetResolver.NoTarget> findOwnerRefusal() {
+    private Optional<NoTarget> findOwnerRefusal() {
         return worker.targetResolver()
                 .findOwner(pool, headers.shardKey().getAsInt(), admission.allowance())
-                .fold(Optional::of, owner -> Optional.<TargetResolver.NoTarget>empty())
-                .filter(TargetResolver.NoTarget::isRefusedByOwner);
+                .fold(Optional::of, owner -> Optional.<NoTarget>empty())
+                .filter(NoTarget::isRefusedByOwner);
     }
 
     /**
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -6,10 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.snipewind.coordination.admission.QueueAllowance;
@@ -24,7 +21,6 @@
 import org.snipewind.coordination.target.Selection;
 import org.snipewind.coordination.target.SpilloverReason;
 import org.snipewind.coordination.target.SpilloverRequest;
-import org.snipewind.coordination.target.TargetNotices;
 import org.snipewind.coordination.target.TargetState;
 import org.snipewind.router.state.FleetView;
 
@@ -52,67 +48,6 @@
     /** Most requests that may wait for each slot of a target; in longer queues they would exceed their deadlines. */
     private static final double MAX_QUEUED_PER_SLOT = 2.5;
 
-    /**
-     * The reason why a request has no target at present.
-     *
-     * @param kind error kind for the caller
-     * @param retryAfterMillis time after which the caller should retry; without room, the least time after which other
-     *     instances may find room, 0 if it is not known
-     * @param detail inputs of the decision, for the log
-     * @param ownerExpectedMillis least time after which the owner of the key is expected to take requests, empty if
-     *     waiting does not help
-     * @param untilRoomMillis least time after which a target is expected to have room, empty if this is not the reason
-     * @param holder the only target that can serve the request, empty if any target of the pool can
-     */
-    record NoTarget(
-            ErrorKind kind,
-            long retryAfterMillis,
-            String detail,
-            OptionalLong ownerExpectedMillis,
-            OptionalDouble untilRoomMillis,
-            Optional<TargetState> holder) {
-
-        NoTarget(ErrorKind kind, long retryAfterMillis, String detail, OptionalLong ownerExpectedMillis) {
-            this(kind, retryAfterMillis, detail, ownerExpectedMillis, OptionalDouble.empty(), Optional.empty());
-        }
-
-        NoTarget withDetail(String newDetail) {
-            return new NoTarget(kind, retryAfterMillis, newDetail, ownerExpectedMillis, untilRoomMillis, holder);
-        }
-
-        /** Returns whether the owner of the key is known and takes no requests now. */
-        boolean isRefusedByOwner() {
-            return kind == ErrorKind.OVERLOADED || kind == ErrorKind.TARGET_PAUSED;
-        }
-
-        private static <T> Either<NoTarget, T> refuse(ErrorKind kind, long retryAfterMillis, String detail) {
-            return Either.left(new NoTarget(kind, retryAfterMillis, detail, OptionalLong.empty()));
-        }
-
-        private static <T> Either<NoTarget, T> withoutRoom(
-                double untilRoomMillis, Optional<TargetState> holder, double untilReturnMillis, String detail) {
-            return Either.left(new NoTarget(
-                    ErrorKind.OVERLOADED,
-                    (long) untilReturnMillis,
-                    detail,
-                    OptionalLong.empty(),
-                    OptionalDouble.of(untilRoomMillis),
-                    holder));
-        }
-
-        private static <T> Either<NoTarget, T> awaitOwner(long leastWaitMillis, String detail) {
-            return Either.left(new NoTarget(
-                    ErrorKind.OWNER_UNAVAILABLE, OWNER_RETRY_AFTER_MILLIS, detail, OptionalLong.of(leastWaitMillis)));
-        }
-
-        private static <T> Either<NoTarget, T> awaitEndOfPause(long pauseMillis, boolean waitHelps, String detail) {
-            // Callers that are refused come back at different times, so that they are no wave.
-            long spreadMillis = ThreadLocalRandom.current().nextLong(TargetNotices.RESUMPTION_MILLIS);
-            OptionalLong wait = waitHelps ? OptionalLong.of(pauseMillis) : OptionalLong.empty();
-            return Either.left(new NoTarget(ErrorKind.TARGET_PAUSED, pauseMillis + spreadMillis, detail, wait));
-        }
-    }
-
     private final RoutingContext context;
     private final TargetConnections connections;
     private final DataCentreSelector selector;
--- a/router/src/main/java/org/snipewind/router/state/RecordCodec.java
+++ b/router/src/main/java/org/snipewind/router/state/RecordCodec.java
@@ -71,7 +71,7 @@
     }
 
     /**
-     * Encodes a key table. The era is left out if it is 0.
+     * Encodes a key table. The era is omitted if it is 0.
      *
      * @param table the table
      * @param era era of the store in which the table is written
--- a/router/src/test/java/org/snipewind/router/lead/RestorationFleet.java
+++ b/router/src/test/java/org/snipewind/router/lead/RestorationFleet.java
@@ -26,9 +26,9 @@
 final class RestorationFleet {
 
     static final String POOL = "owners";
-    static final String CONFIGURATION = "op/config";
-    static final String EVACUATION_PREFIX = "op/evacuate/";
-    static final String TARGET_PREFIX = "servers/";
+    static final String CONFIGURATION = "configuration";
+    static final String EVACUATION_PREFIX = "evacuations/";
+    static final String TARGET_PREFIX = "targets/";
     static final int[] CHECKED_KEYS = {0, 1, 9_000, 20_000, 33_333, 47_000, 65_535};
 
     /** Steps of the time; the requests of the simulation take up to some of them. */
--- a/router/src/test/java/org/snipewind/router/lead/StoreRestorationTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/StoreRestorationTest.java
@@ -292,7 +292,7 @@
         assertEachKeyHasAHolder();
     }
 
-    /** Guards against a wrong era of a peer that keeps an instance from the store for good. */
+    /** Guards against a wrong era of a peer that keeps an instance from the store permanently. */
     @Test
     void aWrongEraOfAPeerIsGivenUpOnceTheStoreHasProvedItWrong() {
         fleet.run(SETTLE_MILLIS);
@@ -327,7 +327,7 @@
         assertThat(fleet.storedTable().highestEpoch()).isGreaterThan(StorePosition.of(2, 0));
     }
 
-    /** Guards against keys without a holder for good, because no leader takes a lost table over. */
+    /** Guards against keys that never get a holder, because no leader takes a lost table over. */
     @Test
     void aStoreThatHasLostEverythingIsFilledAgain() {
         RestorableStore.Copy empty = fleet.copy();
--- a/router/src/test/java/org/snipewind/router/state/ReadAcrossErasTest.java
+++ b/router/src/test/java/org/snipewind/router/state/ReadAcrossErasTest.java
@@ -19,7 +19,7 @@
 import org.snipewind.router.port.StorePage;
 import org.snipewind.router.port.StoreWrite;
 
-/** Guards against a copy that mixes the pages of two eras, because the store was restored during a read. */
+/** Guards against a copy with items of two eras, because the store was restored during a read. */
 final class ReadAcrossErasTest {
 
     /** A store that is restored between the first and the second page of the first read. */
