Count uploads as large in the choice of a data centre

Cause: the route kind of uploads came with another part; only bodies of 16 KB and more counted.

Change: requests of that kind stay in their data centre unless they would miss their deadline.

--- a/coordination/src/main/java/org/snipewind/coordination/target/SpilloverRequest.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/SpilloverRequest.java
@@ -38,7 +38,9 @@
                 route.name(),
                 route.latencyObjectiveMillis() - elapsedMillis,
                 deadlineMillis,
-                route.kind() == RouteKind.LARGE_RESPONSE || bodyBytes >= LARGE_BODY_BYTES,
+                route.kind() == RouteKind.LARGE_RESPONSE
+                        || route.kind() == RouteKind.LARGE_REQUEST
+                        || bodyBytes >= LARGE_BODY_BYTES,
                 repeated);
     }
 }
