--- a/daemon/src/test/java/org/snipewind/daemon/DaemonShutdownTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonShutdownTest.java
@@ -47,7 +47,8 @@
             CompletableFuture<Void> shutdown = CompletableFuture.runAsync(daemon.runtime::shutdown);
             String request = DaemonFixture.request("GET /a HTTP/1.1", "Snipewind-Deadline-Millis: 5000\r\n");
             // Beside other load, requests can be refused for other reasons before the shutdown begins.
-            DaemonFixture.await(() -> daemon.call(request).values("Snipewind-Error").contains("shutting-down"));
+            DaemonFixture.await(
+                    () -> daemon.call(request).values("Snipewind-Error").contains("shutting-down"));
             daemon.target.requests.clear();
             RawCaller.Response refusal = daemon.call(request);
             assertThat(refusal.values("Snipewind-Error")).containsExactly("shutting-down");
