--- a/coordination/src/main/java/org/snipewind/coordination/admission/QueueAllowance.java
+++ b/coordination/src/main/java/org/snipewind/coordination/admission/QueueAllowance.java
@@ -24,7 +24,7 @@
 
     /**
      * Factor for a returning caller whose response will be late, so that it joins a queue only where new requests have
-     * room as well. With a factor of 0.85, such callers displaced new ones in a burst, which were then late themselves.
+     * room as well. With a longer queue, such callers displace new ones in a burst, which are then late themselves.
      */
     private static final double LATE_FACTOR = 0.7;
 
--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyPlanner.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyPlanner.java
@@ -30,8 +30,8 @@
     private static final double RECENT_SAMPLES = 40;
 
     /**
-     * Responses over which the usual service time is averaged. With 40, targets of equal speed that a fifth of the time
-     * are slower by a factor of 3 had up to 1.7 times as many moved keys as with 200.
+     * Responses over which the usual service time is averaged. Averages over fewer follow the slow moments of targets,
+     * and keys then move between targets of equal speed.
      */
     private static final double USUAL_SAMPLES = 200;
 
--- a/coordination/src/main/java/org/snipewind/coordination/target/SharedSelection.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/SharedSelection.java
@@ -18,9 +18,7 @@
 
     /**
      * Factor by which a target is drawn less often if that takes a new connection. Each instance sends few requests to
-     * each target, so that without it up to two thirds of them would open a connection. In the simulation of
-     * SharedSelectionTest, about as many are opened with 32 as by selection of the best target, and up to 1.5 times as
-     * many with 16.
+     * each target, so that without it up to two thirds of them would open a connection.
      */
     private static final double UNCONNECTED_FACTOR = 32;
 
