Calculate the pace of a standing queue once, and share the test store

Change: one method for both in TargetState; the tests extend UnresponsiveStore, which moved to router.port. Assertions are unchanged.

--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetState.java
@@ -327,11 +327,16 @@
         if (load(nowMillis) >= slots() * (1 + queuedPerSlot)) {
             return false;
         }
+        return paceMillis(nowMillis, allowedMillis, instances) <= 0;
+    }
+
+    /** Returns the time until a standing queue permits this instance's next request, 0 or less if it does so now. */
+    private double paceMillis(long nowMillis, double allowedMillis, int instances) {
         double standingLoad = reportedLoad.standing(nowMillis);
         // A momentary slowdown makes no standing queue, so the usual service time counts here.
         double excess = (standingLoad + 1) / usableLoad(allowedMillis, meanServiceMillis);
         double shareMillis = instances * meanServiceMillis / slots();
-        return excess <= 1 || nowMillis - lastSentMillis >= shareMillis * excess * excess;
+        return excess <= 1 ? 0 : shareMillis * excess * excess - (nowMillis - lastSentMillis);
     }
 
     /**
@@ -378,11 +383,7 @@
         // The estimate of a reported load falls with time, this instance's own requests only with responses.
         double excessLoad = inFlight >= limit ? inFlight - limit + 1 : load(nowMillis) - limit;
         double queueMillis = Math.max(0, excessLoad) * meanServiceMillis / slots();
-        double standingLoad = reportedLoad.standing(nowMillis);
-        double excess = (standingLoad + 1) / usableLoad(allowedMillis, meanServiceMillis);
-        double shareMillis = instances * meanServiceMillis / slots();
-        double paceMillis = excess <= 1 ? 0 : lastSentMillis + shareMillis * excess * excess - nowMillis;
-        return Math.max(1, Math.max(queueMillis, paceMillis));
+        return Math.max(1, Math.max(queueMillis, paceMillis(nowMillis, allowedMillis, instances)));
     }
 
     /** Returns the number of requests at the target, waiting ones included, of which the last is answered in time. */
--- a/router/src/test/java/org/snipewind/router/lead/KeyTableWriterTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/KeyTableWriterTest.java
@@ -15,13 +15,12 @@
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.router.log.RouterEventLog;
-import org.snipewind.router.port.CoordinationStore;
-import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreException.Kind;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StorePage;
 import org.snipewind.router.port.StoreWrite;
+import org.snipewind.router.port.UnresponsiveStore;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.StoreCache;
 
@@ -31,7 +30,7 @@
     private static final String KEY = "table";
 
     /** A store that takes writes without a response, and lists what was written at a position that the test sets. */
-    private static final class UnansweringStore implements CoordinationStore {
+    private static final class UnansweringStore extends UnresponsiveStore {
         private byte[] written = {};
         private long position;
 
@@ -41,31 +40,11 @@
                     new StorePage(List.of(new StoreItem(KEY, written, position, 0)), false, position));
         }
 
-        @Override
-        public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
-            return new CompletableFuture<>();
-        }
-
         @Override
         public CompletableFuture<Long> commit(List<StoreWrite> writes) {
             written = writes.get(0).value();
             return CompletableFuture.failedFuture(new StoreException(Kind.UNKNOWN, "no response"));
         }
-
-        @Override
-        public CompletableFuture<Long> openLease(long lifetimeMillis) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> renewLease(long lease) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> endLease(long lease) {
-            return new CompletableFuture<>();
-        }
     }
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
--- a/router/src/test/java/org/snipewind/router/peer/MirrorAnswerApplierTest.java
+++ b/router/src/test/java/org/snipewind/router/peer/MirrorAnswerApplierTest.java
@@ -12,6 +12,7 @@
 import org.snipewind.router.lead.EmptyStoreItemParser;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.port.UnresponsiveStore;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.StoreCache;
 
--- a/router/src/test/java/org/snipewind/router/peer/RelayedBroadcastNetworkTest.java
+++ b/router/src/test/java/org/snipewind/router/peer/RelayedBroadcastNetworkTest.java
@@ -24,6 +24,7 @@
 import org.snipewind.router.metrics.ProcessMetrics;
 import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
+import org.snipewind.router.port.UnresponsiveStore;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.MemberRecord;
 import org.snipewind.router.state.RecordCodec;
--- a/router/src/test/java/org/snipewind/router/peer/UnresponsiveStore.java
+++ b/router/src/test/java/org/snipewind/router/port/UnresponsiveStore.java
@@ -1,18 +1,14 @@
-package org.snipewind.router.peer;
+package org.snipewind.router.port;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.snipewind.router.port.CoordinationStore;
-import org.snipewind.router.port.StoreChanges;
-import org.snipewind.router.port.StorePage;
-import org.snipewind.router.port.StoreWrite;
 
 /** A store that can be read but never responds to other calls. */
-final class UnresponsiveStore implements CoordinationStore {
+public class UnresponsiveStore implements CoordinationStore {
 
     /** Revision of the store, which has no items. */
-    static final long REVISION = 7;
+    public static final long REVISION = 7;
 
     @Override
     public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
--- a/router/src/test/java/org/snipewind/router/rollout/RolloutServiceTest.java
+++ b/router/src/test/java/org/snipewind/router/rollout/RolloutServiceTest.java
@@ -25,13 +25,12 @@
 import org.snipewind.protocol.RolloutReport;
 import org.snipewind.router.log.RouterEventLog;
 import org.snipewind.router.metrics.ProcessMetrics;
-import org.snipewind.router.port.CoordinationStore;
-import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreException;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StoreItemParser;
 import org.snipewind.router.port.StorePage;
 import org.snipewind.router.port.StoreWrite;
+import org.snipewind.router.port.UnresponsiveStore;
 import org.snipewind.router.state.FleetTracker;
 import org.snipewind.router.state.RolloutRecordCodec;
 import org.snipewind.router.state.StoreCache;
@@ -232,7 +231,7 @@
     }
 
     /** A store that commits at once; only commits are used. */
-    private static final class MemoryStore implements CoordinationStore {
+    private static final class MemoryStore extends UnresponsiveStore {
         private final Map<String, StoreItem> items = new HashMap<>();
         private final List<List<StoreWrite>> commits = new ArrayList<>();
         private long revision = 1;
@@ -260,25 +259,5 @@
         public CompletableFuture<StorePage> range(String prefix, Optional<String> after) {
             return new CompletableFuture<>();
         }
-
-        @Override
-        public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Long> openLease(long lifetimeMillis) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> renewLease(long lease) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> endLease(long lease) {
-            return new CompletableFuture<>();
-        }
     }
 }
--- a/router/src/test/java/org/snipewind/router/state/ReadAcrossErasTest.java
+++ b/router/src/test/java/org/snipewind/router/state/ReadAcrossErasTest.java
@@ -13,17 +13,15 @@
 import org.snipewind.coordination.clock.ManualMillisClock;
 import org.snipewind.coordination.restore.StorePosition;
 import org.snipewind.router.log.RouterEventLog;
-import org.snipewind.router.port.CoordinationStore;
-import org.snipewind.router.port.StoreChanges;
 import org.snipewind.router.port.StoreItem;
 import org.snipewind.router.port.StorePage;
-import org.snipewind.router.port.StoreWrite;
+import org.snipewind.router.port.UnresponsiveStore;
 
 /** Guards against a copy with items of two eras, because the store was restored during a read. */
 final class ReadAcrossErasTest {
 
     /** A store that is restored between the first and the second page of the first read. */
-    private static final class RestoredStore implements CoordinationStore {
+    private static final class RestoredStore extends UnresponsiveStore {
         private final List<Optional<String>> reads = new CopyOnWriteArrayList<>();
 
         @Override
@@ -35,31 +33,6 @@
             return CompletableFuture.completedFuture(
                     new StorePage(List.of(item), after.isEmpty(), StorePosition.of(era, 7)));
         }
-
-        @Override
-        public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Long> commit(List<StoreWrite> writes) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Long> openLease(long lifetimeMillis) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> renewLease(long lease) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> endLease(long lease) {
-            return new CompletableFuture<>();
-        }
     }
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
