--- a/review/lib-2/ReviewFleet.java
+++ b/review/lib-2/ReviewFleet.java
@@ -14,11 +14,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 /**
  * A small deployment for the scripts of the review: daemons in processes of their own, started with the command of the
@@ -29,6 +33,8 @@
     private static final int LOWEST_PORT = 20_000;
     private static final int PORT_COUNT = 10_000;
 
+    private static final Set<Integer> givenPorts = new HashSet<>();
+
     /** One daemon. */
     static final class Daemon {
         final String name;
@@ -191,9 +197,13 @@
         }
     }
 
-    static int freePortPair() {
+    /** Returns the lower of two consecutive free ports that no other call has returned. */
+    static synchronized int freePortPair() {
         while (true) {
-            int port = LOWEST_PORT + ThreadLocalRandom.current().nextInt(PORT_COUNT);
+            int port = LOWEST_PORT + 2 * ThreadLocalRandom.current().nextInt(PORT_COUNT / 2);
+            if (!givenPorts.add(port)) {
+                continue;
+            }
             try (ServerSocket first = new ServerSocket()) {
                 first.bind(new InetSocketAddress("127.0.0.1", port));
                 try (ServerSocket second = new ServerSocket()) {
@@ -206,12 +216,25 @@
         }
     }
 
+    /** Ends the daemons and the store, and removes the settings and logs. */
     @Override
     public void close() throws IOException {
         for (Daemon daemon : daemons) {
             daemon.process.destroyForcibly();
         }
+        for (Daemon daemon : daemons) {
+            try {
+                daemon.process.waitFor(5, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
         store.close();
         record.close();
+        try (Stream<Path> files = Files.walk(directory)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
     }
 }
