Use an epoch of keys on one connection to a target only

Cause: grants and liveness checks name a target by its id. After the lost connections, a check that was answered with anything but 421 made the holder count as reachable, and its renewals went on under the old epochs. Nothing said that the process was another one: the answers of targets do not name their start.

Change: a connection ends with its process, so the leader chooses the epoch of a grant when the connection is known on which it is sent, and uses no epoch on two connections to a target. A series of renewals that spans two connections no longer counts as acknowledged by one process.

--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyAssignment.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyAssignment.java
@@ -27,6 +27,15 @@
         return !previousHolders.isEmpty();
     }
 
+    /**
+     * Returns this range after all previous holders have given it up.
+     *
+     * @return the range with the same holder and epoch, not moving
+     */
+    public KeyAssignment settled() {
+        return new KeyAssignment(from, to, holder, epoch, List.of());
+    }
+
     /**
      * Returns a part of this range.
      *
--- a/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyTable.java
+++ b/coordination/src/main/java/org/snipewind/coordination/keyspace/KeyTable.java
@@ -122,6 +122,18 @@
         return new KeyTable(changed);
     }
 
+    /**
+     * Returns a copy of this table in which all ranges have one epoch.
+     *
+     * @param epoch the epoch
+     * @return the changed table
+     */
+    public KeyTable withEpoch(long epoch) {
+        return new KeyTable(assignments.stream()
+                .map(each -> new KeyAssignment(each.from(), each.to(), each.holder(), epoch, each.previousHolders()))
+                .toList());
+    }
+
     /**
      * Merges adjacent ranges that have the same holder and epoch; ranges that are moving stay as they are.
      *
--- a/router/src/main/java/org/snipewind/router/http/HttpConnection.java
+++ b/router/src/main/java/org/snipewind/router/http/HttpConnection.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -21,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * A client connection with at most one exchange in progress; confined to its event loop.
@@ -33,8 +33,9 @@
     /** Idle timeout that is assumed for servers that do not announce one. */
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 5_000;
 
-    private static final long MILLIS_PER_SECOND = 1_000;
+    private static final AtomicLong LAST_NUMBER = new AtomicLong();
 
+    private final long number = LAST_NUMBER.incrementAndGet();
     private final ResponseDecoder decoder;
     private final ConnectionOptions options;
     private Channel channel;
@@ -70,6 +71,15 @@
         channel = context.channel();
     }
 
+    /**
+     * Returns the number of the connection.
+     *
+     * @return a number that no other connection of this process has or had
+     */
+    public long number() {
+        return number;
+    }
+
     /**
      * Sends a request.
      *
@@ -295,7 +305,8 @@
         if (!requestWritten || !HttpUtil.isKeepAlive(response) || !channel.isActive()) {
             reusable = false;
         }
-        readIdleTimeout(response);
+        serverIdleTimeoutMillis =
+                KeepAliveHeader.timeoutMillis(response.headers()).orElse(serverIdleTimeoutMillis);
         if (decoder.undecodedBytes() > 0) {
             reportUnsolicited(decoder.classifyUndecoded(UnsolicitedKind.BEHIND_RESPONSE), decoder.undecodedBytes());
             reusable = false;
@@ -328,22 +339,6 @@
         return bodyScanner.hasFound();
     }
 
-    private void readIdleTimeout(HttpResponse response) {
-        String value = response.headers().get(HttpHeaderNames.KEEP_ALIVE, "");
-        int start = value.indexOf("timeout=");
-        if (start < 0) {
-            return;
-        }
-        int from = start + "timeout=".length();
-        int to = from;
-        while (to < value.length() && Character.isDigit(value.charAt(to)) && to - from < 6) {
-            to++;
-        }
-        if (to > from) {
-            serverIdleTimeoutMillis = Integer.parseInt(value.substring(from, to)) * MILLIS_PER_SECOND;
-        }
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // Fails before the channel becomes inactive, so that a response that is delimited by the end of the connection
--- a/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
+++ b/router/src/main/java/org/snipewind/router/http/OutboundHttpClient.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -88,6 +89,20 @@
      */
     public CompletableFuture<BufferedResponse> call(
             InetSocketAddress address, FullHttpRequest request, ResponseRules rules, long timeoutMillis) {
+        return call(address, RequestSource.of(request), rules, timeoutMillis);
+    }
+
+    /**
+     * Sends a request that depends on the connection on which it is sent.
+     *
+     * @param address address of the server
+     * @param request supplies the request on the client's event loop; if there is none, the call fails
+     * @param rules what responses are accepted, and on which connections
+     * @param timeoutMillis longest time until the response is complete
+     * @return the response; fails with {@link ExchangeException}, in which case the connection has been reset
+     */
+    public CompletableFuture<BufferedResponse> call(
+            InetSocketAddress address, RequestSource request, ResponseRules rules, long timeoutMillis) {
         Call call = new Call(address, request, rules);
         if (loop.inEventLoop()) {
             call.start(timeoutMillis);
@@ -115,7 +130,7 @@
     private final class Call implements ExchangeListener {
 
         private final InetSocketAddress address;
-        private final FullHttpRequest request;
+        private final RequestSource request;
         private final ResponseRules rules;
         private final CompletableFuture<BufferedResponse> result = new CompletableFuture<>();
         private HttpConnection connection;
@@ -124,7 +139,7 @@
         /** Whether the response must be tied to the request. */
         private boolean tied;
 
-        Call(InetSocketAddress address, FullHttpRequest request, ResponseRules rules) {
+        Call(InetSocketAddress address, RequestSource request, ResponseRules rules) {
             this.address = address;
             this.request = request;
             this.rules = rules;
@@ -152,7 +167,7 @@
         }
 
         private void connectFailed(Throwable cause) {
-            request.release();
+            request.discard();
             fail(new ExchangeException("connection to " + address + " failed: " + cause.getMessage(), false));
         }
 
@@ -177,12 +192,18 @@
 
         private void sendOn(HttpConnection opened) {
             if (ended) {
-                request.release();
+                request.discard();
+                opened.abort();
+                return;
+            }
+            Optional<FullHttpRequest> supplied = request.requestOn(opened.number());
+            if (supplied.isEmpty()) {
                 opened.abort();
+                fail(new ExchangeException("there is no request for the connection to " + address, false));
                 return;
             }
             connection = opened;
-            opened.exchange(request, (status, headers) -> originOf(headers), this);
+            opened.exchange(supplied.get(), (status, headers) -> originOf(headers), this);
         }
 
         private ResponseOrigin originOf(HttpHeaders headers) {
--- a/router/src/main/java/org/snipewind/router/lead/HolderState.java
+++ b/router/src/main/java/org/snipewind/router/lead/HolderState.java
@@ -1,6 +1,8 @@
 package org.snipewind.router.lead;
 
 import java.util.Optional;
+import java.util.OptionalLong;
+import org.snipewind.coordination.keyspace.KeyEpochs;
 import org.snipewind.coordination.target.TargetRegistration;
 
 /** The leader's state of one incarnation of a target that holds or held keys. Confined to the control event loop. */
@@ -13,16 +15,27 @@
     private static final long PROBE_INTERVAL_MILLIS = 300;
 
     private final String incarnation;
+    private final long formerGrantsExpireAtMillis;
     private Optional<TargetRegistration> registration = Optional.empty();
     private long grantExpiryMillis;
+
+    /** The connection of the newest grant, and the lowest epoch that may be used on it. */
+    private OptionalLong grantConnection = OptionalLong.empty();
+
+    private long lowestEpoch;
+
+    /** Whether the grants of the present series of renewals use one connection. */
+    private boolean seriesOnOneConnection;
+
     private long failingSinceMillis = -1;
     private long nextRenewalMillis;
     private long nextProbeMillis;
     private int grantsInFlight;
 
-    HolderState(String incarnation, long grantExpiryMillis) {
+    HolderState(String incarnation, long formerGrantsExpireAtMillis) {
         this.incarnation = incarnation;
-        this.grantExpiryMillis = grantExpiryMillis;
+        this.formerGrantsExpireAtMillis = formerGrantsExpireAtMillis;
+        this.grantExpiryMillis = formerGrantsExpireAtMillis;
     }
 
     String incarnation() {
@@ -56,6 +69,37 @@
 
     void scheduleRenewal(long atMillis) {
         nextRenewalMillis = atMillis;
+        seriesOnOneConnection = true;
+    }
+
+    /** Returns whether the newest grant was sent on another connection than the given one. */
+    boolean usesOtherConnection(long connection) {
+        return grantConnection.isPresent() && grantConnection.getAsLong() != connection;
+    }
+
+    /**
+     * Returns the epoch of a grant that is sent on a connection. A process that has started again under its id may not
+     * have registered itself yet, but it has none of the connections of its former life. So no epoch is used on two
+     * connections to a target.
+     *
+     * @param connection number of the connection
+     * @param assignedEpoch epoch of the range in the key table
+     * @param highestEpoch highest epoch of the key table
+     * @return the epoch, empty if those of renewals are used up
+     */
+    OptionalLong epochOn(long connection, long assignedEpoch, long highestEpoch) {
+        if (usesOtherConnection(connection)) {
+            OptionalLong next = KeyEpochs.nextRenewal(Math.max(lowestEpoch, highestEpoch));
+            if (next.isEmpty()) {
+                return next;
+            }
+            lowestEpoch = next.getAsLong();
+            seriesOnOneConnection = false;
+            // A new process has not seen the epochs that the former one acknowledged.
+            grantExpiryMillis = Math.max(grantExpiryMillis, formerGrantsExpireAtMillis);
+        }
+        grantConnection = OptionalLong.of(connection);
+        return OptionalLong.of(Math.max(assignedEpoch, lowestEpoch));
     }
 
     /** Records that a grant is no longer in flight. If it may have arrived, the keys are held until it expires. */
@@ -72,11 +116,13 @@
     }
 
     /**
-     * Records that the target has acknowledged an epoch of this leader for all its keys, so that from now on it refuses
-     * grants of former leaders.
+     * Records that the target has acknowledged an epoch of this leader for all its keys. If it was one process, it
+     * refuses grants of former leaders from now on.
      */
     void recordAllGrantsAcknowledged(long now) {
-        grantExpiryMillis = now + LeaderTimes.maxGrantLifetimeMillis();
+        if (seriesOnOneConnection) {
+            grantExpiryMillis = now + LeaderTimes.maxGrantLifetimeMillis();
+        }
     }
 
     /** Returns the time at which all grants sent so far have expired. */
--- a/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
@@ -6,12 +6,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.keyspace.KeyAssignment;
+import org.snipewind.coordination.keyspace.KeyEpochs;
 import org.snipewind.coordination.keyspace.KeyMove;
 import org.snipewind.coordination.keyspace.KeyPlanner;
 import org.snipewind.coordination.keyspace.KeyTable;
@@ -81,7 +81,7 @@
     private long epoch;
     private boolean tableTakenOver;
     private boolean writeInProgress;
-    private boolean epochRejected;
+    private boolean epochsNeeded;
     private long retryAtMillis;
     private long plannedAtMillis;
     private Set<String> lastTargetsInService = Set.of();
@@ -108,7 +108,8 @@
                 clock,
                 log,
                 () -> leading.getAsBoolean() && !isTableLost(),
-                () -> epochRejected = true);
+                () -> table.highestEpoch(),
+                () -> epochsNeeded = true);
         this.tableWriter = new KeyTableWriter(store, cache, StoreKeys.KEY_TABLE_PREFIX + pool);
         this.planner = new KeyPlanner(clock);
         this.formerGrantsExpireAtMillis = formerLeaderUntilMillis
@@ -209,28 +210,21 @@
 
     /** Takes over the former leader's table under a higher epoch, so that targets reject that leader's requests. */
     private void takeOverTable(FleetView view) {
-        String key = StoreKeys.KEY_TABLE_PREFIX + pool;
         KeyTable formerTable = view.keyTables().getOrDefault(pool, KeyTable.EMPTY);
-        long revision = cache.item(key).map(item -> item.revision()).orElse(0L);
-        epoch = Math.max(formerTable.highestEpoch(), cache.revision()) + 1;
+        long revision = cache.item(StoreKeys.KEY_TABLE_PREFIX + pool).map(item -> item.revision()).orElse(0L);
+        epoch = KeyEpochs.nextWritten(Math.max(formerTable.highestEpoch(), cache.revision()) + 1);
         if (formerTable.assignments().isEmpty()) {
             tableTakenOver = true;
             tableEra = cache.eras().era();
             tableRevision = revision;
             return;
         }
-        write(withEpoch(formerTable, epoch), revision, () -> {
+        write(formerTable.withEpoch(epoch), revision, () -> {
             tableTakenOver = true;
             resumeUnfinishedMoves();
         });
     }
 
-    private static KeyTable withEpoch(KeyTable source, long newEpoch) {
-        return new KeyTable(source.assignments().stream()
-                .map(each -> new KeyAssignment(each.from(), each.to(), each.holder(), newEpoch, each.previousHolders()))
-                .toList());
-    }
-
     private void updateHolders(FleetView view, long now) {
         for (TargetState state : view.targets().values()) {
             TargetRegistration registration = state.registration();
@@ -240,14 +234,14 @@
         }
         view.configuration()
                 .flatMap(configuration -> configuration.pool(pool))
-                .ifPresent(knownPool -> holders.values().stream()
-                        .filter(holder -> holder.isProbeDue(now)
-                                && view.findInService(holder.incarnation()).isPresent())
-                        .forEach(holder -> requestSender.probe(holder, knownPool.healthPath(), now)));
-        Set<String> targets = new TreeSet<>();
-        view.inService()
-                .getOrDefault(pool, List.of())
-                .forEach(state -> targets.add(state.registration().incarnation()));
+                .ifPresent(known -> requestSender.probeFailing(
+                        holders.values(),
+                        holder -> view.findInService(holder.incarnation()).isPresent(),
+                        known.healthPath(),
+                        now));
+        Set<String> targets = view.inService().getOrDefault(pool, List.of()).stream()
+                .map(TargetState::incarnation)
+                .collect(Collectors.toSet());
         if (!targets.equals(lastTargetsInService)) {
             lastTargetsInService = targets;
             targetsUnchangedSinceMillis = now;
@@ -263,9 +257,7 @@
         KeyTable changed = table;
         List<MoveTask> finished = tasks.stream().filter(MoveTask::isGranted).toList();
         for (MoveTask task : finished) {
-            KeyAssignment finishedMove = task.assignment();
-            changed = changed.withAssignment(new KeyAssignment(
-                    finishedMove.from(), finishedMove.to(), finishedMove.holder(), finishedMove.epoch(), List.of()));
+            changed = changed.withAssignment(task.assignment().settled());
         }
         List<KeyAssignment> moves = List.of();
         boolean mayChangeHolders = !mayLostGrantsBeInForce(now);
@@ -277,11 +269,11 @@
             }
         }
         // A target that has seen a higher epoch may have released keys to another holder by order of a lost leader.
-        boolean epochRaised = epochRejected && mayChangeHolders;
+        boolean epochRaised = epochsNeeded && mayChangeHolders;
         if (epochRaised) {
-            epoch = Math.max(epoch, cache.revision()) + 1;
-            changed = withEpoch(changed, epoch);
-            epochRejected = false;
+            epoch = KeyEpochs.nextWritten(Math.max(epoch, cache.revision()) + 1);
+            changed = changed.withEpoch(epoch);
+            epochsNeeded = false;
         }
         if (finished.isEmpty() && moves.isEmpty() && !epochRaised) {
             return;
@@ -355,7 +347,8 @@
         if (moves.isEmpty()) {
             return List.of();
         }
-        epoch = RestorationRules.nextEpoch(epoch, cache.eras().era());
+        epoch = KeyEpochs.nextWritten(
+                RestorationRules.nextEpoch(epoch, cache.eras().era()));
         log.write(
                 RouterEvent.KEYS_PLANNED,
                 () -> "pool=" + pool + " epoch=" + epoch + " moves=" + moves.size() + " usable=" + usable.size()
--- a/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
+++ b/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
@@ -1,14 +1,17 @@
 package org.snipewind.router.lead;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.snipewind.coordination.clock.MillisClock;
@@ -33,7 +36,8 @@
     private final MillisClock clock;
     private final RouterEventLog log;
     private final BooleanSupplier leading;
-    private final Runnable onEpochRejected;
+    private final LongSupplier highestEpoch;
+    private final Runnable onEpochsNeeded;
 
     OwnershipRequestSender(
             String pool,
@@ -41,13 +45,15 @@
             MillisClock clock,
             RouterEventLog log,
             BooleanSupplier leading,
-            Runnable onEpochRejected) {
+            LongSupplier highestEpoch,
+            Runnable onEpochsNeeded) {
         this.pool = pool;
         this.client = client;
         this.clock = clock;
         this.log = log;
         this.leading = leading;
-        this.onEpochRejected = onEpochRejected;
+        this.highestEpoch = highestEpoch;
+        this.onEpochsNeeded = onEpochsNeeded;
     }
 
     /** Renews the grants of all holders whose renewal is due. */
@@ -103,18 +109,41 @@
         }
         KeyAssignment renewed = range;
         holder.recordGrantSent();
-        start(() -> client.grant(registration, renewed, LeaderTimes.GRANT_LIFETIME_MILLIS, Optional.empty()))
-                .whenComplete((accepted, failure) -> {
-                    boolean acknowledged = recordGrantOutcome(holder, renewed, accepted, failure);
-                    if (!acknowledged && !isResponseUnusable(failure)) {
-                        return;
-                    }
-                    if (remaining.hasNext()) {
-                        renewNextGrant(holder, registration, remaining, isStillHeld, allAcknowledged && acknowledged);
-                    } else if (allAcknowledged && acknowledged) {
-                        holder.recordAllGrantsAcknowledged(clock.nowMillis());
-                    }
-                });
+        start(() -> grant(holder, registration, renewed, Optional.empty())).whenComplete((accepted, failure) -> {
+            boolean acknowledged = recordGrantOutcome(holder, renewed, accepted, failure);
+            if (!acknowledged && !isResponseUnusable(failure)) {
+                return;
+            }
+            if (remaining.hasNext()) {
+                renewNextGrant(holder, registration, remaining, isStillHeld, allAcknowledged && acknowledged);
+            } else if (allAcknowledged && acknowledged) {
+                holder.recordAllGrantsAcknowledged(clock.nowMillis());
+            }
+        });
+    }
+
+    private CompletableFuture<Boolean> grant(
+            HolderState holder, TargetRegistration registration, KeyAssignment range, Optional<String> handover) {
+        return client.grant(
+                registration,
+                range,
+                connection -> chooseEpoch(holder, range, connection),
+                LeaderTimes.GRANT_LIFETIME_MILLIS,
+                handover);
+    }
+
+    private OptionalLong chooseEpoch(HolderState holder, KeyAssignment range, long connection) {
+        boolean reconnected = holder.usesOtherConnection(connection);
+        OptionalLong epoch = holder.epochOn(connection, range.epoch(), highestEpoch.getAsLong());
+        if (epoch.isEmpty()) {
+            onEpochsNeeded.run();
+        } else if (reconnected) {
+            log.write(
+                    RouterEvent.HOLDER_RECONNECTED,
+                    () -> "pool=" + pool + " target=" + holder.incarnation() + " from=" + range.from() + " epoch="
+                            + epoch.getAsLong());
+        }
+        return epoch;
     }
 
     /**
@@ -160,14 +189,20 @@
                     RouterEvent.HOLDER_FENCED,
                     () -> "pool=" + pool + " target=" + holder.incarnation() + " from=" + range.from() + " to="
                             + range.to() + " epoch=" + range.epoch());
-            onEpochRejected.run();
+            onEpochsNeeded.run();
             return false;
         }
         return true;
     }
 
-    /** Checks whether a failing target responds again. */
-    void probe(HolderState holder, String healthPath, long now) {
+    /** Checks whether failing targets respond again. */
+    void probeFailing(Collection<HolderState> holders, Predicate<HolderState> inService, String healthPath, long now) {
+        holders.stream()
+                .filter(holder -> holder.isProbeDue(now) && inService.test(holder))
+                .forEach(holder -> probe(holder, healthPath, now));
+    }
+
+    private void probe(HolderState holder, String healthPath, long now) {
         holder.recordProbeSent(now);
         start(() -> client.probe(holder.registration().orElseThrow(), healthPath))
                 .whenComplete((reachable, failure) -> {
@@ -221,11 +256,7 @@
     private void requestGrant(MoveTask task, HolderState holder) {
         task.recordGrantRequested();
         holder.recordGrantSent();
-        start(() -> client.grant(
-                        holder.registration().orElseThrow(),
-                        task.assignment(),
-                        LeaderTimes.GRANT_LIFETIME_MILLIS,
-                        task.handover()))
+        start(() -> grant(holder, holder.registration().orElseThrow(), task.assignment(), task.handover()))
                 .whenComplete((accepted, failure) -> {
                     if (recordGrantOutcome(holder, task.assignment(), accepted, failure)) {
                         task.recordGranted();
--- a/router/src/main/java/org/snipewind/router/log/RouterEvent.java
+++ b/router/src/main/java/org/snipewind/router/log/RouterEvent.java
@@ -85,6 +85,8 @@
     LEADERSHIP_PROVEN(5310, Level.INFO),
     /** The key table of a pool was written again to a restored store. */
     KEYS_WRITTEN_AGAIN(5311, Level.INFO),
+    /** Grants of a target go on under a higher epoch, since they are sent on another connection. */
+    HOLDER_RECONNECTED(5312, Level.INFO),
     /** A request was refused. */
     REQUEST_REFUSED(5401, Level.INFO),
     /** A request was retried or hedged. */
--- a/router/src/main/java/org/snipewind/router/port/KeyOwnershipClient.java
+++ b/router/src/main/java/org/snipewind/router/port/KeyOwnershipClient.java
@@ -23,13 +23,18 @@
      * Grants a key range to a target or renews the grant.
      *
      * @param target the target
-     * @param range keys and epoch
+     * @param range the keys
+     * @param epoch chooses the epoch when the grant is sent
      * @param grantLifetimeMillis lifetime of the grant, counted from the arrival of the request at the target
      * @param handover state that the previous holder handed over
      * @return false if the target has seen a higher epoch
      */
     CompletableFuture<Boolean> grant(
-            TargetRegistration target, KeyAssignment range, long grantLifetimeMillis, Optional<String> handover);
+            TargetRegistration target,
+            KeyAssignment range,
+            GrantEpoch epoch,
+            long grantLifetimeMillis,
+            Optional<String> handover);
 
     /**
      * Checks whether a target responds.
--- a/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/KeyAssignerTest.java
@@ -184,6 +184,43 @@
         assertThat(holdsAnyKey).isTrue();
     }
 
+    /**
+     * A target that had started again under its id was granted its keys under the epochs of its former process, as long
+     * as the store listed that one.
+     */
+    @Test
+    void aTargetThatHasStartedAgainUnnoticedGetsItsKeysUnderHigherEpochs() {
+        addTargets(3);
+        run(4_000);
+        targets.restartUnnoticed("t1");
+        run(3_000);
+        for (int key : CHECKED_KEYS) {
+            assertThat(targets.holders(key)).hasSize(1);
+        }
+        registrations.put(
+                "t1", new TargetRegistration("t1", clock.nowMillis(), 1, POOL, "127.0.0.1", 1, "dc", 2, false, 0));
+        run(5_000);
+        for (int key : CHECKED_KEYS) {
+            assertThat(targets.holders(key)).hasSize(1);
+        }
+        assertThat(targets.epochsOutOfOrder()).isEmpty();
+    }
+
+    @Test
+    void noProcessGetsAKeyUnderAnEpochOfAnotherUnderRandomFaults() {
+        for (int seed = 1_000; seed < 1_000 + RANDOM_SEEDS; seed++) {
+            restart(seed);
+            addTargets(4 + random.nextInt(4));
+            for (int phase = 0; phase < 12; phase++) {
+                injectFault();
+                List<String> ids = List.copyOf(registrations.keySet());
+                targets.restartUnnoticed(ids.get(random.nextInt(ids.size())));
+                run(300 + random.nextInt(2_500));
+            }
+            assertWithMessage("seed %s", seed).that(targets.epochsOutOfOrder()).isEmpty();
+        }
+    }
+
     @Test
     void noKeyEverHasTwoHoldersUnderRandomFaults() {
         for (int seed = 0; seed < RANDOM_SEEDS; seed++) {
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
@@ -17,6 +18,7 @@
 import org.snipewind.coordination.keyspace.KeyTable;
 import org.snipewind.coordination.target.TargetRegistration;
 import org.snipewind.router.http.ExchangeException;
+import org.snipewind.router.port.GrantEpoch;
 import org.snipewind.router.port.KeyOwnershipClient;
 
 /**
@@ -44,8 +46,12 @@
         private boolean crashed;
         private boolean unaddressable;
         private int processNumber;
+        private long connection;
     }
 
+    /** Fraction of the grants that are sent on a new connection, because the target has closed the last one. */
+    private static final double CLOSED_CONNECTIONS = 0.05;
+
     private static final int HISTORY_LENGTH = 2_000;
 
     private final Deque<HistoryEntry> history = new ArrayDeque<>();
@@ -59,6 +65,11 @@
     private final List<String> epochsOutOfOrder = new ArrayList<>();
     private int requests;
 
+    /** Independent of the other faults, so that connections don't change what a seed gives. */
+    private final Random connectionRandom = new Random(1);
+
+    private long connections;
+
     SimulatedTargets(ManualMillisClock clock, Random random) {
         this.clock = clock;
         this.random = random;
@@ -74,10 +85,17 @@
         target.unreachable = true;
         target.crashed = true;
         target.processNumber++;
+        target.connection = ++connections;
         target.grants.clear();
         Arrays.fill(target.highestEpochs, 0);
     }
 
+    /** Starts a target again under its id, reachable at once; the store does not list the new start yet. */
+    void restartUnnoticed(String id) {
+        crash(id);
+        setPartitioned(id, false);
+    }
+
     boolean hasCrashed(String id) {
         return target(id).crashed;
     }
@@ -131,7 +149,7 @@
         return requests;
     }
 
-    /** Returns descriptions of grants that gave a key to another holder without a higher epoch. */
+    /** Returns descriptions of grants that gave a key to another process without a higher epoch. */
     List<String> epochsOutOfOrder() {
         return epochsOutOfOrder;
     }
@@ -140,16 +158,18 @@
         if (expiresAtMillis <= clock.nowMillis()) {
             return;
         }
+        String process = id + " process " + target(id).processNumber;
         // Every 50th key is enough to see any range of the tests' plans that is not tiny.
         for (int key = range.from() / 50 * 50; key <= range.to(); key += 50) {
             GrantedEpoch newest = newestEpochs.get(key);
             if (key < range.from()) {
                 continue;
             }
-            if (newest != null && !newest.holder().equals(id) && newest.epoch() >= range.epoch()) {
-                epochsOutOfOrder.add("key " + key + " went from " + newest + " to " + id + " under " + range.epoch());
+            if (newest != null && !newest.holder().equals(process) && newest.epoch() >= range.epoch()) {
+                epochsOutOfOrder.add(
+                        "key " + key + " went from " + newest + " to " + process + " under " + range.epoch());
             }
-            newestEpochs.put(key, new GrantedEpoch(id, range.epoch()));
+            newestEpochs.put(key, new GrantedEpoch(process, range.epoch()));
         }
     }
 
@@ -181,8 +201,18 @@
 
     @Override
     public CompletableFuture<Boolean> grant(
-            TargetRegistration registration, KeyAssignment range, long lifetimeMillis, Optional<String> handover) {
+            TargetRegistration registration,
+            KeyAssignment assignment,
+            GrantEpoch epoch,
+            long lifetimeMillis,
+            Optional<String> handover) {
         CompletableFuture<Boolean> response = new CompletableFuture<>();
+        OptionalLong chosen = epoch.on(connectionTo(registration.id()));
+        if (chosen.isEmpty()) {
+            return CompletableFuture.failedFuture(new ExchangeException("there is no epoch", false));
+        }
+        KeyAssignment range = new KeyAssignment(
+                assignment.from(), assignment.to(), assignment.holder(), chosen.getAsLong(), List.of());
         send(registration.id(), response, arrivedAtMillis -> {
             Target target = target(registration.id());
             if (!checkEpoch(target, range)) {
@@ -223,6 +253,14 @@
         return response;
     }
 
+    private long connectionTo(String id) {
+        Target target = target(id);
+        if (connectionRandom.nextDouble() < CLOSED_CONNECTIONS) {
+            target.connection = ++connections;
+        }
+        return target.connection;
+    }
+
     /** Records an epoch unless a higher one was seen for any of the keys; returns whether it was recorded. */
     private static boolean checkEpoch(Target target, KeyAssignment range) {
         boolean highest = true;
--- a/router/src/test/java/org/snipewind/router/peer/UnresponsiveTargets.java
+++ b/router/src/test/java/org/snipewind/router/peer/UnresponsiveTargets.java
@@ -4,13 +4,18 @@
 import java.util.concurrent.CompletableFuture;
 import org.snipewind.coordination.keyspace.KeyAssignment;
 import org.snipewind.coordination.target.TargetRegistration;
+import org.snipewind.router.port.GrantEpoch;
 import org.snipewind.router.port.KeyOwnershipClient;
 
 /** Targets that never respond. */
 final class UnresponsiveTargets implements KeyOwnershipClient {
     @Override
     public CompletableFuture<Boolean> grant(
-            TargetRegistration target, KeyAssignment range, long grantLifetimeMillis, Optional<String> handover) {
+            TargetRegistration target,
+            KeyAssignment range,
+            GrantEpoch epoch,
+            long grantLifetimeMillis,
+            Optional<String> handover) {
         return new CompletableFuture<>();
     }
 
