Keep the pause of a process that was not registered yet when it asked for it

An answer is attributed to the registered start of its target, and the notice of the pause was stored under that incarnation, so the registration of the new one came without it.

A process that started later is not held back by the pause of its former life. Leaving stays with the incarnation that was registered: attributed wrongly, it would exclude a process for ever.

--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetNotices.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetNotices.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.snipewind.coordination.clock.MillisClock;
 
 /**
@@ -21,10 +22,18 @@
     /** Longest pause that is accepted; a longer one counts as this long. */
     private static final long MAX_PAUSE_MILLIS = 24 * 60 * 60 * 1_000L;
 
+    /** Largest difference between the times of day of this machine and of a target's. */
+    private static final long TIME_OF_DAY_TOLERANCE_MILLIS = 2_000;
+
     private record Notice(boolean leaving, Optional<Long> pausedUntilMillis) {}
 
+    /** A pause for which the process at a target's address has asked, whether it had registered itself or not. */
+    private record Pause(long untilMillis, long askedAtTimeOfDay) {}
+
     private final MillisClock clock;
+    private final LongSupplier timeOfDayMillis;
     private final Map<String, Notice> notices = new LinkedHashMap<>();
+    private final Map<String, Pause> newestPausesByTarget = new LinkedHashMap<>();
 
     /** Whether there are no notices, as is usual, so that requests need not look each target up. */
     private volatile boolean empty = true;
@@ -33,9 +42,11 @@
      * Creates an empty collection.
      *
      * @param clock clock of the pauses
+     * @param timeOfDayMillis time of day in milliseconds since the Unix epoch, for comparison with starts of targets
      */
-    public TargetNotices(MillisClock clock) {
+    public TargetNotices(MillisClock clock, LongSupplier timeOfDayMillis) {
         this.clock = clock;
+        this.timeOfDayMillis = timeOfDayMillis;
     }
 
     /**
@@ -52,6 +63,8 @@
 
     /**
      * Records that an incarnation wants no requests for some time. An earlier notice stays in force if it ends later.
+     * The answer may come from a process that has started again under the same id and is not registered yet, so it
+     * holds for that one too.
      *
      * @param incarnation the incarnation
      * @param pauseMillis time from now
@@ -61,6 +74,9 @@
         long untilMillis = clock.nowMillis() + Math.min(MAX_PAUSE_MILLIS, pauseMillis);
         long longerMillis = Math.max(untilMillis, known.pausedUntilMillis().orElse(untilMillis));
         put(incarnation, new Notice(known.leaving(), Optional.of(longerMillis)));
+        newestPausesByTarget.put(
+                TargetRegistration.idOf(incarnation), new Pause(untilMillis, timeOfDayMillis.getAsLong()));
+        removeOldest(newestPausesByTarget);
     }
 
     private Notice notice(String incarnation) {
@@ -70,8 +86,12 @@
     private void put(String incarnation, Notice notice) {
         notices.put(incarnation, notice);
         empty = false;
-        if (notices.size() > MAX_INCARNATIONS) {
-            notices.remove(notices.keySet().iterator().next());
+        removeOldest(notices);
+    }
+
+    private static void removeOldest(Map<String, ?> remembered) {
+        if (remembered.size() > MAX_INCARNATIONS) {
+            remembered.remove(remembered.keySet().iterator().next());
         }
     }
 
@@ -117,7 +137,18 @@
             return Optional.empty();
         }
         synchronized (this) {
-            return notice(incarnation).pausedUntilMillis().map(untilMillis -> clock.nowMillis() - untilMillis);
+            long ownEndMillis = notice(incarnation).pausedUntilMillis().orElse(Long.MIN_VALUE);
+            long endMillis = Math.max(ownEndMillis, pauseEndByTarget(incarnation));
+            return endMillis == Long.MIN_VALUE ? Optional.empty() : Optional.of(clock.nowMillis() - endMillis);
         }
     }
+
+    /** Returns the end of the pause that the process may have asked for before it was registered. */
+    private long pauseEndByTarget(String incarnation) {
+        return Optional.ofNullable(newestPausesByTarget.get(TargetRegistration.idOf(incarnation)))
+                .filter(pause -> pause.askedAtTimeOfDay() + TIME_OF_DAY_TOLERANCE_MILLIS
+                        >= TargetRegistration.startOf(incarnation))
+                .map(Pause::untilMillis)
+                .orElse(Long.MIN_VALUE);
+    }
 }
--- a/coordination/src/main/java/org/snipewind/coordination/target/TargetRegistration.java
+++ b/coordination/src/main/java/org/snipewind/coordination/target/TargetRegistration.java
@@ -91,6 +91,26 @@
         return id + "@" + startedAtMillis;
     }
 
+    /**
+     * Returns the id of the target of an incarnation.
+     *
+     * @param incarnation the incarnation
+     * @return the id
+     */
+    static String idOf(String incarnation) {
+        return incarnation.substring(0, incarnation.lastIndexOf('@'));
+    }
+
+    /**
+     * Returns the start of the process of an incarnation.
+     *
+     * @param incarnation the incarnation
+     * @return milliseconds since the Unix epoch, 0 if unknown
+     */
+    static long startOf(String incarnation) {
+        return Long.parseLong(incarnation.substring(incarnation.lastIndexOf('@') + 1));
+    }
+
     /**
      * Returns whether the start of the process is known, so that a restart can be told from an earlier registration.
      *
--- a/router/src/main/java/org/snipewind/router/state/FleetTracker.java
+++ b/router/src/main/java/org/snipewind/router/state/FleetTracker.java
@@ -79,7 +79,7 @@
         this.parser = parser;
         this.clock = clock;
         this.log = log;
-        this.notices = new TargetNotices(clock);
+        this.notices = new TargetNotices(clock, System::currentTimeMillis);
         this.rollouts = new RolloutItems(clock, log);
     }
 
