--- a/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
+++ b/router/src/main/java/org/snipewind/router/lead/KeyAssigner.java
@@ -211,7 +211,9 @@
     /** Takes over the former leader's table under a higher epoch, so that targets reject that leader's requests. */
     private void takeOverTable(FleetView view) {
         KeyTable formerTable = view.keyTables().getOrDefault(pool, KeyTable.EMPTY);
-        long revision = cache.item(StoreKeys.KEY_TABLE_PREFIX + pool).map(item -> item.revision()).orElse(0L);
+        long revision = cache.item(StoreKeys.KEY_TABLE_PREFIX + pool)
+                .map(item -> item.revision())
+                .orElse(0L);
         epoch = KeyEpochs.nextWritten(Math.max(formerTable.highestEpoch(), cache.revision()) + 1);
         if (formerTable.assignments().isEmpty()) {
             tableTakenOver = true;
