Keep the limit of connections to a target for requests without an id

What callers saw: the process ended, out of memory, while clients asked for many responses without an id and read none of them; targets got more connections than they accept, and reset them together with the requests of others.

Cause: a request without an id has a connection of its own, since its response can't be told from a late one. A target with an idle connection counted as one with capacity, so such a request opened another connection whenever one was idle, and left it behind.

Ruled out: unread responses themselves; the account of the connections held 5 to 7 MB of them and closed those over it.

Change: at the limit, a request that can't use any idle connection takes the place of the one that has been idle for longest.

Evidence: ConnectionLimitTest.requestsWithoutAnIdStayWithinTheLimit failed before (240 connections with a limit of 80) and passes now.

--- a/router/src/main/java/org/snipewind/router/path/Attempt.java
+++ b/router/src/main/java/org/snipewind/router/path/Attempt.java
@@ -69,6 +69,7 @@
                 .connections()
                 .acquire(
                         target.registration(),
+                        routedRequest.connectionLimit(),
                         !routedRequest.isIdempotent(),
                         open -> routedRequest
                                 .usedConnections()
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -100,6 +100,10 @@
         return deadlineMillis - context.clock().nowMillis();
     }
 
+    int connectionLimit() {
+        return TargetResolver.connectionLimit(pool, context.tracker().view());
+    }
+
     UsedConnections usedConnections() {
         return usedConnections;
     }
--- a/router/src/main/java/org/snipewind/router/path/TargetConnections.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetConnections.java
@@ -90,7 +90,11 @@
     /**
      * Obtains an idle or a new connection, which must be released or aborted after use.
      *
+     * <p>A request that can't use any of the idle connections takes the place of one of them if there are as many
+     * connections as the limit allows.
+     *
      * @param target the target
+     * @param connectionLimit largest number of connections to the target
      * @param nonIdempotent whether the request must not run twice, which requires a recently used or new connection
      * @param reusable decides whether a certain connection may be reused for the request
      * @param opened receives the connection
@@ -98,6 +102,7 @@
      */
     void acquire(
             TargetRegistration target,
+            int connectionLimit,
             boolean nonIdempotent,
             Predicate<HttpConnection> reusable,
             Consumer<HttpConnection> opened,
@@ -110,6 +115,9 @@
             opened.accept(idle.get());
             return;
         }
+        if (connections.openCount >= connectionLimit && !connections.idleConnections.isEmpty()) {
+            connections.idleConnections.removeFirst().connection().abort();
+        }
         connections.openCount++;
         metrics.count("connections.opened");
         HttpConnector.open(
--- a/router/src/main/java/org/snipewind/router/path/TargetResolver.java
+++ b/router/src/main/java/org/snipewind/router/path/TargetResolver.java
@@ -301,7 +301,8 @@
         return isPaced(pool, target, nowMillis) && !permits.acquire().test(pool, target);
     }
 
-    private static int connectionLimit(Pool pool, FleetView view) {
+    /** Returns the number of connections that this instance may have to each target of a pool. */
+    static int connectionLimit(Pool pool, FleetView view) {
         return ConnectionQuota.limit(pool.maxConnections(), view.fleetSize());
     }
 
