End the most costly whole requests when they exceed a budget of their own

What callers saw: the process ended, out of memory, while clients sent whole requests of legal size with very many short header lines to targets that did not answer.

Cause: the account of the connections chose only those with an unfinished request or an unread response. Whole requests counted but never gave way, and they are held until their targets answer. A head of 16 KB with 2,300 fields takes about 460 KB, and a connection may have eight of them.

Ruled out: heads that are still being received (clients.closed.memory grew, and the same heads with 8,000 equal fields, which arrive in several reads, were refused in time), bodies (requests.reserved-bytes stayed 0).

Change: above three sixteenths of the heap, the requests of the connection that holds most are answered at once, and the connection is closed. What was not sent gets 503 and never runs, what was sent gets 504. Ordinary connections hold some kilobytes and are chosen last. The end of requests at a shutdown and this one share their code.

--- a/router/src/main/java/org/snipewind/router/memory/ClientMemory.java
+++ b/router/src/main/java/org/snipewind/router/memory/ClientMemory.java
@@ -12,13 +12,18 @@
 /**
  * Accounts for the memory that clients' connections take in any form other than large bodies, which have budgets of
  * their own. When the budget is exceeded, the connections that take most are closed first, if the client has left a
- * request unfinished or a response unread; new connections are not worse off than old ones. Thread-safe.
+ * request unfinished or a response unread; new connections are not worse off than old ones. Whole requests stay, unless
+ * they exceed a higher budget: they are held as long as their targets don't answer, and any number of clients may send
+ * them. Then those of the connection that takes most are ended. Thread-safe.
  */
 public final class ClientMemory {
 
     /** Time without any byte of a body after which it gives way to a body that waits for memory. */
     private static final long STALLED_BODY_MILLIS = 1_000;
 
+    /** Budget that whole requests may use up, as a multiple of the budget for all else. */
+    private static final double WHOLE_REQUESTS_FACTOR = 1.5;
+
     private final long maxBytes;
     private final Set<ConnectionMemory> connections = new HashSet<>();
     private long heldBytes;
@@ -29,7 +34,7 @@
     /**
      * Creates an account.
      *
-     * @param maxBytes memory that all connections together may take
+     * @param maxBytes memory that all connections together may take before unfinished requests are refused
      */
     public ClientMemory(long maxBytes) {
         this.maxBytes = maxBytes;
@@ -39,10 +44,11 @@
      * Opens the account of a connection.
      *
      * @param onClose closes the connection for lack of memory, on any thread
+     * @param onEndRequests ends the whole requests of the connection for lack of memory, on any thread
      * @return the account, which must be released
      */
-    public synchronized ConnectionMemory open(Runnable onClose) {
-        ConnectionMemory opened = new ConnectionMemory(this, onClose);
+    public synchronized ConnectionMemory open(Runnable onClose, Runnable onEndRequests) {
+        ConnectionMemory opened = new ConnectionMemory(this, onClose, onEndRequests);
         connections.add(opened);
         return opened;
     }
@@ -98,17 +104,26 @@
     }
 
     void closeExceeding() {
-        List<ConnectionMemory> exceeding = new ArrayList<>();
+        List<ConnectionMemory> unfinished;
+        List<ConnectionMemory> whole;
         synchronized (this) {
-            while (heldBytes - closingBytes > maxBytes) {
-                Optional<ConnectionMemory> chosen = choose(ConnectionMemory::mayClose, ConnectionMemory::heldBytes);
-                if (chosen.isEmpty()) {
-                    break;
-                }
-                exceeding.add(chosen.get());
+            unfinished = chooseUntilBelow(maxBytes, ConnectionMemory::mayClose);
+            whole = chooseUntilBelow((long) (maxBytes * WHOLE_REQUESTS_FACTOR), connection -> !connection.isClosing());
+        }
+        unfinished.forEach(ConnectionMemory::close);
+        whole.forEach(ConnectionMemory::endRequests);
+    }
+
+    private List<ConnectionMemory> chooseUntilBelow(long limitBytes, Predicate<ConnectionMemory> eligible) {
+        List<ConnectionMemory> chosen = new ArrayList<>();
+        while (heldBytes - closingBytes > limitBytes) {
+            Optional<ConnectionMemory> most = choose(eligible, ConnectionMemory::heldBytes);
+            if (most.isEmpty()) {
+                break;
             }
+            chosen.add(most.get());
         }
-        exceeding.forEach(ConnectionMemory::close);
+        return chosen;
     }
 
     synchronized void add(long bytes, boolean closing) {
--- a/router/src/main/java/org/snipewind/router/memory/ConnectionMemory.java
+++ b/router/src/main/java/org/snipewind/router/memory/ConnectionMemory.java
@@ -7,6 +7,7 @@
 
     private final ClientMemory account;
     private final Runnable onClose;
+    private final Runnable onEndRequests;
     private long heldBytes;
     private long bodyBytes;
     private boolean closable;
@@ -15,9 +16,10 @@
     private boolean receivingBody;
     private long progressMillis;
 
-    ConnectionMemory(ClientMemory account, Runnable onClose) {
+    ConnectionMemory(ClientMemory account, Runnable onClose, Runnable onEndRequests) {
         this.account = account;
         this.onClose = onClose;
+        this.onEndRequests = onEndRequests;
     }
 
     /**
@@ -103,4 +105,9 @@
     void close() {
         onClose.run();
     }
+
+    /** Ends the requests in progress and closes the connection; called without the monitor of the account. */
+    void endRequests() {
+        onEndRequests.run();
+    }
 }
--- a/router/src/main/java/org/snipewind/router/path/CallerChannel.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerChannel.java
@@ -50,8 +50,12 @@
         this.exchanges = new CallerExchanges(() -> channelContext.channel().isActive(), server::isDraining);
         this.activity = new CallerActivity(worker.context().clock());
         this.decoder = new CallerRequestDecoder(worker.limits().maxHeaderBytes(), this);
-        this.memory =
-                worker.context().clients().memory().open(() -> worker.loop().execute(this::closeForMemory));
+        this.memory = worker.context()
+                .clients()
+                .memory()
+                .open(
+                        () -> worker.loop().execute(this::closeForMemory),
+                        () -> worker.loop().execute(this::endRequestsForMemory));
         this.bodyReceiver = new BodyReceiver(worker, memory, this);
     }
 
@@ -134,6 +138,20 @@
         }
     }
 
+    /** Answers the requests in progress, of which those that were not sent never run, and closes the connection. */
+    private void endRequestsForMemory() {
+        if (exchanges.isEmpty()) {
+            memory.closeDeferred();
+            return;
+        }
+        worker.context().metrics().count("clients.closed.requests");
+        closing = true;
+        if (requestHead != null || activity.isReceivingMessage()) {
+            endRequest();
+        }
+        exchanges.endAll(ErrorKind.DAEMON_BYTES_LIMIT);
+    }
+
     /** Closes the connection to make room for another one, unless a request of it is being served. */
     void closeForConnections() {
         if (exchanges.isEmpty()) {
@@ -375,7 +393,7 @@
 
     /** Answers the requests in progress, because the process is about to end. */
     void endRequests() {
-        exchanges.endForShutdown();
+        exchanges.endStarted(ErrorKind.SHUTTING_DOWN);
     }
 
     @Override
--- a/router/src/main/java/org/snipewind/router/path/CallerExchange.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerExchange.java
@@ -73,7 +73,7 @@
     }
 
     /**
-     * Refuses a request whose body is not received, so that it never runs.
+     * Refuses a request whose body is not received, or that was not started, so that it never runs.
      *
      * @param kind why the request is refused
      * @param retryAfterMillis time after which it may be sent again
@@ -94,9 +94,19 @@
         refuse(kind, requestId, retryAfterMillis);
     }
 
-    /** Answers the request if it is in progress, because the process is about to end. */
-    void endForShutdown() {
-        routedRequest.ifPresent(RoutedRequest::endForShutdown);
+    /** Answers the request before it is served, if it was started. */
+    void endIfStarted(ErrorKind kindIfNotSent) {
+        routedRequest.ifPresent(request -> request.end(kindIfNotSent));
+    }
+
+    /** Answers the request before it is served; if it was not started, it never is. */
+    void end(ErrorKind kindIfNotSent) {
+        if (started) {
+            endIfStarted(kindIfNotSent);
+        } else {
+            request.body().release();
+            refuseUnread(kindIfNotSent, RequestClassifier.NOT_READY_RETRY_AFTER_MILLIS, "not started");
+        }
     }
 
     /** Cancels the request, or drops its response, because the caller has disconnected. */
--- a/router/src/main/java/org/snipewind/router/path/CallerExchanges.java
+++ b/router/src/main/java/org/snipewind/router/path/CallerExchanges.java
@@ -1,10 +1,13 @@
 package org.snipewind.router.path;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.snipewind.coordination.error.ErrorKind;
 
 /**
  * The unanswered requests of a caller's connection in their order. Idempotent requests that the caller sends ahead are
@@ -99,9 +102,25 @@
         return heldBytes;
     }
 
-    /** Answers the requests in progress, because the process is about to end. */
-    void endForShutdown() {
-        List.copyOf(exchanges).forEach(CallerExchange::endForShutdown);
+    /**
+     * Answers the requests that were started, before they are served.
+     *
+     * @param kind why, if they were not sent to a target
+     */
+    void endStarted(ErrorKind kind) {
+        List.copyOf(exchanges).forEach(exchange -> exchange.endIfStarted(kind));
+    }
+
+    /**
+     * Answers all requests, before they are served.
+     *
+     * @param kind why, if they were not sent to a target
+     */
+    void endAll(ErrorKind kind) {
+        // The last one first: a request is started as soon as the response to the one before it is written.
+        List<CallerExchange> lastFirst = new ArrayList<>(exchanges);
+        Collections.reverse(lastFirst);
+        lastFirst.forEach(exchange -> exchange.end(kind));
     }
 
     /** Cancels all requests, because the caller has disconnected. */
--- a/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
+++ b/router/src/main/java/org/snipewind/router/path/RoutedRequest.java
@@ -406,13 +406,8 @@
         end(ErrorKind.OVERLOADED);
     }
 
-    /** Ends the request before the process ends, so that its caller learns whether it may have run. */
-    void endForShutdown() {
-        end(ErrorKind.SHUTTING_DOWN);
-    }
-
     /** Ends the request with the given kind, or as one of unknown outcome if it was sent to a target. */
-    private void end(ErrorKind kindIfNotSent) {
+    void end(ErrorKind kindIfNotSent) {
         if (done) {
             return;
         }
@@ -422,7 +417,7 @@
         refuse(
                 mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : kindIfNotSent,
                 ReturnWindow.limit(TargetResolver.POOL_RETRY_AFTER_MILLIS, remainingMillis()),
-                "time is up after " + (context.clock().nowMillis() - arrivedMillis) + "ms attempts=" + attempts);
+                "ended after " + (context.clock().nowMillis() - arrivedMillis) + "ms attempts=" + attempts);
     }
 
     /** Cancels the request because its caller has disconnected. */
