Record a leader before its lease is ended by a successor

Cause: a successor ends the lease of a leader that its peers can't reach, which removes the leader item, and must then allow for that leader until its lease would have expired. If the claim failed after that, or the successor stopped soon, nothing was left of the former leader: the next claim found no leader item, took that for a lease that had run out, and gave keys of targets it did not reach to others while the former leader still renewed them.

Change: the leader is recorded in the store before its lease is ended. A claim allows for all recorded leaders, and shortens its wait only when each of them has confirmed the end of its term. The record is emptied once their rights have expired. The requests to end a term moved to a class of their own.

--- a/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
@@ -1,7 +1,9 @@
 package org.snipewind.router.lead;
 
 import io.netty.channel.EventLoop;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
@@ -44,9 +46,6 @@
     /** Time for the successor's item to arrive after this instance handed over or stepped down. */
     private static final long CLAIM_DELAY_AFTER_HANDOVER_MILLIS = 1_500;
 
-    /** Delay between requests to a former leader to end its term. */
-    private static final long TERM_END_RETRY_DELAY_MILLIS = 200;
-
     /** Without contact to the store for longer than this, the store cache does not show whether there is a leader. */
     private static final long MAX_CONTACT_AGE_MILLIS = 1_500;
 
@@ -60,6 +59,8 @@
     private final TermListener termListener;
     private final Runnable onTermEnd;
     private final LeaseProof leaseProof;
+    private final FormerLeaders formerLeaders;
+    private final FormerTerms formerTerms;
     private boolean leading;
     private boolean claimInProgress;
     private boolean renewalInProgress;
@@ -72,9 +73,6 @@
     private long noClaimBeforeMillis;
     private long outrankedSinceMillis;
 
-    private TermEndRequester termEndRequester = formerLeader -> CompletableFuture.completedFuture(false);
-    private Runnable onFormerLeaderEnded = () -> {};
-
     /**
      * Creates the election of an instance that does not lead yet.
      *
@@ -108,6 +106,8 @@
         this.termListener = termListener;
         this.onTermEnd = onTermEnd;
         this.leaseProof = new LeaseProof(this.store, cache.eras(), clock, self);
+        this.formerLeaders = new FormerLeaders(this.store, cache, self);
+        this.formerTerms = new FormerTerms(loop, clock, log);
     }
 
     /** Starts to check the leadership on each change of the fleet view and periodically. */
@@ -131,12 +131,11 @@
      * Sets the callbacks that concern the former leader.
      *
      * @param requester asks a former leader to end its term
-     * @param formerLeaderEnded called when the former leader has confirmed the end of its term before its lease would
-     *     have expired
+     * @param formerLeaderEnded called when all former leaders have confirmed the ends of their terms before their
+     *     leases would have expired
      */
     public void setFormerLeaderCallbacks(TermEndRequester requester, Runnable formerLeaderEnded) {
-        termEndRequester = requester;
-        onFormerLeaderEnded = formerLeaderEnded;
+        formerTerms.setCallbacks(requester, formerLeaderEnded);
     }
 
     /**
@@ -244,6 +243,9 @@
             handOver("a larger instance is to lead");
         } else if (now >= nextRenewalMillis && !renewalInProgress && !handingOver) {
             renewLease(now);
+            if (now >= formerTerms.untilMillis()) {
+                formerLeaders.removeExpired(leaseId);
+            }
         }
     }
 
@@ -362,13 +364,19 @@
         claimInProgress = true;
         claimAtMillis = Long.MAX_VALUE;
         Optional<LeaderRecord> listedLeader = tracker.view().leader();
-        CompletableFuture<Void> formerLeaseEnded = listedLeader
-                .map(record -> store.endLease(record.leaseId()))
-                .orElseGet(() -> CompletableFuture.completedFuture(null));
         // A leader whose lease has expired ended its term before that, and an earlier process of this instance is gone.
         // Any other leader may not know that its lease has been ended.
-        Optional<LeaderRecord> formerLeader =
+        Optional<LeaderRecord> replacedLeader =
                 listedLeader.filter(record -> !record.member().name().equals(self.name()));
+        Map<Long, LeaderRecord> former = new LinkedHashMap<>();
+        replacedLeader.ifPresent(record -> former.put(record.leaseId(), record));
+        formerLeaders.others().forEach(record -> former.putIfAbsent(record.leaseId(), record));
+        CompletableFuture<Void> formerLeaseEnded = replacedLeader
+                .map(formerLeaders::record)
+                .orElseGet(() -> CompletableFuture.completedFuture(null))
+                .thenCompose(ignored -> listedLeader
+                        .map(record -> store.endLease(record.leaseId()))
+                        .orElseGet(() -> CompletableFuture.completedFuture(null)));
         long[] leaseRequestedAtMillis = new long[1];
         formerLeaseEnded
                 .thenCompose(ignored -> {
@@ -380,7 +388,7 @@
                 .whenComplete((revision, failure) -> {
                     claimInProgress = false;
                     if (failure == null) {
-                        startTerm(leaseRequestedAtMillis[0], revision, formerLeader);
+                        startTerm(leaseRequestedAtMillis[0], revision, List.copyOf(former.values()));
                     } else {
                         log.write(
                                 RouterEvent.STORE_CALL_FAILED,
@@ -404,7 +412,7 @@
         leaseId = 0;
     }
 
-    private void startTerm(long leaseRequestedAtMillis, long revision, Optional<LeaderRecord> formerLeader) {
+    private void startTerm(long leaseRequestedAtMillis, long revision, List<LeaderRecord> former) {
         leading = true;
         outrankedSinceMillis = clock.nowMillis();
         leaseProof.onTermStart(revision);
@@ -413,34 +421,12 @@
         cache.recordContact();
         cache.applyWrite(new StoreItem(StoreKeys.LEADER, RecordCodec.encode(self), revision, leaseId));
         log.write(RouterEvent.LEADERSHIP_TAKEN, () -> "revision=" + revision + " lease=" + leaseId);
-        if (formerLeader.isPresent()) {
-            long formerLeaderUntilMillis = leaseRequestedAtMillis + LeaderTimes.LEASE_LIFETIME_MILLIS;
-            termListener.onTermStart(formerLeaderUntilMillis, formerLeader.map(LeaderRecord::member));
-            requestTermEnd(formerLeader.get(), leaseId, formerLeaderUntilMillis);
-        } else {
-            termListener.onTermStart(clock.nowMillis(), Optional.empty());
-        }
-    }
-
-    /** Asks the former leader to end its term; callers are refused until it has ended or its lease has expired. */
-    private void requestTermEnd(LeaderRecord formerLeader, long ownLeaseId, long formerLeaderUntilMillis) {
-        termEndRequester.request(formerLeader).whenComplete((termEnded, failure) -> {
-            if (!leading || leaseId != ownLeaseId || clock.nowMillis() >= formerLeaderUntilMillis) {
-                return;
-            }
-            if (failure == null && termEnded) {
-                log.write(
-                        RouterEvent.FORMER_LEADER_ENDED,
-                        () -> "former=" + formerLeader.member().name() + " earlier="
-                                + (formerLeaderUntilMillis - clock.nowMillis()) + "ms");
-                onFormerLeaderEnded.run();
-            } else {
-                loop.schedule(
-                        () -> requestTermEnd(formerLeader, ownLeaseId, formerLeaderUntilMillis),
-                        TERM_END_RETRY_DELAY_MILLIS,
-                        TimeUnit.MILLISECONDS);
-            }
-        });
+        formerTerms.onTermStart(former, leaseRequestedAtMillis);
+        termListener.onTermStart(
+                formerTerms.untilMillis(),
+                former.stream().map(LeaderRecord::member).findFirst());
+        long termLeaseId = leaseId;
+        former.forEach(record -> formerTerms.requestEnd(record, () -> leading && leaseId == termLeaseId));
     }
 
     private void endTerm(String reason) {
--- a/router/src/main/java/org/snipewind/router/state/RecordCodec.java
+++ b/router/src/main/java/org/snipewind/router/state/RecordCodec.java
@@ -60,6 +60,49 @@
         }
     }
 
+    /**
+     * Encodes leaders with their leases.
+     *
+     * @param leaders the leaders
+     * @return the encoded leaders, without the revisions of their items
+     */
+    public static byte[] encodeLeaders(List<LeaderRecord> leaders) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(leaders.size());
+            for (LeaderRecord leader : leaders) {
+                byte[] member = encode(leader.member());
+                packer.packBinaryHeader(member.length);
+                packer.writePayload(member);
+                packer.packLong(leader.leaseId());
+            }
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("could not encode leaders", e);
+        }
+    }
+
+    /**
+     * Decodes leaders with their leases.
+     *
+     * @param bytes the encoded leaders
+     * @return the leaders, with revision 0, or empty if the bytes are malformed
+     */
+    public static Optional<List<LeaderRecord>> decodeLeaders(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            List<LeaderRecord> leaders = new ArrayList<>();
+            for (int count = unpacker.unpackArrayHeader(); count > 0; count--) {
+                Optional<MemberRecord> member = decodeMember(unpacker.readPayload(unpacker.unpackBinaryHeader()));
+                if (member.isEmpty()) {
+                    return Optional.empty();
+                }
+                leaders.add(new LeaderRecord(member.get(), unpacker.unpackLong(), 0));
+            }
+            return Optional.of(leaders);
+        } catch (IOException | MessagePackException e) {
+            return Optional.empty();
+        }
+    }
+
     /**
      * Encodes a key table that is written in era 0 of the store.
      *
--- a/router/src/main/java/org/snipewind/router/state/StoreKeys.java
+++ b/router/src/main/java/org/snipewind/router/state/StoreKeys.java
@@ -12,6 +12,9 @@
     /** Key of the leader item. */
     public static final String LEADER = ROOT_PREFIX + "leader";
 
+    /** Key of the record of leaders whose leases were ended by others. */
+    public static final String FORMER_LEADERS = ROOT_PREFIX + "former-leaders";
+
     /** Prefix of the keys of key tables, followed by the name of the pool. */
     public static final String KEY_TABLE_PREFIX = ROOT_PREFIX + "keys/";
 
--- a/router/src/test/java/org/snipewind/router/lead/RestorableStoreClient.java
+++ b/router/src/test/java/org/snipewind/router/lead/RestorableStoreClient.java
@@ -40,6 +40,7 @@
     private boolean cut;
     private boolean readsCut;
     private double lostFraction;
+    private boolean endsOfLeasesUnanswered;
 
     RestorableStoreClient(RestorableStore store, EventLoop loop, Random random) {
         this.store = store;
@@ -57,6 +58,11 @@
         readsCut = areCut;
     }
 
+    /** Sets whether leases are ended without a response. */
+    void setEndsOfLeasesUnanswered(boolean areUnanswered) {
+        endsOfLeasesUnanswered = areUnanswered;
+    }
+
     /** Sets the fraction of the calls that are lost on the way there, and of those whose responses are. */
     void setLostFraction(double fraction) {
         lostFraction = fraction;
@@ -204,7 +210,12 @@
                     store.endLease(lease);
                     return true;
                 }),
-                response -> null);
+                response -> {
+                    if (endsOfLeasesUnanswered) {
+                        throw new StoreException(Kind.UNKNOWN, "no response");
+                    }
+                    return null;
+                });
     }
 
     /** Carries a call out in the store and records the era in which that was. */
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedInstance.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedInstance.java
@@ -37,6 +37,7 @@
     private final LeaderElection election;
     private final MemberRecord self;
     private final Random random;
+    private final TargetsInReach targetsInReach;
     private long highestVersion;
 
     SimulatedInstance(
@@ -57,7 +58,8 @@
         cache = new StoreCache(client, loop, clock, log, tracker);
         tracker.setReconnectAgeSupplier(cache::reconnectAgeMillis);
         Membership membership = new Membership(client, cache, loop, log, self);
-        service = new LeaderService(client, cache, tracker, targets, clock, log, self);
+        targetsInReach = new TargetsInReach(targets);
+        service = new LeaderService(client, cache, tracker, targetsInReach, clock, log, self);
         election = new LeaderElection(
                 client, cache, tracker, loop, clock, log, self, service::onTermStart, service::onTermEnd);
         service.setLeaderElection(election);
@@ -123,6 +125,16 @@
         tracker.view().leader().ifPresent(leader -> election.replaceLeader(leader.member()));
     }
 
+    /** Cuts this instance off from a target, which others reach. */
+    void setCutFromTarget(String target) {
+        targetsInReach.setCut(target);
+    }
+
+    /** Stops the election of this instance; if it leads, it ends its lease. */
+    void stop() {
+        election.stop();
+    }
+
     /** Returns what a request for one token gets. */
     BudgetGrant requestToken() {
         return service.issueTokens(new BudgetRequest("organisation", 1, 1_000));
