Choose the epoch of a grant below all that are written after its decision

The epoch of a grant is chosen when its connection is open, by the key table of that moment. The table may have been changed since the grant was decided on, and the range may be moving to another target: the renewal was then numbered after the epoch of that move, and the new holder could get the same number.

Ruled out: two leaders, and epochs of two leaders (one leader in the play).

Change: the highest epoch of the table is read when the grant is decided on, and the epoch stays below the next one that may be written after it. If there is none left, the grant is not sent, and the renewal follows under the present table.

--- a/router/src/main/java/org/snipewind/router/lead/HolderState.java
+++ b/router/src/main/java/org/snipewind/router/lead/HolderState.java
@@ -82,12 +82,18 @@
      * have registered itself yet, but it has none of the connections of its former life. So no epoch is used on two
      * connections to a target.
      *
+     * <p>The connection may be opened only after the key table was changed, and the range may have another holder by
+     * then. So the epoch is below all that are written to the table after the grant was decided on.
+     *
      * @param connection number of the connection
      * @param assignedEpoch epoch of the range in the key table
-     * @param highestEpoch highest epoch of the key table
-     * @return the epoch, empty if those of renewals are used up
+     * @param highestEpoch highest epoch of the key table when the grant was decided on
+     * @return the epoch, empty if there is none left
      */
     OptionalLong epochOn(long connection, long assignedEpoch, long highestEpoch) {
+        if (lowestEpoch >= KeyEpochs.nextWritten(highestEpoch + 1)) {
+            return OptionalLong.empty();
+        }
         if (usesOtherConnection(connection)) {
             OptionalLong next = KeyEpochs.nextRenewal(Math.max(lowestEpoch, highestEpoch));
             if (next.isEmpty()) {
--- a/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
+++ b/router/src/main/java/org/snipewind/router/lead/OwnershipRequestSender.java
@@ -124,20 +124,21 @@
 
     private CompletableFuture<Boolean> grant(
             HolderState holder, TargetRegistration registration, KeyAssignment range, Optional<String> handover) {
+        long highestEpochNow = highestEpoch.getAsLong();
         return client.grant(
                 registration,
                 range,
-                connection -> chooseEpoch(holder, range, connection),
+                connection -> chooseEpoch(holder, range, highestEpochNow, connection),
                 LeaderTimes.GRANT_LIFETIME_MILLIS,
                 handover);
     }
 
-    private OptionalLong chooseEpoch(HolderState holder, KeyAssignment range, long connection) {
+    private OptionalLong chooseEpoch(HolderState holder, KeyAssignment range, long decidedAtEpoch, long connection) {
         boolean reconnected = holder.usesOtherConnection(connection);
-        OptionalLong epoch = holder.epochOn(connection, range.epoch(), highestEpoch.getAsLong());
-        if (epoch.isEmpty()) {
+        OptionalLong epoch = holder.epochOn(connection, range.epoch(), decidedAtEpoch);
+        if (epoch.isEmpty() && decidedAtEpoch == highestEpoch.getAsLong()) {
             onEpochsNeeded.run();
-        } else if (reconnected) {
+        } else if (reconnected && epoch.isPresent()) {
             log.write(
                     RouterEvent.HOLDER_RECONNECTED,
                     () -> "pool=" + pool + " target=" + holder.incarnation() + " from=" + range.from() + " epoch="
--- a/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
+++ b/router/src/test/java/org/snipewind/router/lead/SimulatedTargets.java
@@ -52,6 +52,8 @@
     /** Fraction of the grants that are sent on a new connection, because the target has closed the last one. */
     private static final double CLOSED_CONNECTIONS = 0.05;
 
+    private static final int MAX_CONNECT_MILLIS = 200;
+
     private static final int HISTORY_LENGTH = 2_000;
 
     private final Deque<HistoryEntry> history = new ArrayDeque<>();
@@ -207,9 +209,30 @@
             long lifetimeMillis,
             Optional<String> handover) {
         CompletableFuture<Boolean> response = new CompletableFuture<>();
-        OptionalLong chosen = epoch.on(connectionTo(registration.id()));
+        Target addressed = target(registration.id());
+        if (!addressed.unaddressable && connectionRandom.nextDouble() < CLOSED_CONNECTIONS) {
+            // The epoch is chosen once there is a connection; much may have changed by then.
+            long connectedAtMillis = clock.nowMillis() + connectionRandom.nextInt(MAX_CONNECT_MILLIS);
+            deliveries.add(new Delivery(connectedAtMillis, () -> {
+                addressed.connection = ++connections;
+                grantOnConnection(registration, assignment, epoch, lifetimeMillis, response);
+            }));
+        } else {
+            grantOnConnection(registration, assignment, epoch, lifetimeMillis, response);
+        }
+        return response;
+    }
+
+    private void grantOnConnection(
+            TargetRegistration registration,
+            KeyAssignment assignment,
+            GrantEpoch epoch,
+            long lifetimeMillis,
+            CompletableFuture<Boolean> response) {
+        OptionalLong chosen = epoch.on(target(registration.id()).connection);
         if (chosen.isEmpty()) {
-            return CompletableFuture.failedFuture(new ExchangeException("there is no epoch", false));
+            response.completeExceptionally(new ExchangeException("there is no epoch", false));
+            return;
         }
         KeyAssignment range = new KeyAssignment(
                 assignment.from(), assignment.to(), assignment.holder(), chosen.getAsLong(), List.of());
@@ -230,7 +253,6 @@
             }
             return true;
         });
-        return response;
     }
 
     @Override
@@ -253,14 +275,6 @@
         return response;
     }
 
-    private long connectionTo(String id) {
-        Target target = target(id);
-        if (connectionRandom.nextDouble() < CLOSED_CONNECTIONS) {
-            target.connection = ++connections;
-        }
-        return target.connection;
-    }
-
     /** Records an epoch unless a higher one was seen for any of the keys; returns whether it was recorded. */
     private static boolean checkEpoch(Target target, KeyAssignment range) {
         boolean highest = true;
