Wait for the reset of a connection in both tables of TCP connections

Cause: the test waits until the kernel shows that the reset has arrived, in /proc/net/tcp. Java opens IPv6 sockets, so the connections are in /proc/net/tcp6 (shown by a program that lists both), and the wait ended at once. The request was then at times written before the reset came, which no router can know.

Change: the test reads both tables.

--- a/router/src/test/java/org/snipewind/router/path/IdleConnectionTest.java
+++ b/router/src/test/java/org/snipewind/router/path/IdleConnectionTest.java
@@ -6,6 +6,8 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -24,7 +26,10 @@
 
     private static final String RESPONSE = "HTTP/1.1 %s Status\r\nId: %s\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n";
 
-    /** Fields of a connection in the kernel's table of TCP connections. */
+    /** The kernel's tables of TCP connections; those of Java are in the second one unless the system has no IPv6. */
+    private static final List<Path> TABLES = List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
+
+    /** Fields of a connection in these tables. */
     private static final int LOCAL_ADDRESS_FIELD = 1;
 
     private static final int STATE_FIELD = 3;
@@ -104,7 +109,13 @@
     }
 
     private static boolean isEstablishedAndEmpty(String localPort) throws IOException {
-        return Files.readAllLines(Path.of("/proc/net/tcp")).stream()
+        List<String> connections = new ArrayList<>();
+        for (Path table : TABLES) {
+            if (Files.exists(table)) {
+                connections.addAll(Files.readAllLines(table));
+            }
+        }
+        return connections.stream()
                 .map(line -> line.trim().split(" +"))
                 .anyMatch(fields -> fields[LOCAL_ADDRESS_FIELD].endsWith(localPort)
                         && fields[STATE_FIELD].equals(ESTABLISHED)
