Keep the roles of the only member until its requests have ended

What callers saw: during the shutdown of a fleet's only daemon, requests waited for their whole deadline and got 503 budget-unavailable.

Cause: at the signal the daemon gave up all its roles at once, also when no other member could take them. A trace of the test shows its first request refused after 5,038 ms as budget-unavailable, the next one as shutting-down, and the listeners closed 200 ms later. A test thread that is held for 200 ms finds them closed. Ruled out: the deadline rule itself (the refusal came only after it had been met by the waiting request).

Change: the only member keeps its roles until no request was in progress for 200 ms or the last ones must end; after that requests are refused at once. A daemon with other members hands over as before.

--- a/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonCore.java
@@ -230,13 +230,33 @@
         return readiness;
     }
 
+    /**
+     * Makes the daemon not ready. It goes on serving requests in its roles until it leaves the fleet.
+     *
+     * @param schedule times of the shutdown
+     */
+    public void beginShutdown(ShutdownSchedule schedule) {
+        readiness.beginShutdown(schedule);
+    }
+
+    /**
+     * Returns whether the fleet has no other member, so that nobody can take over the roles of this daemon.
+     *
+     * @return true if this daemon is the only member
+     */
+    public boolean isOnlyMember() {
+        return records.fleet().members().keySet().equals(Set.of(memberId));
+    }
+
     /**
      * Leaves the fleet: stops acting in all roles, waits for the work in flight under them, and hands them over.
      *
      * @param maxWaitMillis maximum wait in milliseconds
      */
     public void leave(long maxWaitMillis) {
-        readiness.beginShutdown(new ShutdownSchedule(clock.nowMillis(), maxWaitMillis));
+        if (isOnlyMember()) {
+            readiness.endService();
+        }
         records.fleet().rolesOf(memberId).stream()
                 .filter(role -> role.startsWith(RoleNames.TARGET_PREFIX))
                 .forEach(role -> {
--- a/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
@@ -8,12 +8,14 @@
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import org.snipewind.clients.configuration.TargetSettings;
 import org.snipewind.clients.instances.InstanceList;
 import org.snipewind.clients.store.KeyValueStore;
 import org.snipewind.clients.target.TargetClient;
+import org.snipewind.coordination.admission.ShutdownSchedule;
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.daemon.http.CallerAdmission;
@@ -132,16 +134,16 @@
         log.write(LogEvent.SHUTDOWN_STARTED, "grace period " + settings.shutdownGraceMillis() + " ms");
         long endMillis = clock.nowMillis() + settings.shutdownGraceMillis();
         admission.beginClosing();
-        core.get().leave(settings.shutdownGraceMillis());
-        AtomicReference<Long> idleSinceMillis = new AtomicReference<>(clock.nowMillis());
+        ShutdownSchedule schedule = new ShutdownSchedule(clock.nowMillis(), settings.shutdownGraceMillis());
+        core.get().beginShutdown(schedule);
+        // Nobody takes over the roles of the only member, so it serves the requests that still arrive.
+        BooleanSupplier idleBeforeLeave = idleCondition();
+        ConditionPoller.await(
+                clock, schedule.requestEndMillis(), () -> !core.get().isOnlyMember() || idleBeforeLeave.getAsBoolean());
+        core.get().leave(Math.max(0, endMillis - clock.nowMillis()));
         // The handover of roles may have taken the whole grace period, for example while the store is unreachable.
         boolean idle = ConditionPoller.await(
-                clock, Math.max(endMillis, clock.nowMillis() + 2 * IDLE_BEFORE_CLOSE_MILLIS), () -> {
-                    if (admission.inFlight() > 0) {
-                        idleSinceMillis.set(clock.nowMillis());
-                    }
-                    return clock.nowMillis() - idleSinceMillis.get() >= IDLE_BEFORE_CLOSE_MILLIS;
-                });
+                clock, Math.max(endMillis, clock.nowMillis() + 2 * IDLE_BEFORE_CLOSE_MILLIS), idleCondition());
         log.write(
                 idle ? LogEvent.SHUTDOWN_COMPLETED : LogEvent.SHUTDOWN_CUT_WORK,
                 admission.inFlight() + " requests in flight");
@@ -156,6 +158,17 @@
         }
     }
 
+    /** Returns a condition that holds when there has been no request in progress for some time from now. */
+    private BooleanSupplier idleCondition() {
+        AtomicReference<Long> idleSinceMillis = new AtomicReference<>(clock.nowMillis());
+        return () -> {
+            if (admission.inFlight() > 0) {
+                idleSinceMillis.set(clock.nowMillis());
+            }
+            return clock.nowMillis() - idleSinceMillis.get() >= IDLE_BEFORE_CLOSE_MILLIS;
+        };
+    }
+
     private void closeAll() {
         if (context != null) {
             context.close();
--- a/daemon/src/main/java/org/snipewind/daemon/entry/Readiness.java
+++ b/daemon/src/main/java/org/snipewind/daemon/entry/Readiness.java
@@ -19,6 +19,7 @@
     private final StoreContact contact;
     private final MemberLease lease;
     private volatile Optional<ShutdownSchedule> shutdown = Optional.empty();
+    private volatile boolean serviceEnded;
 
     /**
      * Creates a readiness check.
@@ -44,10 +45,16 @@
         shutdown = Optional.of(schedule);
     }
 
+    /** Refuses all further requests, since the daemon has given up roles that nobody takes over. */
+    public void endService() {
+        serviceEnded = true;
+    }
+
     /** Returns whether a request may start that may take until its deadline. */
     boolean mayStart(long nowMillis, long deadlineMillis) {
-        return shutdown.map(schedule -> schedule.mayStart(nowMillis, deadlineMillis - nowMillis))
-                .orElse(true);
+        return !serviceEnded
+                && shutdown.map(schedule -> schedule.mayStart(nowMillis, deadlineMillis - nowMillis))
+                        .orElse(true);
     }
 
     /**
--- a/daemon/src/test/java/org/snipewind/daemon/DaemonShutdownTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/DaemonShutdownTest.java
@@ -60,6 +60,27 @@
         }
     }
 
+    // Guards against a shutdown in which the only member gives up the roles that nobody else can take: requests waited
+    // for their whole deadline and were refused then.
+    @Test
+    void theOnlyMemberOfTheFleetServesRequestsDuringItsShutdown() throws Exception {
+        try (DaemonFixture daemon = new DaemonFixture(DaemonFixture.LIMITS);
+                RawCaller caller = new RawCaller(daemon.settings.callers())) {
+            CompletableFuture<Either<Refusal, TargetResponse>> heldResponse = daemon.target.holdResponse();
+            caller.send(DaemonFixture.request("GET /a HTTP/1.1", ""));
+            assertThat(daemon.target.requests.poll(5, SECONDS)).isNotNull();
+            daemon.target.respondWith(200, Map.of(), new byte[0]);
+            CompletableFuture<Void> shutdown = CompletableFuture.runAsync(daemon.runtime::shutdown);
+            DaemonFixture.await(() -> daemon.callOperatorPort("/-/ready").status == 503);
+            RawCaller.Response response = daemon.call(DaemonFixture.request("GET /a HTTP/1.1", ""));
+            assertThat(response.values("Snipewind-Error")).isEmpty();
+            assertThat(response.status).isEqualTo(200);
+            heldResponse.complete(Either.right(new TargetResponse(200, Map.of(), new byte[0])));
+            assertThat(caller.readResponse(false).status).isEqualTo(200);
+            shutdown.get(5, SECONDS);
+        }
+    }
+
     // Guards against a withdrawn key that is still accepted on a connection opened before the withdrawal.
     @Test
     void aWithdrawnKeyStopsWorkingOnAnOpenConnection() throws Exception {
