Account for the memory of connections to snipewindd

What was seen: a crowd of 120 clients ended a process of snipewindd with a heap of 48 MB in four of six forms (chunks of one byte, tiny trailer fields, requests sent ahead with responses unread, whole bodies at slow targets).

Cause: only bodies of whole requests were counted, with a limit that does not depend on the heap. Chunks, trailer fields and requests sent ahead take many times their bytes.

--- a/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
@@ -19,6 +19,7 @@
 import org.snipewind.coordination.clock.MillisClock;
 import org.snipewind.coordination.clock.SystemMillisClock;
 import org.snipewind.daemon.http.CallerAdmission;
+import org.snipewind.daemon.http.CallerMemory;
 import org.snipewind.daemon.http.ConnectionLimit;
 import org.snipewind.daemon.http.HttpServerContext;
 import org.snipewind.daemon.log.EventLog;
@@ -95,7 +96,11 @@
                                 settings.operators().port(),
                                 log),
                         new ConnectionLimit(
-                                settings.callers().port(), settings.limits().connections(), metrics))
+                                settings.callers().port(), settings.limits().connections(), metrics),
+                        CallerMemory.of(
+                                Runtime.getRuntime().maxMemory(),
+                                settings.limits().bodyBytes(),
+                                metrics))
                 .start();
         context.getBean(EmbeddedServer.class).start();
         log.write(
--- a/daemon/src/main/java/org/snipewind/daemon/http/ConnectionCustomizer.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/ConnectionCustomizer.java
@@ -5,20 +5,20 @@
 import io.micronaut.context.event.BeanCreatedEventListener;
 import io.micronaut.http.netty.channel.ChannelPipelineCustomizer;
 import io.micronaut.http.server.netty.NettyServerCustomizer;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpServerCodec;
 import jakarta.inject.Singleton;
 
-/** Applies the connection limit to each connection of the server, and gives it a strict HTTP decoder. */
+/** Applies the limits on connections and their memory to the server, and gives it a strict HTTP decoder. */
 @Singleton
 @Requires(beans = ConnectionLimit.class)
 final class ConnectionCustomizer implements BeanCreatedEventListener<NettyServerCustomizer.Registry> {
@@ -30,9 +30,11 @@
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
 
     private final ConnectionLimit limit;
+    private final CallerMemory memory;
 
-    ConnectionCustomizer(ConnectionLimit limit) {
+    ConnectionCustomizer(ConnectionLimit limit, CallerMemory memory) {
         this.limit = limit;
+        this.memory = memory;
     }
 
     @Override
@@ -66,26 +68,35 @@
             ChannelPipeline pipeline = channel.pipeline();
             String codec = ChannelPipelineCustomizer.HANDLER_HTTP_SERVER_CODEC;
             if (pipeline.get(codec) != null) {
+                ConnectionAccount account = new ConnectionAccount(memory, channel);
                 HttpDecoderConfig strict = new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setHeadersFactory(new FramingHeadersFactory());
+                        .setHeadersFactory(account.headersFactory())
+                        .setTrailersFactory(account.headersFactory());
                 pipeline.replace(codec, codec, new HttpServerCodec(strict));
+                pipeline.addBefore(codec, "received-bytes", new ReceivedBytesCounter(account));
                 pipeline.addAfter(codec, "content-type", new WildcardContentTypeRemover());
+                pipeline.addAfter(codec, "account", account);
             }
         }
     }
 
-    private static final class FramingHeadersFactory implements HttpHeadersFactory {
+    /** Counts the bytes that the decoder reads. */
+    private static final class ReceivedBytesCounter extends ChannelInboundHandlerAdapter {
 
-        @Override
-        public HttpHeaders newHeaders() {
-            return new FramingHeaders();
+        private final ConnectionAccount account;
+
+        ReceivedBytesCounter(ConnectionAccount account) {
+            this.account = account;
         }
 
         @Override
-        public HttpHeaders newEmptyHeaders() {
-            return new FramingHeaders();
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof ByteBuf bytes) {
+                account.received(bytes.readableBytes());
+            }
+            context.fireChannelRead(message);
         }
     }
 
--- a/daemon/src/main/java/org/snipewind/daemon/http/ConnectionLimit.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/ConnectionLimit.java
@@ -1,13 +1,10 @@
 package org.snipewind.daemon.http;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.snipewind.coordination.error.ErrorKind;
 import org.snipewind.router.metrics.ProcessMetrics;
@@ -15,8 +12,6 @@
 /** Counts the open connections of callers, and refuses connections beyond the limit. */
 public final class ConnectionLimit {
 
-    private static final byte[] REFUSAL_RESPONSE = refusalResponse().getBytes(StandardCharsets.US_ASCII);
-
     private final int callerPort;
     private final int maxConnections;
     private final ProcessMetrics metrics;
@@ -53,16 +48,6 @@
         }
     }
 
-    private static String refusalResponse() {
-        ErrorKind kind = ErrorKind.DAEMON_CONNECTIONS_LIMIT;
-        String execution = kind.execution().wireName();
-        String body = "{\"kind\":\"" + kind.wireName() + "\",\"execution\":\"" + execution
-                + "\",\"detail\":\"too many connections are open\"}";
-        return "HTTP/1.1 " + kind.status() + " " + kind.wireName() + "\r\nContent-Type: application/json\r\n"
-                + "Snipewind-Error: " + kind.wireName() + "\r\nSnipewind-Execution: " + execution
-                + "\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-    }
-
     /** Sends the refusal before any request is read, closes the connection, and discards what the caller sends. */
     private static final class RefusingHandler extends ChannelInboundHandlerAdapter {
 
@@ -79,7 +64,8 @@
         }
 
         private static void refuse(ChannelHandlerContext context) {
-            context.writeAndFlush(Unpooled.wrappedBuffer(REFUSAL_RESPONSE)).addListener(ChannelFutureListener.CLOSE);
+            RawRefusal.sendAndClose(
+                    context.channel(), ErrorKind.DAEMON_CONNECTIONS_LIMIT, "too many connections are open");
         }
 
         @Override
--- a/standins/src/main/java/org/snipewind/standins/deployment/DeploymentPlan.java
+++ b/standins/src/main/java/org/snipewind/standins/deployment/DeploymentPlan.java
@@ -181,6 +181,16 @@
      * @return the changed plan
      */
     public DeploymentPlan withOptimisingCompiler() {
+        return withDaemonJvmOptions(OPTIMISING_COMPILER_OPTIONS);
+    }
+
+    /**
+     * Replaces the options of the virtual machine of each daemon process.
+     *
+     * @param options the options
+     * @return the changed plan
+     */
+    public DeploymentPlan withDaemonJvmOptions(List<String> options) {
         return new DeploymentPlan(
                 configuration,
                 daemonCount,
@@ -188,7 +198,7 @@
                 targetsPerProcess,
                 behaviour,
                 policy,
-                OPTIMISING_COMPILER_OPTIONS,
+                options,
                 daemonsPerProcess);
     }
 
