Recognise the terms of former leaders by process and lease

What was wrong: a key could get two holders (OWNER) after a restored store had assigned the number of a lease again. It was found by reading, not in a play.

Cause: the record of former leaders told its entries apart by the number of the lease. An old entry with the number of the present leader's lease, of an earlier process of the successor, passed for the leader. The leader was not recorded, and after a failed claim the successor did not wait for its grants.

Change: a term is the process and its lease (LeaderRecord.isSameTerm), in the record, among the unconfirmed terms and when a claim collects them.

Measured: aFormerLeaderIsRecordedBesideAnotherProcessWithTheNumberOfItsLease failed before (key 0 has two holders) and passes, as do all tests of router.lead and router.state.

--- a/router/src/main/java/org/snipewind/router/lead/FormerLeaders.java
+++ b/router/src/main/java/org/snipewind/router/lead/FormerLeaders.java
@@ -52,7 +52,7 @@
      */
     CompletableFuture<Void> record(LeaderRecord leader) {
         List<LeaderRecord> known = recorded();
-        if (known.stream().anyMatch(other -> other.leaseId() == leader.leaseId())) {
+        if (known.stream().anyMatch(leader::isSameTerm)) {
             return CompletableFuture.completedFuture(null);
         }
         List<LeaderRecord> extended = new ArrayList<>(known);
@@ -67,9 +67,9 @@
      * @param ownLeaseId lease of this leader
      */
     void removeExpired(long ownLeaseId) {
+        LeaderRecord own = new LeaderRecord(self, ownLeaseId, 0);
         List<LeaderRecord> known = recorded();
-        List<LeaderRecord> kept =
-                known.stream().filter(leader -> leader.leaseId() == ownLeaseId).toList();
+        List<LeaderRecord> kept = known.stream().filter(own::isSameTerm).toList();
         if (!writing && kept.size() < known.size()) {
             writing = true;
             write(kept).whenComplete((ignored, failure) -> writing = false);
--- a/router/src/main/java/org/snipewind/router/lead/FormerTerms.java
+++ b/router/src/main/java/org/snipewind/router/lead/FormerTerms.java
@@ -1,9 +1,8 @@
 package org.snipewind.router.lead;
 
 import io.netty.channel.EventLoop;
-import java.util.HashSet;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -25,7 +24,7 @@
     private final EventLoop loop;
     private final MillisClock clock;
     private final RouterEventLog log;
-    private final Set<Long> unconfirmedLeases = new HashSet<>();
+    private final List<LeaderRecord> unconfirmed = new ArrayList<>();
     private TermEndRequester requester = formerLeader -> CompletableFuture.completedFuture(false);
     private Runnable onAllEnded = () -> {};
     private long untilMillis;
@@ -54,8 +53,8 @@
      */
     void onTermStart(List<LeaderRecord> former, long leaseRequestedAtMillis) {
         untilMillis = former.isEmpty() ? clock.nowMillis() : leaseRequestedAtMillis + LeaderTimes.LEASE_LIFETIME_MILLIS;
-        unconfirmedLeases.clear();
-        former.forEach(leader -> unconfirmedLeases.add(leader.leaseId()));
+        unconfirmed.clear();
+        unconfirmed.addAll(former);
     }
 
     /** Asks a former leader to end its term until it has confirmed that, as long as the present term lasts. */
@@ -69,8 +68,8 @@
                         RouterEvent.FORMER_LEADER_ENDED,
                         () -> "former=" + formerLeader.member().name() + " earlier=" + (untilMillis - clock.nowMillis())
                                 + "ms");
-                unconfirmedLeases.remove(formerLeader.leaseId());
-                if (unconfirmedLeases.isEmpty()) {
+                unconfirmed.removeIf(formerLeader::isSameTerm);
+                if (unconfirmed.isEmpty()) {
                     onAllEnded.run();
                 }
             } else {
--- a/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
+++ b/router/src/main/java/org/snipewind/router/lead/LeaderElection.java
@@ -1,9 +1,8 @@
 package org.snipewind.router.lead;
 
 import io.netty.channel.EventLoop;
-import java.util.LinkedHashMap;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
@@ -368,9 +367,10 @@
         // Any other leader may not know that its lease has been ended.
         Optional<LeaderRecord> replacedLeader =
                 listedLeader.filter(record -> !record.member().name().equals(self.name()));
-        Map<Long, LeaderRecord> former = new LinkedHashMap<>();
-        replacedLeader.ifPresent(record -> former.put(record.leaseId(), record));
-        formerLeaders.others().forEach(record -> former.putIfAbsent(record.leaseId(), record));
+        List<LeaderRecord> former = new ArrayList<>(replacedLeader.stream().toList());
+        formerLeaders.others().stream()
+                .filter(record -> former.stream().noneMatch(record::isSameTerm))
+                .forEach(former::add);
         CompletableFuture<Void> formerLeaseEnded = replacedLeader
                 .map(formerLeaders::record)
                 .orElseGet(() -> CompletableFuture.completedFuture(null))
@@ -388,7 +388,7 @@
                 .whenComplete((revision, failure) -> {
                     claimInProgress = false;
                     if (failure == null) {
-                        startTerm(leaseRequestedAtMillis[0], revision, List.copyOf(former.values()));
+                        startTerm(leaseRequestedAtMillis[0], revision, former);
                     } else {
                         log.write(
                                 RouterEvent.STORE_CALL_FAILED,
--- a/router/src/test/java/org/snipewind/router/lead/LeaderReplacementTest.java
+++ b/router/src/test/java/org/snipewind/router/lead/LeaderReplacementTest.java
@@ -5,6 +5,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.snipewind.coordination.quota.QuotaSplit;
+import org.snipewind.router.state.LeaderRecord;
+import org.snipewind.router.state.MemberRecord;
+import org.snipewind.router.state.RecordCodec;
+import org.snipewind.router.state.StoreKeys;
 
 /**
  * Guards against two holders of a key after the replacement of a leader that does not know of it, when responses of the
@@ -27,7 +31,10 @@
 
     /** Cuts the leader off from the store and the others, and a target that it reaches off from these. */
     private List<SimulatedInstance> separateLeader() {
-        SimulatedInstance leader = leader();
+        return separate(fleet, leader());
+    }
+
+    private static List<SimulatedInstance> separate(RestorationFleet fleet, SimulatedInstance leader) {
         List<SimulatedInstance> others =
                 fleet.instances().stream().filter(each -> each != leader).toList();
         others.forEach(each -> each.setCutFromTarget(fleet.targets().holders(0).get(0)));
@@ -63,6 +70,29 @@
         assertThat(fleet.leaders()).hasSize(1);
     }
 
+    /**
+     * After a restoration of the store, lease numbers are assigned again. The record of an earlier process of the
+     * successor, whose lease had the number of the leader's, hid the leader.
+     */
+    @Test
+    void aFormerLeaderIsRecordedBesideAnotherProcessWithTheNumberOfItsLease() {
+        RestorationFleet pair = new RestorationFleet(1, 2, 4);
+        pair.run(SETTLE_MILLIS);
+        SimulatedInstance former = pair.leaders().get(0);
+        SimulatedInstance successor = separate(pair, former).get(0);
+        long leaseId = pair.store().item(StoreKeys.LEADER).orElseThrow().lease();
+        MemberRecord earlier = new MemberRecord(successor.member().name(), "earlier", "127.0.0.1:1", "dc", 1);
+        pair.store()
+                .put(
+                        StoreKeys.FORMER_LEADERS,
+                        RecordCodec.encodeLeaders(List.of(new LeaderRecord(earlier, leaseId, 0))));
+        pair.run(200);
+        successor.client().setEndsOfLeasesUnanswered(true);
+        successor.replaceLeader();
+        pair.run(RIGHTS_MILLIS);
+        assertThat(pair.leaders()).containsExactly(successor);
+    }
+
     @Test
     void formerLeadersAreForgottenOnceTheirRightsHaveExpired() {
         fleet.run(SETTLE_MILLIS);
