Let new connections take the place of idle ones in snipewindd

What callers saw: while a crowd held all connections that snipewindd allows, idle, every new caller was refused for up to 120 s.

Cause: the limit refused the newest connection.

--- a/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
+++ b/daemon/src/main/java/org/snipewind/daemon/DaemonRuntime.java
@@ -84,6 +84,8 @@
     /** Starts the core, then the HTTP listeners. */
     public void start() {
         startCore();
+        CallerMemory memory = CallerMemory.of(
+                Runtime.getRuntime().maxMemory(), settings.limits().bodyBytes(), clock, metrics);
         context = ApplicationContext.builder()
                 .properties(serverProperties())
                 .banner(false)
@@ -96,11 +98,8 @@
                                 settings.operators().port(),
                                 log),
                         new ConnectionLimit(
-                                settings.callers().port(), settings.limits().connections(), metrics),
-                        CallerMemory.of(
-                                Runtime.getRuntime().maxMemory(),
-                                settings.limits().bodyBytes(),
-                                metrics))
+                                settings.callers().port(), settings.limits().connections(), memory.account(), metrics),
+                        memory)
                 .start();
         context.getBean(EmbeddedServer.class).start();
         log.write(
--- a/daemon/src/main/java/org/snipewind/daemon/http/ConnectionAccount.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/ConnectionAccount.java
@@ -63,10 +63,12 @@
     private boolean receivingBody;
     private boolean answeredEarly;
     private boolean closing;
+    private volatile Optional<Long> idleSinceMillis;
 
     ConnectionAccount(CallerMemory memory, Channel channel) {
         this.memory = memory;
         this.channel = channel;
+        this.idleSinceMillis = Optional.of(memory.clock().nowMillis());
         this.held = memory.account().open(() -> execute(this::closeUnfinished), () -> execute(this::closeWhole));
     }
 
@@ -92,6 +94,27 @@
         undecodedBytes += bytes;
     }
 
+    /** Returns since when the connection has been idle, empty if it is not; may be called on any thread. */
+    Optional<Long> idleSinceMillis() {
+        return idleSinceMillis;
+    }
+
+    /**
+     * Closes the connection to make room for another one; may be called on any thread.
+     *
+     * @param ifNotIdle called instead if a request has arrived meanwhile
+     */
+    void closeIfIdle(Runnable ifNotIdle) {
+        execute(() -> {
+            if (idleSinceMillis.isEmpty()) {
+                ifNotIdle.run();
+            } else if (!closing) {
+                memory.metrics().count("entry.closed.connections");
+                close();
+            }
+        });
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
@@ -265,11 +288,14 @@
         long unwrittenBytes = unwrittenBytes();
         long decodedBytes = fieldsBeingDecoded.map(CountingHeaders::heldBytes).orElse(0L);
         long unfinishedBytes = undecodedBytes + decodedBytes + waitingBytes + incompleteBytes + bodyBytes();
+        boolean idle = unfinishedBytes + wholeBytes + unwrittenBytes == 0;
+        if (idle != idleSinceMillis.isPresent()) {
+            idleSinceMillis = idle ? Optional.of(memory.clock().nowMillis()) : Optional.empty();
+        }
         held.update(unfinishedBytes + wholeBytes + unwrittenBytes, unfinishedBytes + unwrittenBytes > 0);
     }
 
     /** Refuses the incomplete request, or closes the connection if others have not been answered on it. */
-    @SuppressWarnings("FutureReturnValueIgnored") // Nothing depends on the end of the close.
     private void closeUnfinished() {
         if (closing) {
             return;
@@ -283,19 +309,23 @@
             RawRefusal.sendAndClose(
                     channel, ErrorKind.DAEMON_BYTES_LIMIT, "the connections of clients take too much memory");
         } else {
-            channel.close();
+            close();
         }
     }
 
-    @SuppressWarnings("FutureReturnValueIgnored") // Nothing depends on the end of the close.
     private void closeWhole() {
         if (!closing) {
             memory.metrics().count("entry.closed.requests");
-            closing = true;
-            channel.close();
+            close();
         }
     }
 
+    @SuppressWarnings("FutureReturnValueIgnored") // Nothing depends on the end of the close.
+    private void close() {
+        closing = true;
+        channel.close();
+    }
+
     private void execute(Runnable task) {
         if (channel.eventLoop().inEventLoop()) {
             task.run();
--- a/daemon/src/main/java/org/snipewind/daemon/http/ConnectionCustomizer.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/ConnectionCustomizer.java
@@ -69,6 +69,7 @@
             String codec = ChannelPipelineCustomizer.HANDLER_HTTP_SERVER_CODEC;
             if (pipeline.get(codec) != null) {
                 ConnectionAccount account = new ConnectionAccount(memory, channel);
+                limit.addReplaceable(channel, account);
                 HttpDecoderConfig strict = new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
