Answer requests in progress before snipewindd closes a connection

Found by reading the diff: for lack of memory, a connection of snipewindd was closed with its requests in progress, though only what lay behind them was to be dropped; and a client that had just finished its request could get a refusal that belongs to none.

Change: what is unfinished is dropped, the requests before it are answered, the last one with Connection: close, as in the router. A connection with nothing unfinished stays open.

Measured: requestsInProgressAreAnsweredBeforeTheConnectionIsClosed failed before (the connection was closed) and passes, as do the daemon's 137 tests. The second case is read, not shown by a test.

--- a/daemon/src/main/java/org/snipewind/daemon/http/ConnectionAccount.java
+++ b/daemon/src/main/java/org/snipewind/daemon/http/ConnectionAccount.java
@@ -4,12 +4,15 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpRequest;
@@ -156,19 +159,19 @@
     public void write(ChannelHandlerContext writer, Object message, ChannelPromise promise) {
         boolean interim = message instanceof HttpResponse response
                 && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        ChannelPromise written = promise.unvoid();
+        boolean lastResponse = closing && unansweredBytes.size() == 1 && !interim;
+        if (lastResponse && message instanceof HttpResponse response) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
         if (message instanceof LastHttpContent && !interim) {
-            if (unansweredBytes.isEmpty()) {
-                answeredEarly = receivingBody;
-            } else {
-                wholeBytes -= unansweredBytes.remove();
-                if (!waiting.isEmpty()) {
-                    // Later, as the next handler is not prepared for requests while it writes.
-                    executeLater(this::passWaiting);
-                }
+            responseWritten();
+            if (lastResponse) {
+                written.addListener(ChannelFutureListener.CLOSE);
             }
         }
         // Later, as the buffer of the channel counts the message until its listeners have been called.
-        writer.write(message, promise.unvoid().addListener(written -> executeLater(this::update)));
+        writer.write(message, written.addListener(ignored -> executeLater(this::update)));
         update();
     }
 
@@ -183,6 +186,18 @@
         release();
     }
 
+    private void responseWritten() {
+        if (unansweredBytes.isEmpty()) {
+            answeredEarly = receivingBody;
+            return;
+        }
+        wholeBytes -= unansweredBytes.remove();
+        if (!waiting.isEmpty()) {
+            // Later, as the next handler is not prepared for requests while it writes.
+            executeLater(this::passWaiting);
+        }
+    }
+
     private boolean mustWait(Object message) {
         return message instanceof HttpRequest && unansweredBytes.size() >= MAX_UNANSWERED_REQUESTS;
     }
@@ -281,13 +296,18 @@
         return outbound == null ? 0 : outbound.totalPendingWriteBytes();
     }
 
+    /** Returns the memory of what the client has sent of requests that are incomplete or wait for earlier ones. */
+    private long unfinishedBytes() {
+        long decodedBytes = fieldsBeingDecoded.map(CountingHeaders::heldBytes).orElse(0L);
+        return undecodedBytes + decodedBytes + waitingBytes + incompleteBytes + bodyBytes();
+    }
+
     private void update() {
         if (closing || context == null) {
             return;
         }
         long unwrittenBytes = unwrittenBytes();
-        long decodedBytes = fieldsBeingDecoded.map(CountingHeaders::heldBytes).orElse(0L);
-        long unfinishedBytes = undecodedBytes + decodedBytes + waitingBytes + incompleteBytes + bodyBytes();
+        long unfinishedBytes = unfinishedBytes();
         boolean idle = unfinishedBytes + wholeBytes + unwrittenBytes == 0;
         if (idle != idleSinceMillis.isPresent()) {
             idleSinceMillis = idle ? Optional.of(memory.clock().nowMillis()) : Optional.empty();
@@ -295,21 +315,30 @@
         held.update(unfinishedBytes + wholeBytes + unwrittenBytes, unfinishedBytes + unwrittenBytes > 0);
     }
 
-    /** Refuses the incomplete request, or closes the connection if others have not been answered on it. */
+    /**
+     * Refuses the incomplete request, or drops what is unfinished behind requests in progress, which are answered
+     * before the connection is closed. A connection whose responses are not taken is closed at once.
+     */
     private void closeUnfinished() {
         if (closing) {
             return;
         }
+        if (unfinishedBytes() + unwrittenBytes() == 0) {
+            // The client has finished meanwhile, and a response now would belong to no request.
+            held.closeDeferred();
+            return;
+        }
         memory.metrics().count("entry.closed.memory");
-        // A refusal behind a response that the client does not take would never be written.
-        boolean refuse = unansweredBytes.isEmpty() && unwrittenBytes() == 0;
+        if (unwrittenBytes() > 0) {
+            close();
+            return;
+        }
         closing = true;
-        if (refuse) {
+        dropUnfinished();
+        if (unansweredBytes.isEmpty()) {
             memory.metrics().countRefusal(ErrorKind.DAEMON_BYTES_LIMIT);
             RawRefusal.sendAndClose(
                     channel, ErrorKind.DAEMON_BYTES_LIMIT, "the connections of clients take too much memory");
-        } else {
-            close();
         }
     }
 
@@ -340,11 +369,15 @@
         }
     }
 
-    private void release() {
+    private void dropUnfinished() {
         body.ifPresent(ByteBuf::release);
         body = Optional.empty();
         waiting.forEach(ReferenceCountUtil::release);
         waiting.clear();
+    }
+
+    private void release() {
+        dropUnfinished();
         held.release();
     }
 }
--- a/daemon/src/test/java/org/snipewind/daemon/http/ConnectionAccountTest.java
+++ b/daemon/src/test/java/org/snipewind/daemon/http/ConnectionAccountTest.java
@@ -99,6 +99,25 @@
         assertThat(memory.account().heldBytes()).isEqualTo(0);
     }
 
+    // Guards against responses that get lost because the client has sent too much behind their requests.
+    @Test
+    void requestsInProgressAreAnsweredBeforeTheConnectionIsClosed() {
+        CallerMemory memory = CallerMemory.of(64_000, 100_000, new ManualMillisClock(1), new ProcessMetrics());
+        EmbeddedChannel channel = open(memory);
+        channel.writeInbound(ascii("GET /first HTTP/1.1\r\n\r\n"));
+        channel.writeInbound(ascii("POST /second HTTP/1.1\r\nContent-Length: 50000\r\n\r\n" + "b".repeat(20_000)));
+        channel.writeInbound(ascii("b".repeat(30_000) + "GET /third HTTP/1.1\r\n\r\n"));
+        assertThat(channel.isOpen()).isTrue();
+        answer(channel);
+        ByteBuf response = channel.readOutbound();
+        assertThat(response.toString(StandardCharsets.US_ASCII)).contains("connection: close\r\n");
+        response.release();
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(passed).containsExactly("/first ");
+        channel.finishAndReleaseAll();
+        assertThat(memory.account().heldBytes()).isEqualTo(0);
+    }
+
     private EmbeddedChannel open(CallerMemory memory) {
         EmbeddedChannel channel = new EmbeddedChannel();
         ConnectionAccount account = new ConnectionAccount(memory, channel);
